Lay down the workspace and a thin whole path

Cause: there was nothing. A request now goes from a caller through an entry instance to a backend server, with the platform, the backend servers, the entry instances and the operators' client as separate processes.

Core without I/O, schema with committed generated code, the shipped binary and the lab's stand-ins. The router of this path chooses alone, nearest first; it stays as a baseline for the dispatchers.

--- /dev/null
+++ b/crates/azuregate-core/src/lib.rs
@@ -0,0 +1,36 @@
+/*!
+The decisions of azuregate, without sockets, files, clocks or async.
+
+Time and randomness are arguments, so that each decision can be replayed in a
+test:
+
+```
+use azuregate_core::{
+    error::{ErrorKind, Outcome},
+    time::Millis,
+};
+
+let answer = ErrorKind::QueueFull.answer();
+assert_eq!(answer.outcome, Outcome::NotRun);
+assert!(Millis(5) < Millis(7));
+```
+
+# Design
+
+* [`policy`] and [`snapshot`] hold what operators decided and what the platform
+  listed; a snapshot is immutable and is replaced as a whole.
+* [`route`] chooses a backend server for one request.
+* [`claim`] decides whether a request with an idempotency key may run.
+* [`entries`] answers which entry instances a caller should use.
+* [`error`] is the closed list of error kinds and the table from kind to answer.
+*/
+
+pub mod claim;
+pub mod entries;
+pub mod error;
+pub mod names;
+pub mod policy;
+pub mod route;
+pub mod snapshot;
+pub mod time;
+pub mod topology;
--- /dev/null
+++ b/crates/azuregate-core/src/route/mod.rs
@@ -0,0 +1,89 @@
+//! Choosing a backend server for one request.
+//!
+//! [`Router`] is the border: the shipped rule and the baselines that it is
+//! measured against implement it.
+
+pub mod hash;
+mod nearest;
+
+pub use nearest::Nearest;
+
+use crate::{
+    names::{BackendId, ZoneName},
+    snapshot::BackendServer,
+    time::Millis,
+    topology::Topology,
+};
+
+/// How a request ended at a backend server, as far as limits care.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Ending {
+    /// It answered.
+    Answered {
+        /// From sending to the head of the answer.
+        latency_ms: u64,
+    },
+    /// It refused, and said that it did not run the request.
+    Refused,
+    /// No connection, or the connection broke.
+    Failed,
+    /// The caller left, or the deadline passed.
+    Abandoned,
+}
+
+/// What a backend server says of itself; it lags, and may be wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests in progress there.
+    pub in_use: u32,
+    /// Requests that it takes at once.
+    pub slots: u32,
+    /// When the report arrived, on the monotonic clock.
+    pub at_ms: Millis,
+}
+
+/// The inputs of a choice that the router does not own.
+#[derive(Clone, Copy, Debug)]
+pub struct Place<'a> {
+    /// Regions and availability zones.
+    pub topology: &'a Topology,
+    /// The availability zone that chooses.
+    pub zone: &'a ZoneName,
+}
+
+/// A rule that chooses among the backend servers of one service.
+///
+/// A server keeps its key for as long as the router lives, also when the list
+/// changes while requests are in progress. Implementations count what they have
+/// sent; they hold no sockets or clocks.
+pub trait Router: Send {
+    /// Replaces the list of servers; counts of servers that stay are kept, and
+    /// servers that are no longer listed get no new work.
+    fn set_servers(&mut self, place: Place<'_>, servers: &[RouteServer]);
+
+    /// Chooses a server and takes one of its slots, or `None` when all that may
+    /// serve are full.
+    fn choose(&mut self, now_ms: Millis, rng: &mut fastrand::Rng) -> Option<usize>;
+
+    /// The name of the server with this key.
+    ///
+    /// # Panics
+    ///
+    /// When `key` did not come from [`Router::choose`].
+    fn id(&self, key: usize) -> &BackendId;
+
+    /// Gives the slot back, with what was learnt.
+    fn finish(&mut self, key: usize, ending: Ending, now_ms: Millis);
+
+    /// Takes in what a server said of its load.
+    fn report(&mut self, key: usize, report: LoadReport);
+}
+
+/// A backend server with what the instance knows of it beyond the list.
+#[derive(Clone, Debug)]
+pub struct RouteServer {
+    /// The server as listed.
+    pub server: BackendServer,
+    /// Whether it may get new work.
+    pub open: bool,
+}
--- /dev/null
+++ b/crates/azuregate-lab/src/lib.rs
@@ -0,0 +1,25 @@
+/*!
+Stand-ins of the systems that azuregate works with, and a load tool.
+
+```no_run
+use azuregate_lab::{example::Example, up};
+
+# async fn demo() -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+let example = Example::load("examples/kvas.jsonc".as_ref())?;
+let lab = up::start(&example).await?;
+lab.wait_ready().await?;
+lab.stop().await;
+# Ok(())
+# }
+```
+
+Nothing here is shipped, and no other crate depends on it.
+*/
+
+pub mod backends;
+pub mod cli;
+pub mod client;
+pub mod example;
+pub mod load;
+pub mod platform;
+pub mod up;
--- /dev/null
+++ b/crates/azuregate-lab/src/platform/server.rs
@@ -0,0 +1,219 @@
+//! The stand-in's HTTP server.
+
+use std::{
+    convert::Infallible,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use azuregate::platform::Write;
+use azuregate_core::snapshot::InstanceList;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, time};
+
+use crate::platform::{Faults, Store};
+
+/// The stand-in's state, shared between its connections.
+#[derive(Debug, Default)]
+pub struct Server {
+    store: Mutex<Store>,
+    faults: Mutex<Faults>,
+    counts: Mutex<Counts>,
+}
+
+/// How many calls there were, for measurements.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    /// Reads of tables, objects and the list.
+    pub reads: u64,
+    /// Transactions and objects written.
+    pub writes: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    writes: Vec<Write>,
+}
+
+struct Answer {
+    status: StatusCode,
+    bytes: Bytes,
+}
+
+impl Answer {
+    fn json(status: StatusCode, value: &impl Serialize) -> Answer {
+        Answer { status, bytes: serde_json::to_vec(value).unwrap_or_default().into() }
+    }
+
+    fn text(status: StatusCode, text: &str) -> Answer {
+        Answer { status, bytes: Bytes::copy_from_slice(text.as_bytes()) }
+    }
+}
+
+impl Server {
+    /// A stand-in that lists `list`.
+    pub fn new(list: InstanceList) -> Server {
+        let server = Server::default();
+        server.store().list = list;
+        server
+    }
+
+    /// What it keeps.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many calls there were so far.
+    pub fn counts(&self) -> Counts {
+        *self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, method: &Method) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if method == Method::GET { counts.reads += 1 } else { counts.writes += 1 }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Option<Answer> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_owned();
+        let query = head.uri.query().unwrap_or_default().to_owned();
+        let Ok(body) = body.collect().await else {
+            return None;
+        };
+        let body = body.to_bytes();
+        if let Some(path) = path.strip_prefix("/lab/") {
+            return Some(self.control(&head.method, path, &body));
+        }
+        let faults = self.faults().clone();
+        time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        if faults.silent {
+            return std::future::pending().await;
+        }
+        if faults.down {
+            return Some(Answer::text(StatusCode::SERVICE_UNAVAILABLE, "down\n"));
+        }
+        self.count(&head.method);
+        let answer = self.serve(&head.method, &path, &query, &body);
+        if head.method != Method::GET && self.loses_answer() {
+            return None;
+        }
+        Some(answer)
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults();
+        let lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        lost
+    }
+
+    fn control(&self, method: &Method, path: &str, body: &[u8]) -> Answer {
+        match (method, path) {
+            (&Method::POST, "faults") => match serde_json::from_slice(body) {
+                Ok(faults) => {
+                    *self.faults() = faults;
+                    Answer::text(StatusCode::OK, "set\n")
+                }
+                Err(e) => Answer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            (&Method::POST, "instances") => match serde_json::from_slice(body) {
+                Ok(list) => {
+                    self.store().list = list;
+                    Answer::text(StatusCode::OK, "set\n")
+                }
+                Err(e) => Answer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            (&Method::GET, "counts") => Answer::json(StatusCode::OK, &self.counts()),
+            _ => Answer::text(StatusCode::NOT_FOUND, "no such control\n"),
+        }
+    }
+
+    fn serve(&self, method: &Method, path: &str, query: &str, body: &Bytes) -> Answer {
+        let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (method, segments.as_slice()) {
+            (&Method::GET, ["v1", "tables", table, "rows", key]) => {
+                match self.store().read(table, &decode(key)) {
+                    Some(row) => Answer::json(StatusCode::OK, &row),
+                    None => Answer::text(StatusCode::NOT_FOUND, "no such row\n"),
+                }
+            }
+            (&Method::GET, ["v1", "tables", table, "changes"]) => {
+                let since = query.strip_prefix("since=").and_then(|n| n.parse().ok());
+                Answer::json(StatusCode::OK, &self.store().changes(table, since.unwrap_or(0)))
+            }
+            (&Method::POST, ["v1", "transact"]) => self.transact(body),
+            (&Method::PUT, ["v1", "objects", name]) => {
+                self.store().put_object(&decode(name), body.clone());
+                Answer::text(StatusCode::OK, "kept\n")
+            }
+            (&Method::GET, ["v1", "objects", name]) => {
+                match self.store().get_object(&decode(name)) {
+                    Some(bytes) => Answer { status: StatusCode::OK, bytes },
+                    None => Answer::text(StatusCode::NOT_FOUND, "no such object\n"),
+                }
+            }
+            (&Method::GET, ["v1", "instances"]) => Answer::json(StatusCode::OK, &self.store().list),
+            _ => Answer::text(StatusCode::BAD_REQUEST, "no such call\n"),
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> Answer {
+        match serde_json::from_slice::<Transaction>(body) {
+            Ok(transaction) => {
+                let commit = self.store().transact(&transaction.writes);
+                Answer::json(StatusCode::OK, &commit)
+            }
+            Err(e) => Answer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+        }
+    }
+}
+
+fn decode(segment: &str) -> String {
+    percent_encoding::percent_decode_str(segment).decode_utf8_lossy().into_owned()
+}
+
+/// A call whose answer is lost: the connection closes without one.
+#[derive(Debug)]
+struct Lost;
+
+impl std::fmt::Display for Lost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer is lost on purpose")
+    }
+}
+
+impl std::error::Error for Lost {}
+
+/// Serves until the task is aborted.
+pub async fn serve(listener: TcpListener, server: Arc<Server>) -> Infallible {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let server = Arc::clone(&server);
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let server = Arc::clone(&server);
+                async move {
+                    let answer = server.answer(request).await.ok_or(Lost)?;
+                    let mut response = Response::new(Full::new(answer.bytes));
+                    *response.status_mut() = answer.status;
+                    Ok::<_, Lost>(response)
+                }
+            });
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/azuregate-lab/src/platform/store.rs
@@ -0,0 +1,85 @@
+//! The tables, objects and the list, in memory.
+
+use std::collections::BTreeMap;
+
+use azuregate::platform::{Changes, Commit, Expect, Row, Write};
+use azuregate_core::snapshot::InstanceList;
+use bytes::Bytes;
+
+/// Everything that the stand-in keeps.
+#[derive(Debug, Default)]
+pub struct Store {
+    tables: BTreeMap<String, Table>,
+    objects: BTreeMap<String, Bytes>,
+    /// The list of live and leaving instances.
+    pub list: InstanceList,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    sequence: u64,
+    rows: BTreeMap<String, Kept>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    sequence: u64,
+    row: Row,
+}
+
+impl Store {
+    /// Reads one row.
+    pub fn read(&self, table: &str, key: &str) -> Option<Row> {
+        Some(self.tables.get(table)?.rows.get(key)?.row.clone())
+    }
+
+    /// Reads the rows that changed after a point.
+    pub fn changes(&self, table: &str, since_sequence: u64) -> Changes {
+        let Some(table) = self.tables.get(table) else {
+            return Changes::default();
+        };
+        let mut kept: Vec<_> =
+            table.rows.values().filter(|kept| kept.sequence > since_sequence).collect();
+        kept.sort_by_key(|kept| kept.sequence);
+        let rows = kept.into_iter().map(|kept| kept.row.clone()).collect();
+        Changes { sequence: table.sequence, rows }
+    }
+
+    /// Commits all of `writes` or none.
+    pub fn transact(&mut self, writes: &[Write]) -> Commit {
+        for (index, write) in writes.iter().enumerate() {
+            let row = self.read(write.table.as_str(), &write.key);
+            let met = match write.expect {
+                Expect::Absent => row.is_none(),
+                Expect::Version(version) => row.as_ref().is_some_and(|r| r.version == version),
+            };
+            if !met {
+                return Commit::Conflict { index, row };
+            }
+        }
+        Commit::Done(writes.iter().map(|write| self.write(write)).collect())
+    }
+
+    fn write(&mut self, write: &Write) -> u64 {
+        let table = self.tables.entry(write.table.as_str().to_owned()).or_default();
+        table.sequence += 1;
+        let Some(value) = write.value.clone() else {
+            table.rows.remove(&write.key);
+            return 0;
+        };
+        let version = table.rows.get(&write.key).map_or(1, |kept| kept.row.version + 1);
+        let row = Row { key: write.key.clone(), version, value };
+        table.rows.insert(write.key.clone(), Kept { sequence: table.sequence, row });
+        version
+    }
+
+    /// Keeps an object.
+    pub fn put_object(&mut self, name: &str, bytes: Bytes) {
+        self.objects.insert(name.to_owned(), bytes);
+    }
+
+    /// Reads an object.
+    pub fn get_object(&self, name: &str) -> Option<Bytes> {
+        self.objects.get(name).cloned()
+    }
+}
--- /dev/null
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -0,0 +1,7 @@
+//! Tests with real processes on loopback. They bound what must happen, not how
+//! fast.
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+mod deployment;
+mod path;
--- /dev/null
+++ b/crates/azuregate/src/gateway/answer.rs
@@ -0,0 +1,28 @@
+//! Answers that azuregate makes itself.
+
+use azuregate_core::error::{Error, ErrorKind};
+use hyper::{Response, StatusCode, header};
+
+use crate::body::{self, Body};
+
+/// Tells what the caller may conclude about its request.
+pub(crate) const OUTCOME: &str = "azuregate-outcome";
+
+/// The answer for an error, from the table of answers.
+pub(crate) fn error(error: &Error) -> Response<Body> {
+    let row = error.kind().answer();
+    let text = format!("{error}\n");
+    let mut builder = Response::builder()
+        .status(row.status)
+        .header(header::CONTENT_TYPE, "text/plain; charset=utf-8")
+        .header(OUTCOME, row.outcome.as_str());
+    if let Some(after_s) = error.retry_after_s() {
+        builder = builder.header(header::RETRY_AFTER, after_s);
+    }
+    builder.body(body::full(text)).unwrap_or_else(|_| {
+        let mut response = Response::new(body::empty());
+        *response.status_mut() = StatusCode::from_u16(ErrorKind::Internal.answer().status)
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        response
+    })
+}
--- /dev/null
+++ b/crates/azuregate/src/gateway/lease_body.rs
@@ -0,0 +1,94 @@
+//! The body of an answer, which gives back the slot and the connection.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use azuregate_core::route::Ending;
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+
+use crate::{
+    backend::{BackendConn, Pool},
+    body::{Body, BodyError},
+    selector::Lease,
+};
+
+/// Streams an answer to the caller.
+///
+/// The connection goes back to the pool only when the answer was read to its
+/// end. One that was dropped on the way has unread bytes of this answer, which
+/// the next request on it would take for its own.
+pub(crate) struct LeaseBody {
+    inner: Body,
+    held: Option<Held>,
+}
+
+/// What an answer holds until its end.
+pub(crate) struct Held {
+    pub(crate) lease: Lease,
+    pub(crate) conn: Box<dyn BackendConn>,
+    pub(crate) pool: Pool,
+    pub(crate) latency_ms: u64,
+    pub(crate) reusable: bool,
+}
+
+impl LeaseBody {
+    pub(crate) fn new(inner: Body, held: Held) -> LeaseBody {
+        let mut body = LeaseBody { inner, held: Some(held) };
+        body.finish_if_ended();
+        body
+    }
+
+    fn finish_if_ended(&mut self) {
+        if self.inner.is_end_stream() {
+            self.finish();
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(mut held) = self.held.take() else {
+            return;
+        };
+        held.lease.set_ending(Ending::Answered { latency_ms: held.latency_ms });
+        if held.reusable {
+            held.pool.put(held.lease.addr, held.conn);
+        }
+    }
+
+    fn fail(&mut self) {
+        if let Some(mut held) = self.held.take() {
+            held.lease.set_ending(Ending::Failed);
+        }
+    }
+}
+
+impl HttpBody for LeaseBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        match &polled {
+            Poll::Pending => {}
+            Poll::Ready(Some(Ok(_))) => self.finish_if_ended(),
+            // An answer cut short ends the caller's answer with an error, never
+            // with a clean end: the caller would take the part for the whole.
+            Poll::Ready(Some(Err(_))) => self.fail(),
+            Poll::Ready(None) => self.finish(),
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/gateway/request.rs
@@ -0,0 +1,147 @@
+//! What a request says of itself in its head.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use azuregate_core::{
+    error::{Error, ErrorKind},
+    names::ServiceName,
+    route::hash,
+};
+use hyper::{HeaderMap, Method, Request, header};
+
+use crate::{body::Body, metrics::Class};
+
+/// Names the request, so that its repeats are recognised.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// How long the caller waits, in milliseconds.
+pub(crate) const TIMEOUT_MS: &str = "azuregate-timeout-ms";
+/// Names the request in logs here and at the backend server.
+pub(crate) const REQUEST_ID: &str = "azuregate-request-id";
+
+/// The longest idempotency key that is taken, in bytes.
+const KEY_LIMIT_BYTES: usize = 255;
+/// The longest time that a caller may ask for, in milliseconds.
+const TIMEOUT_LIMIT_MS: u64 = 3_600_000;
+
+/// What the request path needs to know of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Attributes {
+    /// The service, from the Host header.
+    pub service: ServiceName,
+    /// The caller's key, if it set one.
+    pub idempotency_key: Option<String>,
+    /// The caller's time limit, if it set one.
+    pub timeout_ms: Option<u64>,
+    /// Names the request in logs.
+    pub request_id: String,
+    /// Hash of service, method and path: one key names one request.
+    pub fingerprint: u64,
+    /// Which histogram it counts in.
+    pub class: Class,
+    /// Whether its method is idempotent.
+    pub idempotent: bool,
+}
+
+impl Attributes {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadRequest`], saying which header is wrong and why.
+    pub fn read(request: &Request<Body>) -> Result<Attributes, Error> {
+        let headers = request.headers();
+        let service = service_of_host(request)?;
+        let idempotency_key = idempotency_key(headers)?;
+        let timeout_ms = timeout_ms(headers)?;
+        let method = request.method();
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+        let fingerprint = hash::score(&[service.as_str(), method.as_str(), path]);
+        let idempotent = method.is_idempotent();
+        let class = class(method, idempotency_key.is_some());
+        let request_id = request_id(headers)?;
+        Ok(Attributes {
+            service,
+            idempotency_key,
+            timeout_ms,
+            request_id,
+            fingerprint,
+            class,
+            idempotent,
+        })
+    }
+}
+
+/// The service of a query such as `service=starter-desk`.
+pub(crate) fn service_of_query(query: &str) -> Result<ServiceName, Error> {
+    let value = query.split('&').find_map(|pair| pair.strip_prefix("service="));
+    let Some(value) = value.filter(|value| !value.is_empty()) else {
+        return Err(bad("the query has no service=NAME"));
+    };
+    Ok(ServiceName::new(value))
+}
+
+fn service_of_host(request: &Request<Body>) -> Result<ServiceName, Error> {
+    let host = match request.headers().get(header::HOST) {
+        Some(value) => value.to_str().map_err(|_| bad("Host is not ASCII"))?,
+        None => request.uri().host().ok_or_else(|| bad("Host is missing"))?,
+    };
+    let name = host.split(':').next().unwrap_or_default();
+    if name.is_empty() {
+        return Err(bad("Host is empty"));
+    }
+    Ok(ServiceName::new(&name.to_ascii_lowercase()))
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Error> {
+    let Some(key) = text(headers, IDEMPOTENCY_KEY)? else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > KEY_LIMIT_BYTES {
+        let detail = format!("Idempotency-Key must have 1 to {KEY_LIMIT_BYTES} bytes");
+        return Err(bad(detail));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn timeout_ms(headers: &HeaderMap) -> Result<Option<u64>, Error> {
+    let Some(value) = text(headers, TIMEOUT_MS)? else {
+        return Ok(None);
+    };
+    let parsed = value.parse().ok().filter(|ms| (1..=TIMEOUT_LIMIT_MS).contains(ms));
+    let Some(ms) = parsed else {
+        let detail = format!(
+            "Azuregate-Timeout-Ms must be a whole number from 1 to {TIMEOUT_LIMIT_MS}, \
+             not {value:?}"
+        );
+        return Err(bad(detail));
+    };
+    Ok(Some(ms))
+}
+
+fn request_id(headers: &HeaderMap) -> Result<String, Error> {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    if let Some(id) = text(headers, REQUEST_ID)? {
+        return Ok(id.to_owned());
+    }
+    let sequence = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ok(format!("{:08x}-{sequence:x}", fastrand::u32(..)))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Error> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| bad(format!("{name} is not ASCII")))?;
+    Ok(Some(text.trim()))
+}
+
+fn class(method: &Method, keyed: bool) -> Class {
+    if keyed {
+        return Class::Keyed;
+    }
+    if method.is_safe() { Class::Read } else { Class::Write }
+}
+
+fn bad(detail: impl Into<String>) -> Error {
+    Error::new(ErrorKind::BadRequest, detail)
+}
--- /dev/null
+++ b/crates/azuregate/src/main.rs
@@ -0,0 +1,7 @@
+//! The `azuregate` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    azuregate::cli::main()
+}
--- /dev/null
+++ b/crates/azuregate/src/peer/mod.rs
@@ -0,0 +1,85 @@
+/*!
+Links between instances: each accepted change goes to every neighbour once.
+*/
+
+mod link;
+mod mesh;
+mod ws;
+
+use std::collections::BTreeMap;
+
+use async_trait::async_trait;
+use azuregate_core::{
+    names::{BackendId, InstanceId, ServiceName, StartNumber},
+    policy::Policy,
+};
+use serde::{Deserialize, Serialize};
+
+pub use mesh::Mesh;
+pub use ws::WsLink;
+
+/// What instances tell each other.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Frame {
+    /// The first frame each way.
+    Hello {
+        /// Who speaks.
+        instance: InstanceId,
+        /// Its start number.
+        start: StartNumber,
+    },
+    /// The versions that the sender has in force.
+    Digest {
+        /// Version for each service.
+        versions: BTreeMap<ServiceName, u64>,
+    },
+    /// An accepted policy.
+    Policy(Box<Policy>),
+    /// A backend server that is leaving.
+    Leaving {
+        /// The server.
+        backend: BackendId,
+        /// Its start number.
+        start: StartNumber,
+    },
+}
+
+/// A link to one neighbour.
+#[async_trait]
+pub trait PeerLink: Send {
+    /// Sends a frame.
+    ///
+    /// # Errors
+    ///
+    /// When the link is broken; what was sent may not have arrived.
+    async fn send(&mut self, frame: &Frame) -> Result<(), LinkError>;
+
+    /// Waits for the next frame; `None` when the neighbour closed the link.
+    /// Dropping the future loses no frame.
+    ///
+    /// # Errors
+    ///
+    /// When the link is broken, or a frame is not understood.
+    async fn recv(&mut self) -> Result<Option<Frame>, LinkError>;
+}
+
+/// A broken link.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LinkError {
+    detail: String,
+}
+
+impl LinkError {
+    /// Makes an error; `detail` says what happened.
+    pub fn new(detail: impl Into<String>) -> LinkError {
+        LinkError { detail: detail.into() }
+    }
+}
+
+impl std::fmt::Display for LinkError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "peer link broken: {}", self.detail)
+    }
+}
+
+impl std::error::Error for LinkError {}
--- /dev/null
+++ b/crates/azuregate/src/platform/http.rs
@@ -0,0 +1,151 @@
+//! The platform over HTTP and JSON; docs/PLATFORM.md describes the calls.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use azuregate_core::snapshot::InstanceList;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time;
+
+use crate::platform::{
+    Changes, Commit, Effect, Platform, PlatformError, Result, Row, Table, Write,
+};
+
+/// The largest answer that is taken in, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+
+/// A platform at an address, with a limit for the time of each call.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    addr: SocketAddr,
+    timeout_ms: u64,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// The body of a transaction.
+#[derive(Debug, Serialize)]
+struct Transaction<'a> {
+    writes: &'a [Write],
+}
+
+struct Reply {
+    status: StatusCode,
+    bytes: Bytes,
+}
+
+impl HttpPlatform {
+    /// A platform at `addr`; each call fails after `timeout_ms`.
+    pub fn new(addr: SocketAddr, timeout_ms: u64) -> HttpPlatform {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        HttpPlatform { addr, timeout_ms, client }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Reply> {
+        let what = format!("{method} {path}");
+        let call = self.send(method, path, body);
+        // An answer that never comes says nothing about the effect.
+        let Ok(reply) = time::timeout(Duration::from_millis(self.timeout_ms), call).await else {
+            let detail = format!("{what}: no answer within {} ms", self.timeout_ms);
+            return Err(PlatformError::new(Effect::Unknown, detail));
+        };
+        let reply =
+            reply.map_err(|e| PlatformError::new(e.effect, format!("{what}: {}", e.detail)))?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NOT_FOUND | StatusCode::CONFLICT => Ok(reply),
+            // The platform promises that what it refuses did not take effect.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(PlatformError::new(Effect::None, format!("{what}: refused: {}", reply.status)))
+            }
+            status => Err(PlatformError::new(Effect::Unknown, format!("{what}: {status}"))),
+        }
+    }
+
+    async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Reply> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.addr))
+            .body(Full::new(body))
+            .map_err(|e| PlatformError::new(Effect::None, e.to_string()))?;
+        let response = self.client.request(request).await.map_err(|e| {
+            let effect = if e.is_connect() { Effect::None } else { Effect::Unknown };
+            PlatformError::new(effect, chain(&e))
+        })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES).collect().await;
+        let bytes =
+            body.map_err(|e| PlatformError::new(Effect::Unknown, e.to_string()))?.to_bytes();
+        Ok(Reply { status, bytes })
+    }
+}
+
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(error) = source {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        source = error.source();
+    }
+    text
+}
+
+fn parse<T: DeserializeOwned>(what: &str, bytes: &[u8]) -> Result<T> {
+    serde_json::from_slice(bytes).map_err(|e| {
+        let detail = format!("{what}: the answer is not understood: {e}");
+        PlatformError::new(Effect::Unknown, detail)
+    })
+}
+
+#[async_trait]
+impl Platform for HttpPlatform {
+    async fn read(&self, table: Table, key: &str) -> Result<Option<Row>> {
+        let path = format!("/v1/tables/{}/rows/{}", table.as_str(), encode(key));
+        let reply = self.call(Method::GET, &path, Bytes::new()).await?;
+        if reply.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        parse("read", &reply.bytes).map(Some)
+    }
+
+    async fn changes(&self, table: Table, since_sequence: u64) -> Result<Changes> {
+        let path = format!("/v1/tables/{}/changes?since={since_sequence}", table.as_str());
+        let reply = self.call(Method::GET, &path, Bytes::new()).await?;
+        parse("changes", &reply.bytes)
+    }
+
+    async fn transact(&self, writes: &[Write]) -> Result<Commit> {
+        let body = serde_json::to_vec(&Transaction { writes })
+            .map_err(|e| PlatformError::new(Effect::None, e.to_string()))?;
+        let reply = self.call(Method::POST, "/v1/transact", Bytes::from(body)).await?;
+        parse("transact", &reply.bytes)
+    }
+
+    async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
+        let path = format!("/v1/objects/{}", encode(name));
+        self.call(Method::PUT, &path, bytes).await?;
+        Ok(())
+    }
+
+    async fn get_object(&self, name: &str) -> Result<Option<Bytes>> {
+        let path = format!("/v1/objects/{}", encode(name));
+        let reply = self.call(Method::GET, &path, Bytes::new()).await?;
+        Ok((reply.status == StatusCode::OK).then_some(reply.bytes))
+    }
+
+    async fn instances(&self) -> Result<InstanceList> {
+        let reply = self.call(Method::GET, "/v1/instances", Bytes::new()).await?;
+        parse("instances", &reply.bytes)
+    }
+}
+
+/// Percent-encodes a key for use as one segment of a path.
+fn encode(key: &str) -> String {
+    percent_encoding::utf8_percent_encode(key, percent_encoding::NON_ALPHANUMERIC).to_string()
+}
--- /dev/null
+++ b/crates/azuregate/src/settings.rs
@@ -0,0 +1,115 @@
+//! The settings of an entry instance: JSON with comments.
+
+use std::{
+    fmt, fs,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+};
+
+use azuregate_core::{
+    names::{InstanceId, ZoneName},
+    topology::Topology,
+};
+use error_stack::{Report, ResultExt};
+use jsonc_parser::ParseOptions;
+use serde::{Deserialize, Serialize};
+
+/// The settings of an entry instance. What operators may change at run time is
+/// not here: it is policy, and lives in the platform's tables.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this instance, as the platform lists it.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The IP number that all its ports are opened on.
+    pub ip: IpAddr,
+    /// Where callers reach it.
+    pub traffic_port: u16,
+    /// Where the other instances reach it.
+    pub peer_port: u16,
+    /// Where operators reach it by gRPC.
+    pub operators_port: u16,
+    /// Where health, readiness and histograms are read by HTTP.
+    pub status_port: u16,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Regions, availability zones and the links between them.
+    pub topology: Topology,
+    /// Where metrics go in the statsd format; nowhere if left out.
+    #[serde(default)]
+    pub statsd_addr: Option<SocketAddr>,
+    /// What is logged: a level, or a list of `module=level`.
+    #[serde(default = "default_log_filter")]
+    pub log_filter: String,
+    /// How long a planned stop goes on serving callers that cached this entry.
+    #[serde(default = "default_stop_delay_ms")]
+    pub stop_delay_ms: u64,
+}
+
+/// How the platform is reached.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// How often tables and the instance list are read.
+    #[serde(default = "default_poll_ms")]
+    pub poll_ms: u64,
+    /// How long a call may take.
+    #[serde(default = "default_platform_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+fn default_log_filter() -> String {
+    "info".to_owned()
+}
+
+fn default_stop_delay_ms() -> u64 {
+    6_000
+}
+
+fn default_poll_ms() -> u64 {
+    500
+}
+
+fn default_platform_timeout_ms() -> u64 {
+    1_000
+}
+
+/// Settings that cannot be used.
+#[derive(Debug)]
+pub struct SettingsError;
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the settings cannot be used")
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or says something that cannot be used.
+    pub fn load(path: &Path) -> Result<Settings, Report<SettingsError>> {
+        let text = fs::read_to_string(path)
+            .change_context(SettingsError)
+            .attach_with(|| path.display().to_string())?;
+        Settings::parse(&text).attach_with(|| path.display().to_string())
+    }
+
+    /// Reads settings from text.
+    ///
+    /// # Errors
+    ///
+    /// When the text says something that cannot be used.
+    pub fn parse(text: &str) -> Result<Settings, Report<SettingsError>> {
+        jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
+            .change_context(SettingsError)
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/status.rs
@@ -0,0 +1,64 @@
+//! Health, readiness and histograms by HTTP.
+
+use std::{convert::Infallible, sync::Arc};
+
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Bytes, body::Incoming, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::{config::Snapshots, metrics::Recorder, stop::Stop};
+
+/// What the status port tells of.
+pub struct Status {
+    /// The configuration in force.
+    pub snapshots: Snapshots,
+    /// The histograms.
+    pub recorder: Recorder,
+    /// Whether the instance is stopping.
+    pub stop: Stop,
+}
+
+/// Serves the status port until the task is aborted.
+pub async fn serve(listener: TcpListener, status: Arc<Status>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let status = Arc::clone(&status);
+        tokio::spawn(async move {
+            let service = service_fn(|request| answer(&status, request));
+            let conn = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = conn.await;
+        });
+    }
+}
+
+async fn answer(
+    status: &Status,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (code, text) = match request.uri().path() {
+        "/health" => (StatusCode::OK, "alive\n".to_owned()),
+        "/ready" => ready(status),
+        "/histograms" => {
+            let summaries = status.recorder.summaries().await;
+            (StatusCode::OK, serde_json::to_string(&summaries).unwrap_or_default())
+        }
+        _ => (StatusCode::NOT_FOUND, "paths: /health /ready /histograms\n".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = code;
+    Ok(response)
+}
+
+fn ready(status: &Status) -> (StatusCode, String) {
+    if status.stop.is_stopping() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "stopping\n".to_owned());
+    }
+    if !status.snapshots.current().ready {
+        return (StatusCode::SERVICE_UNAVAILABLE, "no configuration in force yet\n".to_owned());
+    }
+    (StatusCode::OK, "ready\n".to_owned())
+}
