Add the border between policy and the choice of a server

Cause: shares, shifts and caps are to be built beside routing, and both need one place to meet. The trait plans a request's availability zones and hears where it went; nothing uses it yet.

--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -20,6 +20,7 @@
 * [`policy`] and [`snapshot`] hold what operators decided and what the platform
   listed; a snapshot is immutable and is replaced as a whole.
 * [`route`] chooses a backend server for one request.
+* [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`entries`] answers which entry instances a caller should use.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
@@ -32,5 +33,6 @@
 pub mod policy;
 pub mod route;
 pub mod snapshot;
+pub mod steer;
 pub mod time;
 pub mod topology;
