Add a rule to run_with, baseline routers, a retry budget and the load frame

Cause: the measurement needs entries that choose by other rules, retries need a bound that is shared, and dispatchers will tell their load by frames.

Frame::Load goes between a link and the exchange.

Not run yet: no test covers them in this commit.

--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -23,6 +23,7 @@
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`entries`] answers which entry instances a caller should use.
+* [`retry`] bounds retries to a share of recent requests.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
@@ -31,6 +32,7 @@
 pub mod error;
 pub mod names;
 pub mod policy;
+pub mod retry;
 pub mod route;
 pub mod snapshot;
 pub mod steer;
--- a/crates/azuregate-core/src/route/mod.rs
+++ b/crates/azuregate-core/src/route/mod.rs
@@ -3,6 +3,7 @@
 //! [`Router`] is the border: the shipped rule and the baselines that it is
 //! measured against implement it.
 
+pub mod group;
 pub mod hash;
 mod nearest;
 
--- /dev/null
+++ b/crates/azuregate-lab/src/baselines.rs
@@ -0,0 +1,155 @@
+//! Rules that the dispatchers are measured against: each instance chooses
+//! alone, among all backend servers of a service.
+
+use std::sync::Arc;
+
+use azuregate::dispatch::Rule;
+use azuregate_core::{
+    names::BackendId,
+    route::{Ending, LoadReport, Place, RouteServer, Router},
+    time::Millis,
+};
+
+/// The rule with this name.
+///
+/// # Errors
+///
+/// When there is none; the text lists those that there are.
+pub fn rule(name: &str) -> Result<Rule, String> {
+    match name {
+        "random" => Ok(Rule::Alone(Arc::new(|| Box::new(Random::default())))),
+        "round-robin" => Ok(Rule::Alone(Arc::new(|| Box::new(RoundRobin::default())))),
+        "least-load" => Ok(Rule::Alone(Arc::new(|| Box::new(LeastLoad::default())))),
+        "nearest" => Ok(Rule::nearest()),
+        "dispatcher" => Ok(Rule::default()),
+        _ => Err(format!(
+            "there is no rule {name:?}; there are random, round-robin, least-load, nearest and \
+             dispatcher"
+        )),
+    }
+}
+
+/// What all baselines know of a server.
+#[derive(Debug)]
+struct Server {
+    id: BackendId,
+    open: bool,
+    in_use: u32,
+    report: Option<LoadReport>,
+}
+
+/// The servers of a router, which keep their keys.
+#[derive(Debug, Default)]
+struct Servers {
+    all: Vec<Server>,
+}
+
+impl Servers {
+    fn set(&mut self, servers: &[RouteServer]) {
+        for known in &mut self.all {
+            known.open = false;
+        }
+        for RouteServer { server, open } in servers {
+            match self.all.iter_mut().find(|known| known.id == server.id) {
+                Some(known) => known.open = *open,
+                None => self.all.push(Server {
+                    id: server.id.clone(),
+                    open: *open,
+                    in_use: 0,
+                    report: None,
+                }),
+            }
+        }
+    }
+
+    fn open(&self) -> impl Iterator<Item = usize> + Clone {
+        (0..self.all.len()).filter(|&key| self.all[key].open)
+    }
+
+    fn take(&mut self, key: usize) -> usize {
+        self.all[key].in_use += 1;
+        key
+    }
+
+    fn finish(&mut self, key: usize) {
+        let server = &mut self.all[key];
+        server.in_use = server.in_use.saturating_sub(1);
+    }
+}
+
+/// Any server, with equal chances, whatever it is known to hold.
+#[derive(Debug, Default)]
+pub struct Random {
+    servers: Servers,
+}
+
+/// Each server in turn, whatever it is known to hold.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    servers: Servers,
+    last: Option<usize>,
+}
+
+/// The server with the smallest load by its own last report.
+#[derive(Debug, Default)]
+pub struct LeastLoad {
+    servers: Servers,
+}
+
+macro_rules! delegate {
+    () => {
+        fn set_servers(&mut self, _place: Place<'_>, servers: &[RouteServer]) {
+            self.servers.set(servers);
+        }
+
+        fn id(&self, key: usize) -> &BackendId {
+            &self.servers.all[key].id
+        }
+
+        fn finish(&mut self, key: usize, _ending: Ending, _now_ms: Millis) {
+            self.servers.finish(key);
+        }
+
+        fn report(&mut self, key: usize, report: LoadReport) {
+            self.servers.all[key].report = Some(report);
+        }
+    };
+}
+
+impl Router for Random {
+    delegate!();
+
+    fn choose(&mut self, _now_ms: Millis, rng: &mut fastrand::Rng) -> Option<usize> {
+        let count = self.servers.open().count();
+        let nth = if count == 0 { return None } else { rng.usize(..count) };
+        let key = self.servers.open().nth(nth)?;
+        Some(self.servers.take(key))
+    }
+}
+
+impl Router for RoundRobin {
+    delegate!();
+
+    fn choose(&mut self, _now_ms: Millis, rng: &mut fastrand::Rng) -> Option<usize> {
+        // Instances that all start at the first server would move in step.
+        let count = self.servers.all.len();
+        let last = *self.last.get_or_insert_with(|| rng.usize(..count.max(1)));
+        let after = self.servers.open().find(|&key| key > last);
+        let key = after.or_else(|| self.servers.open().next())?;
+        self.last = Some(key);
+        Some(self.servers.take(key))
+    }
+}
+
+impl Router for LeastLoad {
+    delegate!();
+
+    fn choose(&mut self, _now_ms: Millis, rng: &mut fastrand::Rng) -> Option<usize> {
+        let load = |key: usize| self.servers.all[key].report.map_or(0, |report| report.in_use);
+        let least = self.servers.open().map(load).min()?;
+        let mut ties = self.servers.open().filter(|&key| load(key) == least);
+        let nth = rng.usize(..ties.clone().count());
+        let key = ties.nth(nth)?;
+        Some(self.servers.take(key))
+    }
+}
--- a/crates/azuregate-lab/src/cli.rs
+++ b/crates/azuregate-lab/src/cli.rs
@@ -2,11 +2,12 @@
 
 use std::{fs, net::SocketAddr, path::PathBuf, process::ExitCode};
 
+use azuregate::dispatch::Rule;
 use azuregate_core::names::ServiceName;
 use gumdrop::Options;
 use tokio::signal;
 
-use crate::{client::ClientError, example::Example, load, up};
+use crate::{baselines, client::ClientError, example::Example, load, up};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -19,7 +20,7 @@
 #[derive(Debug, Options)]
 enum Command {
     #[options(help = "run all of an example in one process")]
-    Up(ExampleArgs),
+    Up(UpArgs),
     #[options(help = "run the platform and the backend servers of an example, without entries")]
     StandIns(ExampleArgs),
     #[options(help = "write the settings file of each entry instance of an example")]
@@ -28,6 +29,19 @@
     Load(LoadArgs),
 }
 
+#[derive(Debug, Options)]
+struct UpArgs {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(free, required, help = "the example's file")]
+    example: PathBuf,
+    #[options(
+        help = "how entries choose: random, round-robin, least-load, nearest or dispatcher",
+        default = "dispatcher"
+    )]
+    rule: String,
+}
+
 #[derive(Debug, Options)]
 struct ExampleArgs {
     #[options(help = "print this text")]
@@ -89,7 +103,9 @@
 
 async fn run(command: Command) -> Result<(), ClientError> {
     match command {
-        Command::Up(args) => run_up(&load_example(&args.example)?).await,
+        Command::Up(args) => {
+            run_up(&load_example(&args.example)?, &baselines::rule(&args.rule)?).await
+        }
         Command::StandIns(args) => run_stand_ins(&load_example(&args.example)?).await,
         Command::Settings(args) => write_settings(&args),
         Command::Load(args) => run_load(args).await,
@@ -100,9 +116,9 @@
     Example::load(path).map_err(|e| format!("{e:?}").into())
 }
 
-async fn run_up(example: &Example) -> Result<(), ClientError> {
+async fn run_up(example: &Example, rule: &Rule) -> Result<(), ClientError> {
     azuregate::logs::start("warn");
-    let lab = up::start(example).await?;
+    let lab = up::start_with(example, rule).await?;
     lab.wait_ready().await?;
     let (Some(entry), Some(service)) = (example.entries.first(), example.services.first()) else {
         return Err("the example has no entry instance or no service".into());
--- a/crates/azuregate-lab/src/lib.rs
+++ b/crates/azuregate-lab/src/lib.rs
@@ -17,6 +17,7 @@
 */
 
 pub mod backends;
+pub mod baselines;
 pub mod cli;
 pub mod client;
 pub mod example;
--- a/crates/azuregate-lab/src/up.rs
+++ b/crates/azuregate-lab/src/up.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use azuregate::{
+    dispatch::Rule,
     platform::{Commit, Expect, Table, Write},
     run, stop,
 };
@@ -41,9 +42,19 @@
 ///
 /// When a port cannot be opened.
 pub async fn start(example: &Example) -> Result<Lab, ClientError> {
+    start_with(example, &Rule::default()).await
+}
+
+/// Starts everything that an example describes, with entry instances that
+/// choose backend servers by `rule`.
+///
+/// # Errors
+///
+/// When a port cannot be opened.
+pub async fn start_with(example: &Example, rule: &Rule) -> Result<Lab, ClientError> {
     let mut lab = stand_ins(example).await?;
     for entry in &example.entries {
-        lab.entries.push(start_entry(example, entry));
+        lab.entries.push(start_entry(example, entry, rule.clone()));
         lab.status_addrs.push(SocketAddr::new(entry.ip, example.ports.status));
     }
     Ok(lab)
@@ -105,11 +116,11 @@
     })
 }
 
-fn start_entry(example: &Example, entry: &EntryExample) -> Entry {
+fn start_entry(example: &Example, entry: &EntryExample, rule: Rule) -> Entry {
     let (stopper, stop) = stop::channel();
     let settings = example.settings(entry);
     let task = tokio::spawn(async move {
-        if let Err(e) = run::run(settings, stop).await {
+        if let Err(e) = run::run_with(settings, stop, rule).await {
             eprintln!("{e:?}");
         }
     });
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -14,7 +14,6 @@
     entries::{self, MAX_AGE_S},
     error::{Error, ErrorKind},
     names::{InstanceId, ServiceName, ZoneName},
-    route::Nearest,
     snapshot::Snapshot,
 };
 use hyper::{Method, Request, Response, header};
@@ -26,6 +25,7 @@
     claims::Claims,
     clock::SharedClock,
     config::{Config, Snapshots},
+    dispatch::Rule,
     metrics::Recorder,
     selector::Selector,
 };
@@ -53,6 +53,8 @@
     pub pool: Pool,
     /// Lets keyed requests run at most once.
     pub claims: Claims,
+    /// How backend servers are chosen.
+    pub rule: Rule,
     /// Takes in latencies and outcomes.
     pub recorder: Recorder,
 }
@@ -160,11 +162,12 @@
         if let Some(selector) = selectors.get(service) {
             return selector.clone();
         }
+        let Rule::Alone(make_router) = &self.parts.rule;
         let selector = Selector::start(
             service,
             &self.parts.zone,
             Arc::clone(&self.parts.clock),
-            Box::new(Nearest::default()),
+            make_router(),
             self.parts.snapshots.clone(),
         );
         selectors.insert(service.clone(), selector.clone());
--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -24,6 +24,7 @@
 
 * [`config`] owns the configuration and publishes immutable snapshots of it.
 * [`gateway`] serves callers from the newest snapshot.
+* [`dispatch`] shares the choice of backend servers among instances.
 * [`selector`] owns the slots of one service's backend servers.
 * [`claims`] lets a request with an idempotency key run at most once.
 * [`peer`] spreads accepted changes between instances.
@@ -36,6 +37,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod dispatch;
 pub mod gateway;
 pub mod logs;
 pub mod metrics;
--- a/crates/azuregate/src/peer/link.rs
+++ b/crates/azuregate/src/peer/link.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     config::{Change, Config, Snapshots, Source},
+    dispatch::{Exchange, Word},
     peer::{Frame, LinkError, PeerLink},
     timer::Tick,
 };
@@ -20,6 +21,8 @@
     pub(crate) start: StartNumber,
     pub(crate) config: Config,
     pub(crate) snapshots: Snapshots,
+    /// Loads of groups, to and from the neighbour.
+    pub(crate) exchange: Exchange,
     /// When to send a digest.
     pub(crate) digests: mpsc::Receiver<Tick>,
 }
@@ -27,6 +30,7 @@
 /// What the neighbour is known to have.
 #[derive(Default)]
 struct Known {
+    neighbour: Option<InstanceId>,
     versions: BTreeMap<ServiceName, u64>,
     leaving: BTreeSet<(BackendId, StartNumber)>,
 }
@@ -40,13 +44,14 @@
     link.send(&hello).await?;
     let mut snapshots = parts.snapshots.watch();
     let mut known = Known::default();
+    let mut words = parts.exchange.outgoing();
     let first = snapshots.borrow_and_update().clone();
     link.send(&digest(&first)).await?;
     loop {
         tokio::select! {
             frame = link.recv() => {
                 let Some(frame) = frame? else { return Ok(()) };
-                let wants = take(frame, &mut known, &parts.config);
+                let wants = take(frame, &mut known, &parts);
                 if wants {
                     let snapshot = parts.snapshots.current();
                     send_missing(link.as_mut(), &snapshot, &mut known).await?;
@@ -59,6 +64,13 @@
                 let snapshot = snapshots.borrow_and_update().clone();
                 send_missing(link.as_mut(), &snapshot, &mut known).await?;
             }
+            word = words.recv() => {
+                let Some(word) = word else { return Ok(()) };
+                if known.neighbour.as_ref() == Some(&word.peer) {
+                    let Word { service, group, load, .. } = word;
+                    link.send(&Frame::Load { service, group, load }).await?;
+                }
+            }
             tick = parts.digests.recv() => {
                 if tick.is_none() {
                     return Ok(());
@@ -70,10 +82,11 @@
 }
 
 /// Takes in a frame; returns whether the neighbour may lack something.
-fn take(frame: Frame, known: &mut Known, config: &Config) -> bool {
+fn take(frame: Frame, known: &mut Known, parts: &LinkParts) -> bool {
     match frame {
         Frame::Hello { instance, start } => {
             log::info!(peer:% = instance, start:% = start; "peer link open");
+            known.neighbour = Some(instance);
             false
         }
         Frame::Digest { versions } => {
@@ -83,12 +96,18 @@
         Frame::Policy(policy) => {
             let version = known.versions.entry(policy.service.clone()).or_default();
             *version = policy.version.max(*version);
-            config.change(Change::Policy(policy, Source::Peer));
+            parts.config.change(Change::Policy(policy, Source::Peer));
             false
         }
         Frame::Leaving { backend, start } => {
             known.leaving.insert((backend.clone(), start));
-            config.change(Change::Leaving(backend, start, Source::Peer));
+            parts.config.change(Change::Leaving(backend, start, Source::Peer));
+            false
+        }
+        Frame::Load { service, group, load } => {
+            if let Some(peer) = known.neighbour.clone() {
+                parts.exchange.heard(Word { peer, service, group, load });
+            }
             false
         }
     }
--- a/crates/azuregate/src/peer/mesh.rs
+++ b/crates/azuregate/src/peer/mesh.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     config::{Config, Snapshots},
+    dispatch::Exchange,
     peer::{
         PeerLink, WsLink,
         link::{self, LinkParts},
@@ -32,6 +33,8 @@
     pub config: Config,
     /// What is sent to neighbours.
     pub snapshots: Snapshots,
+    /// Loads of groups, to and from neighbours.
+    pub exchange: Exchange,
     /// When to dial and to compare.
     pub timer: Timer,
 }
@@ -91,6 +94,7 @@
             start: self.start,
             config: self.config.clone(),
             snapshots: self.snapshots.clone(),
+            exchange: self.exchange.clone(),
             digests: self.timer.subscribe(DIGEST_MS),
         }
     }
--- a/crates/azuregate/src/peer/mod.rs
+++ b/crates/azuregate/src/peer/mod.rs
@@ -12,6 +12,7 @@
 use azuregate_core::{
     names::{BackendId, InstanceId, ServiceName, StartNumber},
     policy::Policy,
+    route::group::{GroupId, GroupLoad},
 };
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +43,16 @@
         /// Its start number.
         start: StartNumber,
     },
+    /// The load of a group that the sender dispatches for, while the neighbour
+    /// hands requests of it over.
+    Load {
+        /// The service.
+        service: ServiceName,
+        /// The group.
+        group: GroupId,
+        /// Its load.
+        load: GroupLoad,
+    },
 }
 
 /// A link to one neighbour.
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -21,6 +21,7 @@
     claims::Claims,
     clock::{SharedClock, SystemClock},
     config::{Change, Config, Source},
+    dispatch::{Exchange, Rule},
     gateway::{Gateway, Parts},
     metrics::{MetricSink, NullSink, Recorder, StatsdSink},
     operators::OperatorsService,
@@ -50,7 +51,20 @@
 /// # Errors
 ///
 /// When a port cannot be opened.
-pub async fn run(settings: Settings, mut stop: Stop) -> Result<(), Report<RunError>> {
+pub async fn run(settings: Settings, stop: Stop) -> Result<(), Report<RunError>> {
+    run_with(settings, stop, Rule::default()).await
+}
+
+/// Runs an entry instance that chooses backend servers by `rule`.
+///
+/// # Errors
+///
+/// When a port cannot be opened.
+pub async fn run_with(
+    settings: Settings,
+    mut stop: Stop,
+    rule: Rule,
+) -> Result<(), Report<RunError>> {
     let traffic = bind(&settings, settings.traffic_port).await?;
     let peers = bind(&settings, settings.peer_port).await?;
     let operators = bind(&settings, settings.operators_port).await?;
@@ -70,11 +84,13 @@
         timer.clone(),
         settings.platform.poll_ms,
     ));
+    let exchange = Exchange::default();
     let mesh = Mesh {
         instance: settings.instance.clone(),
         start,
         config: config.clone(),
         snapshots: snapshots.clone(),
+        exchange: exchange.clone(),
         timer: timer.clone(),
     };
     let mesh = tokio::spawn(mesh.serve(peers));
@@ -103,6 +119,7 @@
         dialer: Arc::new(HttpDialer { ip: settings.ip }),
         pool: Pool::start(Arc::clone(&clock)),
         claims: Claims::new(platform, clock, &settings.instance, start),
+        rule,
         recorder,
     }));
     log::info!(instance:% = settings.instance, start:% = start; "entry instance started");
