--- a/crates/azuregate-lab/src/baselines.rs
+++ b/crates/azuregate-lab/src/baselines.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    fn open(&self) -> impl Iterator<Item = usize> + Clone {
+    fn open(&self) -> impl Iterator<Item = usize> {
         (0..self.all.len()).filter(|&key| self.all[key].open)
     }
 
@@ -147,9 +147,8 @@
     fn choose(&mut self, _now_ms: Millis, rng: &mut fastrand::Rng) -> Option<usize> {
         let load = |key: usize| self.servers.all[key].report.map_or(0, |report| report.in_use);
         let least = self.servers.open().map(load).min()?;
-        let mut ties = self.servers.open().filter(|&key| load(key) == least);
-        let nth = rng.usize(..ties.clone().count());
-        let key = ties.nth(nth)?;
+        let ties: Vec<_> = self.servers.open().filter(|&key| load(key) == least).collect();
+        let key = ties[rng.usize(..ties.len())];
         Some(self.servers.take(key))
     }
 }
