Add the core of dispatching: slots, learnt limits, queue, words, links

Cause: instances that choose alone collide on servers with few slots. Change: core::route::dispatch places a request in a slot, with another dispatcher, in the queue or nowhere; SlotTable counts slots with learnt limits in buckets; Known keeps the last word of a dispatcher and what was sent since; Peers passes over those that fail or go silent; Links bounds bytes between regions. Reports of servers change no limit: a lagging 'full' would shut servers that have long been free.

--- /dev/null
+++ b/crates/azuregate-core/src/route/dispatch/list.rs
@@ -0,0 +1,154 @@
+//! Takes in the lists of instances and backend servers.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{
+    names::ZoneName,
+    route::{
+        Place, RouteServer,
+        dispatch::{Dispatch, Group, Grouping, Refusal, Who},
+        group::{self, GroupId},
+        known::Known,
+        queue::{Drain, Queue, Waiting},
+    },
+    snapshot::{Instance, Liveness, Snapshot},
+};
+
+impl Dispatch {
+    /// Takes in the configuration in force.
+    ///
+    /// Returns requests that wait for a group without open servers, with their
+    /// final answer.
+    pub fn set_snapshot(&mut self, snapshot: &Snapshot) -> Vec<(Waiting, Refusal)> {
+        let zone = &self.config.zone;
+        if let Some(region) = snapshot.topology.region_of(zone) {
+            self.links.set(&snapshot.topology, region, &snapshot.instances);
+        }
+        let mut instances: Vec<_> = snapshot
+            .instances
+            .iter()
+            .filter(|instance| instance.liveness == Liveness::Live)
+            .collect();
+        let others = instances.iter().filter(|instance| instance.id != self.config.me).count();
+        self.instances = 1 + others as u32;
+        let mut by_group = self.split(snapshot);
+        // Groups that are no longer listed stay, closed, for the requests that
+        // are still in progress.
+        for group in &self.groups {
+            by_group.entry(group.id.clone()).or_default();
+        }
+        self.by_zone.clear();
+        let mut refused = Vec::new();
+        for (id, servers) in by_group {
+            let index = self.group_index(&id);
+            self.set_group(index, snapshot, &mut instances, &servers);
+            refused.extend(self.refuse_if_closed(index));
+        }
+        refused
+    }
+
+    fn split(&self, snapshot: &Snapshot) -> BTreeMap<GroupId, Vec<RouteServer>> {
+        let servers = snapshot.route_servers(&self.config.service);
+        let mut by_group: BTreeMap<GroupId, Vec<RouteServer>> = BTreeMap::new();
+        if self.config.grouping == Grouping::Whole {
+            by_group.insert(GroupId { zone: self.config.zone.clone(), part: 0 }, servers);
+            return by_group;
+        }
+        let mut count_by_zone: HashMap<ZoneName, usize> = HashMap::new();
+        for RouteServer { server, .. } in &servers {
+            *count_by_zone.entry(server.zone.clone()).or_default() += 1;
+        }
+        for server in servers {
+            let zone = server.server.zone.clone();
+            let parts = group::parts(count_by_zone[&zone]);
+            let part = group::part_of(&server.server.id, parts);
+            by_group.entry(GroupId { zone, part }).or_default().push(server);
+        }
+        by_group
+    }
+
+    fn group_index(&mut self, id: &GroupId) -> usize {
+        if let Some(&index) = self.by_id.get(id) {
+            return index;
+        }
+        self.groups.push(Group {
+            id: id.clone(),
+            router: (self.config.make_router)(),
+            servers: HashMap::new(),
+            listed_slots: 0,
+            round_trip_ms: 0,
+            link: None,
+            order: Vec::new(),
+            queue: Queue::default(),
+            drain: Drain::default(),
+            known: Known::default(),
+            known_of: None,
+            handers: Vec::new(),
+        });
+        self.by_id.insert(id.clone(), self.groups.len() - 1);
+        self.groups.len() - 1
+    }
+
+    fn set_group(
+        &mut self,
+        index: usize,
+        snapshot: &Snapshot,
+        instances: &mut [&Instance],
+        servers: &[RouteServer],
+    ) {
+        let order = self.order(index, snapshot, instances);
+        let here = &self.config.zone;
+        let group = &mut self.groups[index];
+        let topology = &snapshot.topology;
+        group.router.set_servers(Place { topology, zone: here }, servers);
+        group.servers = servers.iter().map(|s| (s.server.id.clone(), s.server.clone())).collect();
+        group.listed_slots = servers.iter().filter(|s| s.open).map(|s| s.server.slots).sum();
+        group.round_trip_ms = 2 * topology.delay_ms(topology.distance(here, &group.id.zone));
+        let region = topology.region_of(&group.id.zone);
+        group.link = region.and_then(|region| self.links.to(region));
+        group.order = order;
+        if group.listed_slots > 0 {
+            self.by_zone.entry(group.id.zone.clone()).or_default().push(index);
+        }
+    }
+
+    /// Who dispatches for a group. This instance is always among them: one that
+    /// reaches no other has to dispatch itself.
+    fn order(
+        &mut self,
+        index: usize,
+        snapshot: &Snapshot,
+        instances: &mut [&Instance],
+    ) -> Vec<Who> {
+        if self.config.grouping == Grouping::Whole {
+            return vec![Who::Me];
+        }
+        let service = self.config.service.as_str();
+        let id = &self.groups[index].id;
+        group::sort_by_preference(instances, &snapshot.topology, service, id);
+        let mut order = Vec::with_capacity(instances.len() + 1);
+        for instance in instances {
+            if instance.id == self.config.me {
+                order.push(Who::Me);
+                break;
+            }
+            order.push(Who::Peer(self.peers.index(&instance.id)));
+        }
+        if order.last() != Some(&Who::Me) {
+            order.push(Who::Me);
+        }
+        order
+    }
+
+    fn refuse_if_closed(&mut self, index: usize) -> Vec<(Waiting, Refusal)> {
+        if self.groups[index].listed_slots > 0 {
+            return Vec::new();
+        }
+        let mut refused = Vec::new();
+        while let Some(waiting) = self.groups[index].queue.pop() {
+            self.groups[index].leave(waiting.from);
+            refused.push((waiting, Refusal::no_backend()));
+        }
+        refused
+    }
+}
--- /dev/null
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -0,0 +1,243 @@
+//! Dispatching the requests of one service, as one instance sees it.
+//!
+//! For each group of backend servers one instance, the dispatcher, counts slots
+//! and holds the queue; [`Dispatch::place`] tells whether a request goes to a
+//! slot here, to the dispatcher of another group, into the queue or nowhere.
+//! Nothing that must be safe hangs on there being one dispatcher: while
+//! instances disagree two may dispatch, and the refusals of the backend servers
+//! lower the limits of both.
+//!
+//! ```
+//! use azuregate_core::{
+//!     names::{InstanceId, ServiceName, StartNumber, ZoneName},
+//!     route::{
+//!         SlotTable,
+//!         dispatch::{Ask, Config, Dispatch, Grouping, Step},
+//!     },
+//!     time::Millis,
+//! };
+//!
+//! let mut dispatch = Dispatch::new(Config {
+//!     service: ServiceName::new("starter-desk"),
+//!     me: InstanceId::new("entry-1"),
+//!     zone: ZoneName::new("sofia-a"),
+//!     start: StartNumber(1),
+//!     grouping: Grouping::Zones,
+//!     make_router: Box::new(|| Box::new(SlotTable::default())),
+//! });
+//! // No server is listed yet.
+//! let plan = [ZoneName::new("sofia-a")];
+//! let ask = Ask { ticket: 1, plan: &plan, wait_ms: 100, left_ms: 1_000, up_bytes: 0 };
+//! let step = dispatch.place(&ask, Millis(0), &mut fastrand::Rng::with_seed(1));
+//! assert!(matches!(step, Step::Refuse(_)));
+//! ```
+
+mod list;
+mod place;
+mod words;
+
+use std::{collections::HashMap, fmt};
+
+use crate::{
+    error::ErrorKind,
+    names::{BackendId, InstanceId, ServiceName, StartNumber, ZoneName},
+    route::{
+        Router,
+        group::{GroupId, GroupLoad},
+        known::Known,
+        link::{Booking, Links},
+        peers::Peers,
+        queue::{Drain, Queue},
+    },
+    snapshot::BackendServer,
+    time::Millis,
+};
+
+pub use words::Word;
+
+/// Which backend servers make a group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Grouping {
+    /// Those of one availability zone, split when there are many; one instance
+    /// dispatches for each.
+    Zones,
+    /// All of the service; this instance chooses alone.
+    Whole,
+}
+
+/// What a dispatch is made from.
+pub struct Config {
+    /// The service.
+    pub service: ServiceName,
+    /// This instance.
+    pub me: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its start number.
+    pub start: StartNumber,
+    /// How servers are grouped.
+    pub grouping: Grouping,
+    /// Makes the router of a group.
+    pub make_router: Box<dyn Fn() -> Box<dyn Router> + Send>,
+}
+
+/// A request that wants a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Names the request while it waits.
+    pub ticket: u64,
+    /// The availability zones that it may go to, the one to prefer first.
+    pub plan: &'a [ZoneName],
+    /// How long it may wait for a slot.
+    pub wait_ms: u64,
+    /// How long its caller waits for the answer.
+    pub left_ms: u64,
+    /// The length of its body, as far as it is known.
+    pub up_bytes: u64,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// It goes to a backend server from here.
+    Serve(Slot),
+    /// It goes to the dispatcher of another group.
+    HandOver(HandOver),
+    /// It waits here for a slot of a group.
+    Wait {
+        /// The group, as an index.
+        group: usize,
+    },
+    /// It gets its final answer at once.
+    Refuse(Refusal),
+}
+
+/// A slot that a request holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Slot {
+    /// The group, as an index.
+    pub group: usize,
+    /// The server, as a key of the group's router.
+    pub key: usize,
+    /// What it holds of a link between regions.
+    pub booking: Option<Booking>,
+    from: Option<usize>,
+}
+
+/// A request that goes to the dispatcher of another group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HandOver {
+    /// The group, as an index.
+    pub group: usize,
+    /// The dispatcher, as an index.
+    pub peer: usize,
+    /// What it holds of a link between regions.
+    pub booking: Option<Booking>,
+}
+
+/// Why a request goes nowhere. It did not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The row of the table of answers.
+    pub kind: ErrorKind,
+    /// What happened.
+    pub reason: &'static str,
+    /// When a slot is likely to be free.
+    pub retry_after_ms: u64,
+}
+
+/// Places the requests of one service.
+pub struct Dispatch {
+    config: Config,
+    groups: Vec<Group>,
+    by_id: HashMap<GroupId, usize>,
+    /// Groups with open servers.
+    by_zone: HashMap<ZoneName, Vec<usize>>,
+    peers: Peers,
+    links: Links,
+    /// Live instances, this one included.
+    instances: u32,
+}
+
+/// Who dispatches for a group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Who {
+    Me,
+    Peer(usize),
+}
+
+struct Group {
+    id: GroupId,
+    router: Box<dyn Router>,
+    servers: HashMap<BackendId, BackendServer>,
+    /// Slots of the open servers, as listed.
+    listed_slots: u32,
+    /// There and back from here.
+    round_trip_ms: u64,
+    link: Option<usize>,
+    /// Who dispatches, the first that answers.
+    order: Vec<Who>,
+    queue: Queue,
+    drain: Drain,
+    known: Known,
+    known_of: Option<usize>,
+    handers: Vec<Hander>,
+}
+
+/// An instance that hands over requests of a group.
+#[derive(Debug)]
+struct Hander {
+    peer: usize,
+    seen: u64,
+    active: u32,
+    heard_at_ms: Millis,
+    said: Option<(GroupLoad, Millis)>,
+}
+
+impl fmt::Debug for Dispatch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ids: Vec<_> = self.groups.iter().map(|group| &group.id).collect();
+        f.debug_struct("Dispatch").field("groups", &ids).finish_non_exhaustive()
+    }
+}
+
+impl Dispatch {
+    /// Makes a dispatch that knows no servers yet.
+    pub fn new(config: Config) -> Dispatch {
+        Dispatch {
+            config,
+            groups: Vec::new(),
+            by_id: HashMap::new(),
+            by_zone: HashMap::new(),
+            peers: Peers::default(),
+            links: Links::default(),
+            instances: 1,
+        }
+    }
+
+    /// The name of a group.
+    pub fn group_id(&self, group: usize) -> &GroupId {
+        &self.groups[group].id
+    }
+
+    /// The server of a slot that was just taken.
+    pub fn server(&self, slot: &Slot) -> Option<&BackendServer> {
+        let group = &self.groups[slot.group];
+        group.servers.get(group.router.id(slot.key))
+    }
+
+    /// The dispatcher that a request is handed over to.
+    pub fn dispatcher_id(&self, hand_over: &HandOver) -> &InstanceId {
+        self.peers.id(hand_over.peer)
+    }
+
+    /// Takes in what a server said of its load.
+    pub fn report(&mut self, slot: &Slot, report: crate::route::LoadReport) {
+        self.groups[slot.group].router.report(slot.key, report);
+    }
+
+    /// Takes in how many bytes have passed over a link since the start.
+    pub fn passed(&mut self, link: usize, up_bytes: u64, down_bytes: u64, now_ms: Millis) {
+        self.links.passed(link, up_bytes, down_bytes, now_ms);
+    }
+}
--- /dev/null
+++ b/crates/azuregate-core/src/route/known.rs
@@ -0,0 +1,82 @@
+//! What an instance knows of a group that another instance dispatches for.
+
+use crate::{names::StartNumber, route::group::GroupLoad, time::Millis};
+
+/// A word older than this says nothing about free slots any more.
+const FRESH_MS: Millis = Millis(300);
+
+/// The last word of a group's dispatcher, and what was sent since.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Known {
+    word: Option<(GroupLoad, Millis)>,
+    /// Handed over to this start of the dispatcher.
+    sent: u64,
+    /// Handed over and not finished.
+    in_flight: u64,
+}
+
+impl Known {
+    /// Counts a hand-over.
+    pub fn send(&mut self) {
+        self.sent += 1;
+        self.in_flight += 1;
+    }
+
+    /// Counts the end of a hand-over; `arrived` unless it failed on the way.
+    pub fn finish(&mut self, arrived: bool) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if !arrived {
+            self.sent = self.sent.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a word.
+    pub fn hear(&mut self, load: GroupLoad, now_ms: Millis) {
+        let start = self.word.map(|(load, _)| load.start);
+        // Another start counts from zero again; comparing would make it look
+        // full for ever.
+        if start.is_some_and(|start| start != load.start) || load.seen > self.sent {
+            self.sent = load.seen;
+        }
+        self.word = Some((load, now_ms));
+    }
+
+    /// Forgets the word: another instance dispatches now.
+    pub fn forget(&mut self) {
+        *self = Known { in_flight: self.in_flight, ..Known::default() };
+    }
+
+    /// The dispatcher's start, once it has spoken.
+    pub fn start(&self) -> Option<StartNumber> {
+        self.word.map(|(load, _)| load.start)
+    }
+
+    /// How many slots are likely to be free.
+    ///
+    /// What was sent since the word is taken off, or all requests of the next
+    /// moments would go to the group that looked idle. An old word, or none,
+    /// counts for no more than `share` slots less what is in progress there.
+    pub fn free(&self, share: u32, now_ms: Millis) -> u64 {
+        let cautious = u64::from(share).saturating_sub(self.in_flight);
+        let Some((load, at_ms)) = self.word else {
+            return cautious;
+        };
+        let said = u64::from(load.free).saturating_sub(self.unseen(&load));
+        if now_ms.since(at_ms) <= FRESH_MS { said } else { said.min(cautious) }
+    }
+
+    /// How long another request is likely to wait there.
+    pub fn wait_ms(&self) -> u64 {
+        let Some((load, _)) = self.word else {
+            return 0;
+        };
+        let ahead = u64::from(load.queued) + self.unseen(&load) + 1;
+        let ahead = ahead.saturating_sub(u64::from(load.free));
+        ahead * u64::from(load.service_ms) / u64::from(load.slots.max(1))
+    }
+
+    /// What the dispatcher had not seen when it spoke; all of it is in flight.
+    fn unseen(&self, load: &GroupLoad) -> u64 {
+        self.sent.saturating_sub(load.seen).min(self.in_flight)
+    }
+}
--- a/crates/azuregate-core/src/route/mod.rs
+++ b/crates/azuregate-core/src/route/mod.rs
@@ -3,11 +3,19 @@
 //! [`Router`] is the border: the shipped rule and the baselines that it is
 //! measured against implement it.
 
+pub mod dispatch;
 pub mod group;
 pub mod hash;
+pub mod known;
+pub mod limit;
+pub mod link;
 mod nearest;
+mod peers;
+pub mod queue;
+mod slots;
 
 pub use nearest::Nearest;
+pub use slots::SlotTable;
 
 use crate::{
     names::{BackendId, ZoneName},
@@ -78,6 +86,18 @@
 
     /// Takes in what a server said of its load.
     fn report(&mut self, key: usize, report: LoadReport);
+
+    /// What it has to give.
+    fn room(&self) -> Room;
+}
+
+/// The slots of a router, as far as its learnt limits allow.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Room {
+    /// Slots that are free.
+    pub free: u32,
+    /// Slots in all.
+    pub slots: u32,
 }
 
 /// A backend server with what the instance knows of it beyond the list.
--- a/crates/azuregate-core/src/route/nearest.rs
+++ b/crates/azuregate-core/src/route/nearest.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     names::BackendId,
-    route::{Ending, LoadReport, Place, RouteServer, Router},
+    route::{Ending, LoadReport, Place, Room, RouteServer, Router},
     time::Millis,
     topology::Distance,
 };
@@ -96,4 +96,12 @@
     }
 
     fn report(&mut self, _key: usize, _report: LoadReport) {}
+
+    fn room(&self) -> Room {
+        let open = || self.slots.iter().filter(|slots| slots.open);
+        Room {
+            free: open().map(|slots| slots.limit.saturating_sub(slots.in_use)).sum(),
+            slots: open().map(|slots| slots.total).sum(),
+        }
+    }
 }
--- /dev/null
+++ b/crates/azuregate-core/src/route/slots.rs
@@ -0,0 +1,212 @@
+//! The slots of one group of backend servers, counted exactly.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+};
+
+use crate::{
+    names::{BackendId, StartNumber},
+    route::{Ending, LoadReport, Place, Room, RouteServer, Router, limit::Limit},
+    time::Millis,
+};
+
+/// Servers with this many free slots or more are not told apart.
+const FREE_LIMIT: usize = 63;
+/// Weight of one answer in the mean latency of the group.
+const WEIGHT: f64 = 1.0 / 64.0;
+
+/// Chooses the server with the most free slots, any of them when several have.
+///
+/// Servers are kept in buckets by free slots, with a bit for each bucket that
+/// is not empty: a choice costs the same for one server and for a thousand, and
+/// allocates nothing.
+#[derive(Debug)]
+pub struct SlotTable {
+    servers: Vec<Server>,
+    by_id: HashMap<BackendId, usize>,
+    /// Keys of servers by free slots.
+    buckets: Vec<Vec<usize>>,
+    /// Which buckets hold servers; bucket 0 is never marked.
+    filled: u64,
+    /// Servers with a limit of zero, by when they may be tried again.
+    resting: BinaryHeap<Reverse<(Millis, usize)>>,
+    usual_ms: f64,
+    room: Room,
+}
+
+#[derive(Debug)]
+struct Server {
+    id: BackendId,
+    limit: Limit,
+    open: bool,
+    in_use: u32,
+    bucket: usize,
+    position: usize,
+}
+
+impl Server {
+    fn free(&self) -> u32 {
+        if self.open { self.limit.get().saturating_sub(self.in_use) } else { 0 }
+    }
+
+    fn slots(&self) -> u32 {
+        if self.open { self.limit.get() } else { 0 }
+    }
+}
+
+impl Default for SlotTable {
+    fn default() -> SlotTable {
+        SlotTable {
+            servers: Vec::new(),
+            by_id: HashMap::new(),
+            buckets: vec![Vec::new(); FREE_LIMIT + 1],
+            filled: 0,
+            resting: BinaryHeap::new(),
+            usual_ms: 0.0,
+            room: Room::default(),
+        }
+    }
+}
+
+impl SlotTable {
+    /// Changes a server and keeps the buckets and the totals right.
+    fn update(&mut self, key: usize, change: impl FnOnce(&mut Server)) {
+        let server = &mut self.servers[key];
+        let (free, slots) = (server.free(), server.slots());
+        change(server);
+        self.room.free = self.room.free - free + server.free();
+        self.room.slots = self.room.slots - slots + server.slots();
+        let bucket = (server.free() as usize).min(FREE_LIMIT);
+        if bucket != server.bucket {
+            self.take_out(key);
+            self.put_in(key, bucket);
+        }
+    }
+
+    fn take_out(&mut self, key: usize) {
+        let Server { bucket, position, .. } = self.servers[key];
+        self.buckets[bucket].swap_remove(position);
+        if let Some(&moved) = self.buckets[bucket].get(position) {
+            self.servers[moved].position = position;
+        }
+        if self.buckets[bucket].is_empty() {
+            self.filled &= !(1 << bucket);
+        }
+    }
+
+    fn put_in(&mut self, key: usize, bucket: usize) {
+        self.servers[key].bucket = bucket;
+        self.servers[key].position = self.buckets[bucket].len();
+        self.buckets[bucket].push(key);
+        if bucket > 0 {
+            self.filled |= 1 << bucket;
+        }
+    }
+
+    fn add(&mut self, id: &BackendId, start: StartNumber, slots: u32) -> usize {
+        let key = self.servers.len();
+        self.servers.push(Server {
+            id: id.clone(),
+            limit: Limit::new(start, slots),
+            open: false,
+            in_use: 0,
+            bucket: 0,
+            position: 0,
+        });
+        self.by_id.insert(id.clone(), key);
+        self.put_in(key, 0);
+        // A push to any bucket must find the room there: the choice is not to
+        // allocate.
+        let count = self.servers.len();
+        for bucket in &mut self.buckets {
+            bucket.reserve(count - bucket.len());
+        }
+        self.resting.reserve(count * 2);
+        key
+    }
+
+    fn wake_rested(&mut self, now_ms: Millis) {
+        while let Some(&Reverse((at_ms, key))) = self.resting.peek() {
+            if at_ms > now_ms {
+                return;
+            }
+            self.resting.pop();
+            self.update(key, |server| server.limit.try_again(now_ms));
+        }
+    }
+
+    fn rest_if_closed(&mut self, key: usize) {
+        let limit = &self.servers[key].limit;
+        if limit.get() == 0 {
+            self.resting.push(Reverse((limit.raise_at_ms(), key)));
+        }
+    }
+}
+
+impl Router for SlotTable {
+    fn set_servers(&mut self, _place: Place<'_>, servers: &[RouteServer]) {
+        for key in 0..self.servers.len() {
+            self.update(key, |server| server.open = false);
+        }
+        for RouteServer { server, open } in servers {
+            let known = self.by_id.get(&server.id).copied();
+            let key = known.unwrap_or_else(|| self.add(&server.id, server.start, server.slots));
+            self.update(key, |known| {
+                known.limit.set_server(server.start, server.slots);
+                known.open = *open;
+            });
+        }
+    }
+
+    fn choose(&mut self, now_ms: Millis, rng: &mut fastrand::Rng) -> Option<usize> {
+        self.wake_rested(now_ms);
+        let bucket = self.filled.checked_ilog2()? as usize;
+        let nth = rng.usize(..self.buckets[bucket].len());
+        let key = self.buckets[bucket][nth];
+        self.update(key, |server| {
+            if server.in_use == 0 {
+                server.limit.wake(now_ms);
+            }
+            server.in_use += 1;
+        });
+        Some(key)
+    }
+
+    fn id(&self, key: usize) -> &BackendId {
+        &self.servers[key].id
+    }
+
+    fn finish(&mut self, key: usize, ending: Ending, now_ms: Millis) {
+        let usual_ms = self.usual_ms;
+        self.update(key, |server| {
+            debug_assert!(server.in_use > 0, "a slot is given back once");
+            server.in_use = server.in_use.saturating_sub(1);
+            match ending {
+                Ending::Answered { latency_ms } => {
+                    server.limit.answered(latency_ms, usual_ms.max(1.0), now_ms);
+                }
+                Ending::Refused | Ending::Failed => server.limit.refused(server.in_use, now_ms),
+                Ending::Abandoned => {}
+            }
+        });
+        match ending {
+            Ending::Answered { latency_ms } => {
+                let latency_ms = latency_ms as f64;
+                let weight = if self.usual_ms == 0.0 { 1.0 } else { WEIGHT };
+                self.usual_ms += weight * (latency_ms - self.usual_ms);
+            }
+            Ending::Refused | Ending::Failed => self.rest_if_closed(key),
+            Ending::Abandoned => {}
+        }
+    }
+
+    /// Changes nothing: the slots taken here are counted exactly, and a report
+    /// that lags by a second says "full" of servers that have long been free.
+    /// Requests that others sent show in refusals at once.
+    fn report(&mut self, _key: usize, _report: LoadReport) {}
+
+    fn room(&self) -> Room {
+        self.room
+    }
+}
--- a/crates/azuregate-lab/src/baselines.rs
+++ b/crates/azuregate-lab/src/baselines.rs
@@ -6,7 +6,7 @@
 use azuregate::dispatch::Rule;
 use azuregate_core::{
     names::BackendId,
-    route::{Ending, LoadReport, Place, RouteServer, Router},
+    route::{Ending, LoadReport, Place, Room, RouteServer, Router},
     time::Millis,
 };
 
@@ -71,6 +71,12 @@
         key
     }
 
+    /// They count no slots, and never make a request wait for one.
+    fn room(&self) -> Room {
+        let open = self.open().next().is_some();
+        if open { Room { free: u32::MAX, slots: u32::MAX } } else { Room::default() }
+    }
+
     fn finish(&mut self, key: usize) {
         let server = &mut self.all[key];
         server.in_use = server.in_use.saturating_sub(1);
@@ -113,6 +119,10 @@
         fn report(&mut self, key: usize, report: LoadReport) {
             self.servers.all[key].report = Some(report);
         }
+
+        fn room(&self) -> Room {
+            self.servers.room()
+        }
     };
 }
 
