Add the map from client blocks to sites

Weighed and ruled out: flattened ranges (a removed block needs the enclosing one, which flattening loses), a trie (memory, cache misses), a table for each length (up to 33 probes). Built: sorted blocks in chunks that maps share.

The comparison with a plain list was seen to fail with the refresh of later chunks' outer blocks taken out (at 10.255.255.255, nothing instead of site 34).

--- /dev/null
+++ b/crates/azuregate-core/src/blocks/chunk.rs
@@ -0,0 +1,122 @@
+//! A few hundred blocks in order, with the way up from each to the enclosing
+//! one.
+
+use crate::blocks::SiteId;
+
+/// A chunk is split when it grows beyond this many.
+pub(crate) const MAX_ENTRIES: usize = 512;
+
+/// Marks a block that no other block of its chunk encloses.
+const NO_PARENT: u16 = u16::MAX;
+
+/// A block: its first address and its length in bits, left-aligned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Entry {
+    pub(crate) start: u64,
+    pub(crate) len: u8,
+    pub(crate) site: SiteId,
+}
+
+impl Entry {
+    /// The order of blocks: enclosing ones before those that they enclose.
+    pub(crate) fn order(&self) -> (u64, u8) {
+        (self.start, self.len)
+    }
+
+    pub(crate) fn holds(&self, addr: u64) -> bool {
+        self.start <= addr && addr <= last(self.start, self.len)
+    }
+}
+
+/// The last address of a block.
+pub(crate) fn last(start: u64, len: u8) -> u64 {
+    // A shift by all 64 bits is undefined; a block that long is one address.
+    start | u64::MAX.checked_shr(u32::from(len)).unwrap_or(0)
+}
+
+/// Blocks in order. Columns rather than rows: a search reads only the starts.
+#[derive(Debug)]
+pub(crate) struct Chunk {
+    starts: Box<[u64]>,
+    lens: Box<[u8]>,
+    sites: Box<[SiteId]>,
+    parents: Box<[u16]>,
+}
+
+impl Chunk {
+    /// Makes a chunk of at least one block; `entries` are in order.
+    pub(crate) fn new(entries: &[Entry]) -> Chunk {
+        debug_assert!(!entries.is_empty() && entries.len() <= MAX_ENTRIES);
+        Chunk {
+            starts: entries.iter().map(|entry| entry.start).collect(),
+            lens: entries.iter().map(|entry| entry.len).collect(),
+            sites: entries.iter().map(|entry| entry.site).collect(),
+            parents: parents(entries),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.starts.len()
+    }
+
+    pub(crate) fn first(&self) -> u64 {
+        self.starts[0]
+    }
+
+    pub(crate) fn entry(&self, index: usize) -> Entry {
+        Entry { start: self.starts[index], len: self.lens[index], site: self.sites[index] }
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
+        (0..self.len()).map(|index| self.entry(index))
+    }
+
+    /// The longest block of this chunk that holds `addr`.
+    pub(crate) fn lookup(&self, addr: u64) -> Option<SiteId> {
+        // Every block that holds `addr` also holds the last one that starts at
+        // or before it, so it is that one or one that encloses it.
+        let after = self.starts.partition_point(|&start| start <= addr);
+        let mut index = after.checked_sub(1)?;
+        loop {
+            if addr <= last(self.starts[index], self.lens[index]) {
+                return Some(self.sites[index]);
+            }
+            index = self.parent(index)?;
+        }
+    }
+
+    /// The blocks of this chunk that hold `addr`, which comes after all of its
+    /// starts; the longest first.
+    pub(crate) fn enclosing(&self, addr: u64) -> impl Iterator<Item = Entry> + '_ {
+        let mut at = Some(self.len() - 1);
+        let climb = std::iter::from_fn(move || {
+            let index = at?;
+            at = self.parent(index);
+            Some(self.entry(index))
+        });
+        climb.filter(move |entry| entry.holds(addr))
+    }
+
+    pub(crate) fn memory_bytes(&self) -> usize {
+        let row = size_of::<u64>() + size_of::<u8>() + size_of::<SiteId>() + size_of::<u16>();
+        size_of::<Chunk>() + self.len() * row
+    }
+
+    fn parent(&self, index: usize) -> Option<usize> {
+        let parent = self.parents[index];
+        (parent != NO_PARENT).then_some(usize::from(parent))
+    }
+}
+
+fn parents(entries: &[Entry]) -> Box<[u16]> {
+    let mut open: Vec<u16> = Vec::new();
+    let mut parents = Vec::with_capacity(entries.len());
+    for (index, entry) in (0_u16..).zip(entries) {
+        while open.last().is_some_and(|&top| !entries[usize::from(top)].holds(entry.start)) {
+            open.pop();
+        }
+        parents.push(open.last().copied().unwrap_or(NO_PARENT));
+        open.push(index);
+    }
+    parents.into()
+}
--- /dev/null
+++ b/crates/azuregate-core/src/blocks/codec.rs
@@ -0,0 +1,130 @@
+//! Snapshots of a block map: the form kept as one object of the platform.
+//!
+//! A magic number, then for each family the count of blocks and the blocks in
+//! order, then a checksum of all before it. Of each block: the gap to the start
+//! of the one before in units of the family's smallest block, the length, the
+//! site. Gaps are small, so that most blocks take four or five bytes.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::blocks::{BlockMap, BlocksError, SiteId, chunk::Entry, family::Family};
+
+const MAGIC: &[u8; 8] = b"azgblk01";
+const CHECKSUM_BYTES: usize = size_of::<u64>();
+/// The number of low bits that no start of an IPv4 block uses.
+const V4_SHIFT: u32 = 32;
+const V6_SHIFT: u32 = 0;
+
+pub(crate) fn encode(map: &BlockMap) -> Vec<u8> {
+    let mut bytes = MAGIC.to_vec();
+    put_family(&mut bytes, &map.v4, V4_SHIFT);
+    put_family(&mut bytes, &map.v6, V6_SHIFT);
+    let checksum = xxh3_64(&bytes);
+    bytes.extend_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+pub(crate) fn decode(bytes: &[u8]) -> Result<BlockMap, BlocksError> {
+    let Some(body_bytes) = bytes.len().checked_sub(CHECKSUM_BYTES) else {
+        return Err(BlocksError::garbage(0, "it is too short"));
+    };
+    let (body, checksum) = bytes.split_at(body_bytes);
+    if xxh3_64(body).to_le_bytes() != *checksum {
+        return Err(BlocksError::garbage(body_bytes, "the checksum does not match"));
+    }
+    let mut reader = Reader { bytes: body, at: 0 };
+    if reader.take(MAGIC.len())? != MAGIC {
+        return Err(BlocksError::garbage(0, "it does not start as a block snapshot"));
+    }
+    let v4 = reader.family(V4_SHIFT)?;
+    let v6 = reader.family(V6_SHIFT)?;
+    if reader.at != body.len() {
+        return Err(BlocksError::garbage(reader.at, "bytes follow the last block"));
+    }
+    Ok(BlockMap { v4, v6 })
+}
+
+fn put_family(bytes: &mut Vec<u8>, family: &Family, shift: u32) {
+    put(bytes, family.len() as u64);
+    let mut before = 0;
+    for Entry { start, len, site } in family.entries() {
+        put(bytes, (start - before) >> shift);
+        bytes.push(len);
+        put(bytes, u64::from(site.0));
+        before = start;
+    }
+}
+
+/// Writes a number in groups of seven bits, the lowest first (LEB128).
+fn put(bytes: &mut Vec<u8>, mut number: u64) {
+    while number >= 0x80 {
+        bytes.push(number as u8 | 0x80);
+        number >>= 7;
+    }
+    bytes.push(number as u8);
+}
+
+struct Reader<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Reader<'a> {
+    fn take(&mut self, count: usize) -> Result<&'a [u8], BlocksError> {
+        let Some(taken) = self.bytes.get(self.at..self.at + count) else {
+            return Err(BlocksError::garbage(self.at, "it ends early"));
+        };
+        self.at += count;
+        Ok(taken)
+    }
+
+    fn byte(&mut self) -> Result<u8, BlocksError> {
+        Ok(self.take(1)?[0])
+    }
+
+    fn number(&mut self) -> Result<u64, BlocksError> {
+        let mut number = 0;
+        for shift in (0..u64::BITS).step_by(7) {
+            let byte = self.byte()?;
+            number |= u64::from(byte & 0x7f) << shift;
+            if byte < 0x80 {
+                return Ok(number);
+            }
+        }
+        Err(BlocksError::garbage(self.at, "a number has too many bytes"))
+    }
+
+    fn family(&mut self, shift: u32) -> Result<Family, BlocksError> {
+        let count = self.number()?;
+        // A count that lies must not make room for more than the bytes hold.
+        let mut entries = Vec::with_capacity((count as usize).min(self.bytes.len()));
+        let mut start = 0_u64;
+        for _ in 0..count {
+            let at = self.at;
+            let gap = self.number()?;
+            let shifted = gap.checked_mul(1 << shift);
+            let next = shifted.and_then(|gap| start.checked_add(gap));
+            let Some(next) = next else {
+                return Err(BlocksError::garbage(at, "a block starts beyond all addresses"));
+            };
+            start = next;
+            entries.push(self.entry(start, shift)?);
+        }
+        Ok(Family::from_entries(entries))
+    }
+
+    fn entry(&mut self, start: u64, shift: u32) -> Result<Entry, BlocksError> {
+        let at = self.at;
+        let len = self.byte()?;
+        if u32::from(len) > u64::BITS - shift {
+            return Err(BlocksError::garbage(at, "a block is too long"));
+        }
+        let host_bits = u64::MAX.checked_shr(u32::from(len)).unwrap_or(0);
+        if start & host_bits != 0 {
+            return Err(BlocksError::garbage(at, "a block does not start on its boundary"));
+        }
+        let site = u16::try_from(self.number()?);
+        let site = site.map_err(|_| BlocksError::garbage(at, "a site is out of range"))?;
+        Ok(Entry { start, len, site: SiteId(site) })
+    }
+}
--- /dev/null
+++ b/crates/azuregate-core/src/blocks/mod.rs
@@ -0,0 +1,199 @@
+/*!
+Client blocks: which site the clients of an address block are steered to.
+
+```
+use azuregate_core::blocks::{BlockMap, Delta, SiteId};
+
+let map = BlockMap::from_blocks(vec![
+    ("10.0.0.0/8".parse()?, SiteId(1)),
+    ("10.1.0.0/16".parse()?, SiteId(2)),
+])?;
+assert_eq!(map.lookup("10.1.2.3".parse()?), Some(SiteId(2)));
+
+let next = map.apply(&[Delta::Remove { block: "10.1.0.0/16".parse()? }])?;
+assert_eq!(next.lookup("10.1.2.3".parse()?), Some(SiteId(1)));
+assert_eq!(map.lookup("10.1.2.3".parse()?), Some(SiteId(2)));
+# Ok::<(), Box<dyn std::error::Error>>(())
+```
+
+# Design
+
+A map is immutable. [`BlockMap::apply`] makes the next one, which shares all
+chunks that the deltas leave alone, so that a swap needs no second copy of the
+whole. Each address family is a sorted list of blocks, cut into chunks of a few
+hundred, with an index of the first block of each chunk. A look-up searches the
+index, then one chunk, then climbs from the block found to the first enclosing
+one that holds the address. Enclosing blocks of earlier chunks are kept beside
+each chunk, so that the climb never leaves it.
+
+docs/design/client-blocks.md has the other ways that were weighed.
+*/
+
+mod chunk;
+mod codec;
+mod family;
+
+use std::{fmt, net::IpAddr};
+
+use ipnet::IpNet;
+use serde::{Deserialize, Serialize};
+
+use crate::blocks::{
+    chunk::Entry,
+    family::{Family, FamilyDelta},
+};
+
+/// The longest IPv6 block that is kept; clients within a /64 share a link.
+pub const MAX_IPV6_LEN: u8 = 64;
+
+/// A site: a place that clients are steered to.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct SiteId(pub u16);
+
+/// A change to one block.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Delta {
+    /// Steers a block to a site, whether or not it was known.
+    Set {
+        /// The block.
+        block: IpNet,
+        /// Its site.
+        site: SiteId,
+    },
+    /// Forgets a block; its clients go where the enclosing block says.
+    Remove {
+        /// The block.
+        block: IpNet,
+    },
+}
+
+/// A block map that cannot be made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BlocksError {
+    kind: BlocksErrorKind,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum BlocksErrorKind {
+    TooLong(IpNet),
+    Garbage { at_bytes: usize, what: &'static str },
+}
+
+impl BlocksError {
+    fn garbage(at_bytes: usize, what: &'static str) -> BlocksError {
+        BlocksError { kind: BlocksErrorKind::Garbage { at_bytes, what } }
+    }
+}
+
+impl fmt::Display for BlocksError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.kind {
+            BlocksErrorKind::TooLong(block) => {
+                write!(f, "block {block} is longer than /{MAX_IPV6_LEN}")
+            }
+            BlocksErrorKind::Garbage { at_bytes, what } => {
+                write!(f, "block snapshot is not understood at byte {at_bytes}: {what}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for BlocksError {}
+
+/// Blocks of clients and the site of each; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct BlockMap {
+    v4: Family,
+    v6: Family,
+}
+
+impl BlockMap {
+    /// Makes a map; of blocks given twice the last one counts.
+    ///
+    /// # Errors
+    ///
+    /// When an IPv6 block is longer than [`MAX_IPV6_LEN`].
+    pub fn from_blocks(blocks: Vec<(IpNet, SiteId)>) -> Result<BlockMap, BlocksError> {
+        let mut v4 = Vec::new();
+        let mut v6 = Vec::new();
+        for (block, site) in blocks {
+            let entry = entry(block, site)?;
+            if block.addr().is_ipv4() { v4.push(entry) } else { v6.push(entry) }
+        }
+        Ok(BlockMap { v4: Family::from_entries(v4), v6: Family::from_entries(v6) })
+    }
+
+    /// The site of the longest block that holds `addr`.
+    pub fn lookup(&self, addr: IpAddr) -> Option<SiteId> {
+        match addr {
+            IpAddr::V4(addr) => self.v4.lookup(u64::from(addr.to_bits()) << 32),
+            IpAddr::V6(addr) => self.v6.lookup((addr.to_bits() >> 64) as u64),
+        }
+    }
+
+    /// The map after `deltas`, applied in order.
+    ///
+    /// # Errors
+    ///
+    /// When an IPv6 block is longer than [`MAX_IPV6_LEN`].
+    pub fn apply(&self, deltas: &[Delta]) -> Result<BlockMap, BlocksError> {
+        let mut v4 = Vec::new();
+        let mut v6 = Vec::new();
+        for delta in deltas {
+            let (block, site) = match *delta {
+                Delta::Set { block, site } => (block, Some(site)),
+                Delta::Remove { block } => (block, None),
+            };
+            let Entry { start, len, .. } = entry(block, SiteId(0))?;
+            let delta = FamilyDelta { start, len, site };
+            if block.addr().is_ipv4() { v4.push(delta) } else { v6.push(delta) }
+        }
+        Ok(BlockMap { v4: self.v4.apply(v4), v6: self.v6.apply(v6) })
+    }
+
+    /// How many blocks there are.
+    pub fn len(&self) -> usize {
+        self.v4.len() + self.v6.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// What the map takes in memory, in bytes, chunks shared with others
+    /// included; without the allocator's own overhead.
+    pub fn memory_bytes(&self) -> usize {
+        self.v4.memory_bytes() + self.v6.memory_bytes()
+    }
+
+    /// The map as a snapshot, to be kept as one object of the platform.
+    pub fn encode(&self) -> Vec<u8> {
+        codec::encode(self)
+    }
+
+    /// Reads a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes were cut short, changed, or are no snapshot.
+    pub fn decode(bytes: &[u8]) -> Result<BlockMap, BlocksError> {
+        codec::decode(bytes)
+    }
+}
+
+/// A block with its address left-aligned in 64 bits, so that both families are
+/// searched alike.
+fn entry(block: IpNet, site: SiteId) -> Result<Entry, BlocksError> {
+    let len = block.prefix_len();
+    let start = match block {
+        IpNet::V4(block) => u64::from(block.network().to_bits()) << 32,
+        IpNet::V6(block) => (block.network().to_bits() >> 64) as u64,
+    };
+    if len > MAX_IPV6_LEN {
+        return Err(BlocksError { kind: BlocksErrorKind::TooLong(block) });
+    }
+    Ok(Entry { start, len, site })
+}
--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -22,10 +22,12 @@
 * [`route`] chooses a backend server for one request.
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
+* [`blocks`] finds the site of a client from its address.
 * [`entries`] answers which entry instances a caller should use.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
+pub mod blocks;
 pub mod claim;
 pub mod entries;
 pub mod error;
