Add the position of a shift, its bound and the operators' changes

A shift's position follows from its row and the time alone; Limiter adds up what one instance moved in the last window. Policy gains start_shift, stop_shift, drain, undrain, check_replace and settled, and shift_delay_ms, the time in which a change is in force everywhere.

--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -20,6 +20,7 @@
 * [`policy`] and [`snapshot`] hold what operators decided and what the platform
   listed; a snapshot is immutable and is replaced as a whole.
 * [`route`] chooses a backend server for one request.
+* [`shift`] works out how far a shift has come, and bounds what moves.
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`entries`] answers which entry instances a caller should use.
@@ -32,6 +33,7 @@
 pub mod names;
 pub mod policy;
 pub mod route;
+pub mod shift;
 pub mod snapshot;
 pub mod steer;
 pub mod time;
--- /dev/null
+++ b/crates/azuregate-core/src/policy/change.rs
@@ -0,0 +1,217 @@
+//! The changes that operators may make to a policy.
+//!
+//! Each gives the next version of the row and leaves the old one alone. Two
+//! operators who start from the same version are told apart by the platform's
+//! compare-and-set: one wins, the other gets a conflict.
+
+use std::fmt;
+
+use crate::{
+    names::BackendId,
+    policy::{Cap, Policy, Shares, Shift, WHOLE_PPM},
+    time::Millis,
+};
+
+/// Why a change is not allowed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum ChangeErrorKind {
+    /// A share is more than the whole, or the shares do not add up to it.
+    BadShares,
+    /// The cap is zero, more than the whole, or has no window.
+    BadCap,
+    /// A timeout is zero.
+    BadTimeout,
+    /// The shares are the ones in force.
+    SameShares,
+    /// Shares change by a shift only, or they would jump.
+    SharesJump,
+    /// A shift is in progress; it has to be stopped or to end first.
+    ShiftRunning,
+    /// No shift is in progress.
+    NoShift,
+    /// The backend server is drained already.
+    Drained,
+    /// The backend server is not drained.
+    NotDrained,
+}
+
+/// A change that is not allowed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeError {
+    kind: ChangeErrorKind,
+    detail: String,
+}
+
+impl ChangeError {
+    fn new(kind: ChangeErrorKind, detail: impl Into<String>) -> ChangeError {
+        ChangeError { kind, detail: detail.into() }
+    }
+
+    /// Why the change is not allowed.
+    pub fn kind(&self) -> ChangeErrorKind {
+        self.kind
+    }
+}
+
+impl fmt::Display for ChangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.detail)
+    }
+}
+
+impl std::error::Error for ChangeError {}
+
+impl Policy {
+    /// Starts a shift to `to_share_ppm`, at `now_ms` since the Unix epoch plus
+    /// the policy's delay. Without `cap` the policy's own cap bounds it.
+    ///
+    /// # Errors
+    ///
+    /// When the shares or the cap are out of bounds, the shares are the ones in
+    /// force, or a shift is in progress.
+    pub fn start_shift(
+        &self,
+        to_share_ppm: &Shares,
+        cap: Option<Cap>,
+        now_ms: Millis,
+    ) -> Result<Policy, ChangeError> {
+        let cap = cap.unwrap_or(self.cap);
+        check_shares("to_share_ppm", to_share_ppm)?;
+        check_cap("cap", cap)?;
+        let mut next = self.settled(now_ms).next_version();
+        if let Some(shift) = &next.shift {
+            let detail = format!("a shift is in progress until {} ms", shift.end_at_ms().0);
+            return Err(ChangeError::new(ChangeErrorKind::ShiftRunning, detail));
+        }
+        if next.zone_share_ppm == *to_share_ppm {
+            let detail = "the shares are the ones in force";
+            return Err(ChangeError::new(ChangeErrorKind::SameShares, detail));
+        }
+        next.shift = Some(Shift {
+            from_share_ppm: next.zone_share_ppm.clone(),
+            to_share_ppm: to_share_ppm.clone(),
+            start_at_ms: now_ms + Millis(self.shift_delay_ms),
+            cap,
+        });
+        Ok(next)
+    }
+
+    /// Stops the shift in progress where it stands at `now_ms` since the Unix
+    /// epoch.
+    ///
+    /// A shift from or to nearness goes back to where it started, since what it
+    /// has reached differs from instance to instance; the cap bounds the way
+    /// back as well.
+    ///
+    /// # Errors
+    ///
+    /// When no shift is in progress.
+    pub fn stop_shift(&self, now_ms: Millis) -> Result<Policy, ChangeError> {
+        let mut next = self.settled(now_ms).next_version();
+        let Some(shift) = next.shift.take() else {
+            return Err(ChangeError::new(ChangeErrorKind::NoShift, "no shift is in progress"));
+        };
+        next.zone_share_ppm = shift.shares_at(now_ms).unwrap_or(shift.from_share_ppm);
+        Ok(next)
+    }
+
+    /// Takes a backend server out of service.
+    ///
+    /// # Errors
+    ///
+    /// When it is drained already.
+    pub fn drain(&self, backend: &BackendId) -> Result<Policy, ChangeError> {
+        let mut next = self.clone().next_version();
+        if !next.drains.insert(backend.clone()) {
+            let detail = format!("{backend} is drained already");
+            return Err(ChangeError::new(ChangeErrorKind::Drained, detail));
+        }
+        Ok(next)
+    }
+
+    /// Takes a backend server back into service.
+    ///
+    /// # Errors
+    ///
+    /// When it is not drained.
+    pub fn undrain(&self, backend: &BackendId) -> Result<Policy, ChangeError> {
+        let mut next = self.clone().next_version();
+        if !next.drains.remove(backend) {
+            let detail = format!("{backend} is not drained");
+            return Err(ChangeError::new(ChangeErrorKind::NotDrained, detail));
+        }
+        Ok(next)
+    }
+
+    /// Checks whether operators may replace this policy by `wanted` as a whole.
+    ///
+    /// # Errors
+    ///
+    /// When `wanted` is out of bounds, or shares or the shift would change.
+    pub fn check_replace(&self, wanted: &Policy, now_ms: Millis) -> Result<(), ChangeError> {
+        wanted.check()?;
+        let now = self.settled(now_ms);
+        let same_shares = [&self.zone_share_ppm, &now.zone_share_ppm]
+            .contains(&&wanted.zone_share_ppm)
+            && [&self.shift, &now.shift].contains(&&wanted.shift);
+        if same_shares {
+            return Ok(());
+        }
+        let detail = "shares move by a shift only: start or stop one instead";
+        Err(ChangeError::new(ChangeErrorKind::SharesJump, detail))
+    }
+
+    /// Checks the bounds of all fields.
+    ///
+    /// # Errors
+    ///
+    /// When a field is out of bounds; the error names it.
+    pub fn check(&self) -> Result<(), ChangeError> {
+        check_shares("zone_share_ppm", &self.zone_share_ppm)?;
+        check_cap("cap", self.cap)?;
+        if self.timeout_ms == 0 {
+            let detail = "timeout_ms must be at least 1";
+            return Err(ChangeError::new(ChangeErrorKind::BadTimeout, detail));
+        }
+        let Some(shift) = &self.shift else {
+            return Ok(());
+        };
+        check_shares("shift.from_share_ppm", &shift.from_share_ppm)?;
+        check_shares("shift.to_share_ppm", &shift.to_share_ppm)?;
+        check_cap("shift.cap", shift.cap)
+    }
+
+    /// The same policy with a shift that has ended turned into plain shares.
+    pub fn settled(&self, now_ms: Millis) -> Policy {
+        let mut policy = self.clone();
+        if let Some(shift) = policy.shift.take_if(|shift| shift.end_at_ms() <= now_ms) {
+            policy.zone_share_ppm = shift.to_share_ppm;
+        }
+        policy
+    }
+
+    fn next_version(mut self) -> Policy {
+        self.version += 1;
+        self
+    }
+}
+
+fn check_shares(field: &str, shares: &Shares) -> Result<(), ChangeError> {
+    let sum: u64 = shares.values().map(|&ppm| u64::from(ppm)).sum();
+    if shares.is_empty() || sum == u64::from(WHOLE_PPM) {
+        return Ok(());
+    }
+    let detail = format!("{field} adds up to {sum}, not {WHOLE_PPM}");
+    Err(ChangeError::new(ChangeErrorKind::BadShares, detail))
+}
+
+fn check_cap(field: &str, cap: Cap) -> Result<(), ChangeError> {
+    let detail = if cap.share_ppm == 0 || cap.share_ppm > WHOLE_PPM {
+        format!("{field}.share_ppm must be 1 to {WHOLE_PPM}")
+    } else if cap.window_ms == 0 {
+        format!("{field}.window_ms must be at least 1")
+    } else {
+        return Ok(());
+    };
+    Err(ChangeError::new(ChangeErrorKind::BadCap, detail))
+}
--- /dev/null
+++ b/crates/azuregate-core/src/shift.rs
@@ -0,0 +1,153 @@
+/*!
+How far a shift has come, and what bounds the movement of one instance.
+
+The position of a shift follows from its row and the time alone, so an instance
+that starts in the middle starts where the others are. [`Limiter`] bounds what
+one instance moves, whatever becomes of rows, clocks and backend servers.
+*/
+
+use std::collections::VecDeque;
+
+use crate::{
+    policy::{Cap, Shares, Shift, WHOLE_PPM},
+    time::Millis,
+};
+
+/// What a shift uses of its cap, in parts per million.
+///
+/// The rest is room for the difference between the instances' clocks, up to one
+/// thirtieth of the window, and for requests that overflow.
+pub const RAMP_PPM: u64 = 937_500;
+
+/// How many parts a window is counted in.
+const PARTS: u64 = 32;
+
+impl Cap {
+    /// The cap for weights that callers keep for `max_age_ms`.
+    ///
+    /// A caller goes on using an answer after it has changed, so what moves in
+    /// one window was answered over the window and the age together.
+    pub fn for_cached(self, max_age_ms: u64) -> Cap {
+        let share = u64::from(self.share_ppm) * self.window_ms;
+        let share = share / (self.window_ms + max_age_ms).max(1);
+        Cap { share_ppm: u32::try_from(share).unwrap_or(u32::MAX), ..self }
+    }
+}
+
+impl Shift {
+    /// The share of traffic that the whole shift moves, in parts per million.
+    ///
+    /// What nearness gives differs between instances, so a shift from or to it
+    /// is taken to move everything.
+    pub fn distance_ppm(&self) -> u64 {
+        let (from, to) = (&self.from_share_ppm, &self.to_share_ppm);
+        if from.is_empty() || to.is_empty() {
+            return u64::from(WHOLE_PPM);
+        }
+        let gained = to.iter().map(|(zone, &ppm)| ppm.saturating_sub(share(from, zone)));
+        gained.map(u64::from).sum()
+    }
+
+    /// When it ends, in milliseconds since the Unix epoch.
+    pub fn end_at_ms(&self) -> Millis {
+        let span = u128::from(self.distance_ppm()) * u128::from(self.cap.window_ms);
+        let rate = u128::from(self.cap.share_ppm) * u128::from(RAMP_PPM);
+        let span_ms = (span * u128::from(WHOLE_PPM)).div_ceil(rate.max(1));
+        self.start_at_ms + Millis(u64::try_from(span_ms).unwrap_or(u64::MAX))
+    }
+
+    /// How much of its way it has come at `epoch_ms`, in parts per million.
+    pub fn progress_ppm(&self, epoch_ms: Millis) -> u32 {
+        let whole_ms = self.end_at_ms().since(self.start_at_ms).0.max(1);
+        let done_ms = epoch_ms.since(self.start_at_ms).0.min(whole_ms);
+        let progress = u128::from(done_ms) * u128::from(WHOLE_PPM) / u128::from(whole_ms);
+        u32::try_from(progress).unwrap_or(WHOLE_PPM)
+    }
+
+    /// The shares at `epoch_ms`, or `None` when one end is nearness.
+    pub fn shares_at(&self, epoch_ms: Millis) -> Option<Shares> {
+        let (from, to) = (&self.from_share_ppm, &self.to_share_ppm);
+        if from.is_empty() || to.is_empty() {
+            return None;
+        }
+        let progress = i64::from(self.progress_ppm(epoch_ms));
+        let blend = |a: u32, b: u32| {
+            let moved = (i64::from(b) - i64::from(a)) * progress / i64::from(WHOLE_PPM);
+            u32::try_from(i64::from(a) + moved).unwrap_or(0)
+        };
+        let zones = from.keys().chain(to.keys());
+        let mut shares: Shares =
+            zones.map(|zone| (zone.clone(), blend(share(from, zone), share(to, zone)))).collect();
+        // Each zone is rounded by itself; the largest takes what is left over.
+        let sum: i64 = shares.values().map(|&ppm| i64::from(ppm)).sum();
+        if let Some(largest) = shares.values_mut().max() {
+            let whole = i64::from(*largest) + i64::from(WHOLE_PPM) - sum;
+            *largest = u32::try_from(whole).unwrap_or(0);
+        }
+        shares.retain(|_, ppm| *ppm > 0);
+        Some(shares)
+    }
+}
+
+fn share(shares: &Shares, zone: &crate::names::ZoneName) -> u32 {
+    shares.get(zone).copied().unwrap_or(0)
+}
+
+/// Bounds what one instance moves in any window.
+///
+/// Clocks that jump, rows that arrive late and backend servers that die all move
+/// the place where an instance ought to be. It goes there no faster than the cap
+/// allows: the movements of the last window are added up and never exceed it.
+/// If each instance keeps this bound, so does the whole, which is the mean of
+/// its instances weighted by their traffic.
+#[derive(Clone, Debug, Default)]
+pub struct Limiter {
+    moves: VecDeque<Move>,
+    asked_at_ms: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Move {
+    at_ms: Millis,
+    share: f64,
+}
+
+impl Limiter {
+    /// What may move at `now_ms` of monotonic time, as a share of the whole.
+    ///
+    /// An instance that had nothing to do for more than a window gets what it
+    /// might have used meanwhile: no request of its own fell into that time.
+    pub fn budget(&mut self, cap: Cap, now_ms: Millis) -> f64 {
+        let whole = f64::from(cap.share_ppm) / f64::from(WHOLE_PPM);
+        let idle_ms = now_ms.since(self.asked_at_ms).0;
+        self.asked_at_ms = now_ms;
+        if idle_ms > cap.window_ms {
+            self.moves.clear();
+            return whole * idle_ms as f64 / cap.window_ms as f64;
+        }
+        let part_ms = cap.window_ms.div_ceil(PARTS);
+        let oldest_ms = cap.window_ms + part_ms;
+        while self.moves.front().is_some_and(|m| now_ms.since(m.at_ms).0 >= oldest_ms) {
+            self.moves.pop_front();
+        }
+        let used: f64 = self.moves.iter().map(|m| m.share).sum();
+        (whole - used).max(0.0)
+    }
+
+    /// Notes that `share` was moved at `now_ms`.
+    pub fn spend(&mut self, cap: Cap, share: f64, now_ms: Millis) {
+        let whole = f64::from(cap.share_ppm) / f64::from(WHOLE_PPM);
+        let part_ms = cap.window_ms.div_ceil(PARTS);
+        if share > whole {
+            // Caught up after an idle time: as if it had moved evenly.
+            let each = whole / PARTS as f64;
+            let times = (0..PARTS).rev().map(|part| now_ms - Millis(part * part_ms));
+            self.moves = times.map(|at_ms| Move { at_ms, share: each }).collect();
+            return;
+        }
+        match self.moves.back_mut() {
+            Some(last) if now_ms.since(last.at_ms).0 < part_ms => last.share += share,
+            _ => self.moves.push_back(Move { at_ms: now_ms, share }),
+        }
+    }
+}
--- a/crates/azuregate/src/operators/convert.rs
+++ b/crates/azuregate/src/operators/convert.rs
@@ -4,7 +4,7 @@
 
 use azuregate_core::{
     names::{BackendId, ServiceName, ZoneName},
-    policy::{Cap, Policy, Shift, WHOLE_PPM},
+    policy::{Cap, Policy, SHIFT_DELAY_MS, Shift, WHOLE_PPM},
     time::Millis,
 };
 use azuregate_schema::v1;
@@ -61,6 +61,7 @@
         zone_share_ppm,
         cap: cap_from_proto("cap", policy.cap)?,
         shift,
+        shift_delay_ms: SHIFT_DELAY_MS,
         drains: policy.drains.iter().map(|id| BackendId::new(id)).collect(),
         timeout_ms: policy.timeout_ms,
         queue_ms: policy.queue_ms,
