--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -25,6 +25,7 @@
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`blocks`] finds the site of a client from its address.
 * [`entries`] answers which entry instances a caller should use.
+* [`retry`] bounds retries to a share of recent requests.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
@@ -34,6 +35,7 @@
 pub mod error;
 pub mod names;
 pub mod policy;
+pub mod retry;
 pub mod route;
 pub mod shift;
 pub mod snapshot;
