Let one instance dispatch for each group of backend servers

Cause: an instance that chooses alone cannot know which slots others took. Change: the selector's task owns a core Dispatch; requests are handed over to the group's dispatcher over HTTP with a mark that is taken only from listed instances; its load comes back as a header and in frames at most every 50 ms; selectors are looked up without a lock; bytes between regions are metered. Also: an instance is ready only once it has read the instance list. Not run yet: tests of the decisions; load.

--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -215,6 +215,11 @@
         }
     }
 
+    /// How many groups there are; they are never taken away.
+    pub fn group_count(&self) -> usize {
+        self.groups.len()
+    }
+
     /// The name of a group.
     pub fn group_id(&self, group: usize) -> &GroupId {
         &self.groups[group].id
--- a/crates/azuregate-lab/tests/processes/path.rs
+++ b/crates/azuregate-lab/tests/processes/path.rs
@@ -13,7 +13,7 @@
     let deployment = Deployment::start("end_to_end").await;
     let request = Request::get("/hello").header("azuregate-request-id", "r1");
     let answer = deployment.send(0, request.body(Full::default()).unwrap()).await;
-    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.status(), 200, "{:?}", answer.body());
     assert!(answer.headers().get("azuregate-outcome").is_none());
     assert_eq!(deployment.runs("r1").await, 1);
 }
--- a/crates/azuregate/src/dispatch/rule.rs
+++ b/crates/azuregate/src/dispatch/rule.rs
@@ -10,6 +10,8 @@
 /// The rule of an instance.
 #[derive(Clone)]
 pub enum Rule {
+    /// One instance dispatches for each group of servers.
+    Dispatch,
     /// This instance chooses alone, among all servers of a service.
     Alone(RouterFactory),
 }
@@ -24,13 +26,14 @@
 impl Default for Rule {
     /// The rule that ships.
     fn default() -> Rule {
-        Rule::nearest()
+        Rule::Dispatch
     }
 }
 
 impl fmt::Debug for Rule {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Rule::Dispatch => f.write_str("Dispatch"),
             Rule::Alone(_) => f.write_str("Alone"),
         }
     }
--- a/crates/azuregate/src/gateway/forward.rs
+++ b/crates/azuregate/src/gateway/forward.rs
@@ -22,10 +22,12 @@
     gateway::{
         Attributes, Parts,
         answer::OUTCOME,
+        handover,
         lease_body::{Held, LeaseBody},
+        metered,
         request::{REQUEST_ID, TIMEOUT_MS},
     },
-    selector::{Lease, Selector},
+    selector::{Handed, Lease, Selector, Want},
 };
 
 /// Set by a backend server that refused a request without running it.
@@ -55,6 +57,8 @@
     /// On the monotonic clock.
     pub(crate) deadline_ms: u64,
     pub(crate) queue_ms: u64,
+    /// Who handed the request over, if it is here on its second hop.
+    pub(crate) handed: Option<&'a Handed>,
 }
 
 /// A failed attempt, with the body if it can be sent again.
@@ -100,8 +104,7 @@
     }
 
     async fn attempt(&self, head: &request::Parts, body: Body) -> Result<Response<Body>, Failed> {
-        let wait_ms = self.queue_ms.min(self.remaining_ms());
-        let mut lease = match self.selector.acquire(wait_ms).await {
+        let mut lease = match self.selector.acquire(self.want(&body)).await {
             Ok(lease) => lease,
             Err(error) => return Err(Failed { error, body: Some(body) }),
         };
@@ -110,7 +113,7 @@
             Err(error) => return Err(Failed { error, body: Some(body) }),
         };
         let repeatable = body.is_end_stream();
-        let request = self.outgoing(head, body);
+        let request = self.outgoing(&lease, head, body);
         self.send(lease, conn, request).await.map_err(|error| {
             let body = repeatable.then(body::empty);
             Failed { error, body }
@@ -137,8 +140,19 @@
         }
     }
 
-    fn outgoing(&self, head: &request::Parts, body: Body) -> Request<Body> {
-        let mut request = Request::new(body);
+    fn want(&self, body: &Body) -> Want {
+        let left_ms = self.remaining_ms();
+        let size = body.size_hint();
+        Want {
+            wait_ms: self.queue_ms.min(left_ms),
+            left_ms,
+            up_bytes: size.upper().unwrap_or(size.lower()),
+            handed: self.handed.cloned(),
+        }
+    }
+
+    fn outgoing(&self, lease: &Lease, head: &request::Parts, body: Body) -> Request<Body> {
+        let mut request = Request::new(metered::up(body, lease.meter.as_ref()));
         *request.method_mut() = head.method.clone();
         // Backend servers take the path alone, with the service in Host.
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -148,7 +162,10 @@
         if let Ok(id) = HeaderValue::from_str(&self.attributes.request_id) {
             headers.insert(REQUEST_ID, id);
         }
-        headers.insert(TIMEOUT_MS, HeaderValue::from(self.remaining_ms()));
+        // The answer needs the way back: work that ends later is wasted.
+        let left_ms = self.remaining_ms().saturating_sub(lease.delay_ms).max(1);
+        headers.insert(TIMEOUT_MS, HeaderValue::from(left_ms));
+        handover::mark(headers, lease);
         request
     }
 
@@ -160,7 +177,15 @@
     ) -> Result<Response<Body>, Error> {
         let sent_at_ms = self.parts.clock.now();
         let remaining = Duration::from_millis(self.remaining_ms());
-        let response = match time::timeout(remaining, conn.send(request)).await {
+        let sent = tokio::select! {
+            sent = time::timeout(remaining, conn.send(request)) => sent,
+            () = lost(&mut lease), if self.attributes.idempotent => {
+                lease.set_ending(Ending::Failed);
+                let detail = format!("{} has gone silent", lease.backend);
+                return Err(Error::new(ErrorKind::BackendLost, detail));
+            }
+        };
+        let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(e)) => {
                 lease.set_ending(Ending::Failed);
@@ -174,6 +199,9 @@
             }
         };
         let latency_ms = self.parts.clock.now().since(sent_at_ms).0;
+        if lease.handed_to.is_some() {
+            return self.hand_back(lease, conn, response, latency_ms);
+        }
         let leaving = self.learn(&lease, response.headers());
         if is_refusal(&response) {
             lease.set_ending(Ending::Refused);
@@ -183,20 +211,43 @@
         let pool = self.parts.pool.clone();
         let held = Held { lease, conn, pool, latency_ms, reusable: !leaving };
         let (mut head, body) = response.into_parts();
+        let body = metered::down(body, held.lease.meter.as_ref());
         head.headers = without_hop_by_hop(&head.headers);
         // Only azuregate itself says what became of a request.
         head.headers.remove(OUTCOME);
         Ok(Response::from_parts(head, LeaseBody::new(body, held).boxed_unsync()))
     }
 
+    /// Gives back a dispatcher's answer, with the outcome that it names.
+    fn hand_back(
+        &self,
+        mut lease: Lease,
+        conn: Box<dyn BackendConn>,
+        response: Response<Body>,
+        latency_ms: u64,
+    ) -> Result<Response<Body>, Error> {
+        let response = match handover::take_answer(&lease, response) {
+            Ok(response) => response,
+            Err(error) => {
+                lease.set_ending(Ending::Refused);
+                return Err(error);
+            }
+        };
+        let pool = self.parts.pool.clone();
+        let reusable = !is_last(response.headers());
+        let held = Held { lease, conn, pool, latency_ms, reusable };
+        let (mut head, body) = response.into_parts();
+        let body = metered::down(body, held.lease.meter.as_ref());
+        head.headers = without_hop_by_hop(&head.headers);
+        Ok(Response::from_parts(head, LeaseBody::new(body, held).boxed_unsync()))
+    }
+
     /// Takes in what the answer says of its server; returns whether it leaves.
     fn learn(&self, lease: &Lease, headers: &HeaderMap) -> bool {
         if let Some(report) = load_report(headers, self.parts.clock.now()) {
             lease.report(report);
         }
-        let leaving = headers
-            .get(header::CONNECTION)
-            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        let leaving = is_last(headers);
         if leaving {
             let change = Change::Leaving(lease.backend.clone(), lease.start, Source::Backend);
             self.parts.config.change(change);
@@ -206,6 +257,22 @@
     }
 }
 
+/// Waits until the dispatcher that the request was handed over to is taken for
+/// frozen.
+async fn lost(lease: &mut Lease) {
+    let Some(handed_to) = &mut lease.handed_to else {
+        return std::future::pending().await;
+    };
+    if (&mut handed_to.lost).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+fn is_last(headers: &HeaderMap) -> bool {
+    let connection = headers.get(header::CONNECTION);
+    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
 fn is_refusal(response: &Response<Body>) -> bool {
     let outcome = response.headers().get(BACKEND_OUTCOME);
     outcome.is_some_and(|outcome| outcome.as_bytes() == NOT_RUN.as_bytes())
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -4,20 +4,21 @@
 
 mod answer;
 mod forward;
+mod handover;
 mod lease_body;
+mod metered;
 mod request;
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use azuregate_core::{
     claim::Verdict,
     entries::{self, MAX_AGE_S},
     error::{Error, ErrorKind},
-    names::{InstanceId, ServiceName, ZoneName},
+    names::{InstanceId, ZoneName},
     snapshot::Snapshot,
 };
 use hyper::{Method, Request, Response, header};
-use tokio::sync::Mutex;
 
 use crate::{
     backend::{Pool, SharedDialer},
@@ -25,9 +26,8 @@
     claims::Claims,
     clock::SharedClock,
     config::{Config, Snapshots},
-    dispatch::Rule,
     metrics::Recorder,
-    selector::Selector,
+    selector::{Handed, Selectors},
 };
 
 pub use request::Attributes;
@@ -53,8 +53,8 @@
     pub pool: Pool,
     /// Lets keyed requests run at most once.
     pub claims: Claims,
-    /// How backend servers are chosen.
-    pub rule: Rule,
+    /// Choose backend servers.
+    pub selectors: Selectors,
     /// Takes in latencies and outcomes.
     pub recorder: Recorder,
 }
@@ -62,38 +62,46 @@
 /// Serves callers; shared between their connections.
 pub struct Gateway {
     parts: Parts,
-    selectors: Mutex<HashMap<ServiceName, Selector>>,
 }
 
 impl Gateway {
     /// Makes a gateway.
     pub fn new(parts: Parts) -> Gateway {
-        Gateway { parts, selectors: Mutex::new(HashMap::new()) }
+        Gateway { parts }
     }
 
     /// Answers one request of the caller at `caller`.
-    pub async fn handle(&self, request: Request<Body>, caller: SocketAddr) -> Response<Body> {
+    pub async fn handle(&self, mut request: Request<Body>, caller: SocketAddr) -> Response<Body> {
         let started_ms = self.parts.clock.now();
         let snapshot = self.parts.snapshots.current();
         if request.uri().path() == ENTRIES_PATH && request.method() == Method::GET {
             return self.entries(&request, &snapshot, caller).unwrap_or_else(|e| answer::error(&e));
         }
+        let handed = match handover::read(request.headers_mut(), caller, &snapshot) {
+            Ok(handed) => handed,
+            Err(e) => return answer::error(&e),
+        };
         let attributes = match Attributes::read(&request) {
             Ok(attributes) => attributes,
             Err(e) => return answer::error(&e),
         };
-        let result = self.serve(request, &attributes, &snapshot).await;
+        let result = self.serve(request, &attributes, &snapshot, handed.as_ref()).await;
         let taken_ms = self.parts.clock.now().since(started_ms).0;
         let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| "answered");
         self.parts.recorder.request(&attributes.service, attributes.class, code, taken_ms);
-        result.unwrap_or_else(|e| {
+        let mut response = result.unwrap_or_else(|e| {
             log::info!(
                 request:% = attributes.request_id, service:% = attributes.service,
                 code = code, detail = e.detail(), taken_ms = taken_ms;
                 "request refused"
             );
             answer::error(&e)
-        })
+        });
+        if let Some(handed) = handed {
+            let selector = self.parts.selectors.get(&attributes.service);
+            handover::set_load(response.headers_mut(), selector.word_for(&handed).await);
+        }
+        response
     }
 
     fn entries(
@@ -123,6 +131,7 @@
         request: Request<Body>,
         attributes: &Attributes,
         snapshot: &Snapshot,
+        handed: Option<&Handed>,
     ) -> Result<Response<Body>, Error> {
         if !snapshot.ready {
             return Err(Error::new(ErrorKind::NotReady, "no configuration in force yet"));
@@ -133,15 +142,19 @@
         };
         let timeout_ms = attributes.timeout_ms.unwrap_or(policy.timeout_ms);
         let deadline_ms = self.parts.clock.now().0 + timeout_ms;
-        let selector = self.selector(&attributes.service).await;
+        let selector = self.parts.selectors.get(&attributes.service);
         let forward = forward::Forward {
             parts: &self.parts,
             selector: &selector,
             attributes,
             deadline_ms,
             queue_ms: policy.queue_ms,
+            handed,
         };
-        let Some(key) = &attributes.idempotency_key else {
+        // The claim of a request that was handed over was made by the instance
+        // that its caller chose.
+        let key = attributes.idempotency_key.as_ref().filter(|_| handed.is_none());
+        let Some(key) = key else {
             return forward.run(request).await;
         };
         let claims = &self.parts.claims;
@@ -156,21 +169,4 @@
             }
         }
     }
-
-    async fn selector(&self, service: &ServiceName) -> Selector {
-        let mut selectors = self.selectors.lock().await;
-        if let Some(selector) = selectors.get(service) {
-            return selector.clone();
-        }
-        let Rule::Alone(make_router) = &self.parts.rule;
-        let selector = Selector::start(
-            service,
-            &self.parts.zone,
-            Arc::clone(&self.parts.clock),
-            make_router(),
-            self.parts.snapshots.clone(),
-        );
-        selectors.insert(service.clone(), selector.clone());
-        selector
-    }
 }
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -27,6 +27,7 @@
     operators::OperatorsService,
     peer::Mesh,
     platform::{HttpPlatform, SharedPlatform, Table},
+    selector::{SelectorParts, Selectors},
     settings::Settings,
     status::{self, Status},
     stop::Stop,
@@ -110,6 +111,16 @@
     let status =
         Status { snapshots: snapshots.clone(), recorder: recorder.clone(), stop: stop.clone() };
     let status = tokio::spawn(status::serve(status_listener, Arc::new(status)));
+    let selectors = Selectors::new(SelectorParts {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        start,
+        rule,
+        clock: Arc::clone(&clock),
+        snapshots: snapshots.clone(),
+        exchange,
+        timer: timer.clone(),
+    });
     let gateway = Arc::new(Gateway::new(Parts {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
@@ -118,8 +129,8 @@
         clock: Arc::clone(&clock),
         dialer: Arc::new(HttpDialer { ip: settings.ip }),
         pool: Pool::start(Arc::clone(&clock)),
-        claims: Claims::new(platform, clock, &settings.instance, start),
-        rule,
+        claims: Claims::new(platform, Arc::clone(&clock), &settings.instance, start),
+        selectors,
         recorder,
     }));
     log::info!(instance:% = settings.instance, start:% = start; "entry instance started");
@@ -154,9 +165,13 @@
 async fn poll(platform: SharedPlatform, config: Config, timer: Timer, every_ms: u64) {
     let mut ticks = timer.subscribe(every_ms);
     let mut since_sequence = 0;
+    let mut listed = false;
     loop {
         match platform.instances().await {
-            Ok(list) => config.change(Change::List(list)),
+            Ok(list) => {
+                config.change(Change::List(list));
+                listed = true;
+            }
             Err(e) => log::warn!(error:% = e; "instance list not read"),
         }
         match platform.changes(Table::Policy, since_sequence).await {
@@ -165,7 +180,11 @@
                 for row in changes.rows {
                     apply_row(&config, row);
                 }
-                config.change(Change::Confirmed);
+                // Without the list every request would be refused for want of a
+                // backend server, by an instance that says it is ready.
+                if listed {
+                    config.change(Change::Confirmed);
+                }
             }
             Err(e) => log::warn!(error:% = e; "policies not read"),
         }
--- /dev/null
+++ b/crates/azuregate/src/selector/mod.rs
@@ -0,0 +1,197 @@
+/*!
+Selectors: for each service one task owns the slots of its backend servers, the
+queues and what other instances say of theirs.
+*/
+
+mod lease;
+mod meter;
+mod task;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use azuregate_core::{
+    error::{Error, ErrorKind},
+    names::{InstanceId, ServiceName, StartNumber, ZoneName},
+    route::{
+        SlotTable,
+        dispatch::{Config, Dispatch, Grouping},
+        group::{GroupId, GroupLoad},
+    },
+    steer::{ByNearness, Steer},
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{
+    clock::SharedClock,
+    config::Snapshots,
+    dispatch::{Exchange, Rule},
+    timer::Timer,
+};
+
+use self::task::{Message, Task};
+
+pub use lease::{HandedTo, Lease};
+pub use meter::Meter;
+
+/// How often the queues and the words to other instances are looked at.
+const TICK_MS: u64 = 50;
+
+/// What selectors work with.
+#[derive(Clone)]
+pub struct SelectorParts {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its start number.
+    pub start: StartNumber,
+    /// How backend servers are chosen.
+    pub rule: Rule,
+    /// The clock.
+    pub clock: SharedClock,
+    /// The configuration in force.
+    pub snapshots: Snapshots,
+    /// Loads of groups, to and from other instances.
+    pub exchange: Exchange,
+    /// When to look at the queues.
+    pub timer: Timer,
+}
+
+/// A request that wants a slot.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// How long it may wait for one.
+    pub wait_ms: u64,
+    /// How long its caller waits for the answer.
+    pub left_ms: u64,
+    /// The length of its body, as far as it is known.
+    pub up_bytes: u64,
+    /// Who handed it over, if it is here on its second hop.
+    pub handed: Option<Handed>,
+}
+
+/// A request that another instance handed over.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Handed {
+    /// The other instance.
+    pub from: InstanceId,
+    /// The group that it is for.
+    pub group: GroupId,
+    /// How long it may wait for a slot.
+    pub wait_ms: u64,
+}
+
+/// A handle to a selector's task; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Selector {
+    sender: mpsc::UnboundedSender<Message>,
+}
+
+impl Selector {
+    /// Starts a selector for `service`; it ends when the last handle is dropped.
+    pub fn start(service: &ServiceName, parts: &SelectorParts) -> Selector {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let config = |grouping, make_router| Config {
+            service: service.clone(),
+            me: parts.instance.clone(),
+            zone: parts.zone.clone(),
+            start: parts.start,
+            grouping,
+            make_router,
+        };
+        let (config, steer): (Config, Option<Box<dyn Steer>>) = match &parts.rule {
+            Rule::Dispatch => {
+                let make_router = Box::new(|| Box::new(SlotTable::default()) as _);
+                let steer = Box::new(ByNearness::new(&parts.zone));
+                (config(Grouping::Zones, make_router), Some(steer))
+            }
+            Rule::Alone(make_router) => {
+                let make_router = Arc::clone(make_router);
+                (config(Grouping::Whole, Box::new(move || make_router())), None)
+            }
+        };
+        let task = Task::new(service, parts, Dispatch::new(config), steer, sender.downgrade());
+        tokio::spawn(task.serve(receiver));
+        Selector { sender }
+    }
+
+    /// Takes a slot, here or at the dispatcher of another group.
+    ///
+    /// # Errors
+    ///
+    /// All mean that nothing was sent: no server may serve, the queue is full,
+    /// or the wait was or would be too long.
+    pub async fn acquire(&self, want: Want) -> Result<Lease, Error> {
+        let gone = || Error::new(ErrorKind::Stopping, "the instance is stopping");
+        let wait = Duration::from_millis(want.wait_ms);
+        let (reply, mut answer) = oneshot::channel();
+        let ticket = task::next_ticket();
+        self.sender.send(Message::Acquire { ticket, want, reply }).map_err(|_| gone())?;
+        // A caller that leaves while it waits leaves the queue as well.
+        let mut place = PlaceInQueue { ticket, sender: Some(&self.sender) };
+        if let Ok(answer) = time::timeout(wait, &mut answer).await {
+            place.sender = None;
+            return answer.map_err(|_| gone())?;
+        }
+        // A slot may be on its way: the task settles which came first.
+        drop(place);
+        answer.await.map_err(|_| gone())?
+    }
+
+    /// The load of a group, for the instance that handed a request over.
+    pub async fn word_for(&self, handed: &Handed) -> Option<GroupLoad> {
+        let (reply, answer) = oneshot::channel();
+        let (to, group) = (handed.from.clone(), handed.group.clone());
+        self.sender.send(Message::Word { to, group, reply }).ok()?;
+        answer.await.ok()?
+    }
+}
+
+/// Gives up a place in the queue when dropped, unless the sender was taken out.
+struct PlaceInQueue<'a> {
+    ticket: u64,
+    sender: Option<&'a mpsc::UnboundedSender<Message>>,
+}
+
+impl Drop for PlaceInQueue<'_> {
+    fn drop(&mut self) {
+        if let Some(sender) = self.sender {
+            let _ = sender.send(Message::GiveUp { ticket: self.ticket });
+        }
+    }
+}
+
+/// The selectors of all services, started when they are first asked for.
+///
+/// Looking one up takes no lock: a request must not wait for another.
+pub struct Selectors {
+    parts: SelectorParts,
+    by_service: ArcSwap<HashMap<ServiceName, Selector>>,
+}
+
+impl Selectors {
+    /// Makes the collection; no selector is started yet.
+    pub fn new(parts: SelectorParts) -> Selectors {
+        Selectors { parts, by_service: ArcSwap::default() }
+    }
+
+    /// The selector of a service.
+    pub fn get(&self, service: &ServiceName) -> Selector {
+        if let Some(selector) = self.by_service.load().get(service) {
+            return selector.clone();
+        }
+        let started = Selector::start(service, &self.parts);
+        self.by_service.rcu(|selectors| {
+            let mut selectors = HashMap::clone(selectors);
+            selectors.entry(service.clone()).or_insert_with(|| started.clone());
+            selectors
+        });
+        // Two requests may have started one each. The first to be entered stays;
+        // the other ends with its handle.
+        self.by_service.load().get(service).cloned().unwrap_or(started)
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/selector/task.rs
@@ -0,0 +1,351 @@
+//! The task that owns one service's dispatch.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use azuregate_core::{
+    error::Error,
+    names::{BackendId, InstanceId, ServiceName, StartNumber, ZoneName},
+    route::{
+        Ending, LoadReport,
+        dispatch::{Ask, Dispatch, HandOver, Refusal, Slot, Step},
+        group::{GroupId, GroupLoad},
+    },
+    snapshot::Snapshot,
+    steer::Steer,
+    topology::Topology,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::{
+    clock::SharedClock,
+    dispatch::{Exchange, Word, Words},
+    selector::{HandedTo, Lease, Meter, SelectorParts, TICK_MS, Want, lease::Held},
+    timer::Tick,
+};
+
+type Reply = oneshot::Sender<Result<Lease, Error>>;
+
+/// Names one request in one queue.
+pub(super) fn next_ticket() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+#[derive(Debug)]
+pub(super) enum Message {
+    Acquire { ticket: u64, want: Want, reply: Reply },
+    GiveUp { ticket: u64 },
+    Finish { held: Held, ending: Ending },
+    Report { slot: Slot, report: LoadReport },
+    Hear { hand_over: HandOver, load: GroupLoad },
+    Word { to: InstanceId, group: GroupId, reply: oneshot::Sender<Option<GroupLoad>> },
+}
+
+/// A hand-over in progress.
+struct Out {
+    peer: usize,
+    lost: oneshot::Sender<()>,
+}
+
+pub(super) struct Task {
+    service: ServiceName,
+    zone: ZoneName,
+    clock: SharedClock,
+    dispatch: Dispatch,
+    steer: Option<Box<dyn Steer>>,
+    rng: fastrand::Rng,
+    exchange: Exchange,
+    heard: Words,
+    ticks: mpsc::Receiver<Tick>,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+    topology: Arc<Topology>,
+    addrs: HashMap<InstanceId, SocketAddr>,
+    waiting: HashMap<u64, Reply>,
+    out: HashMap<u64, Out>,
+    meters: BTreeMap<usize, Arc<Meter>>,
+    sender: mpsc::WeakUnboundedSender<Message>,
+}
+
+impl Task {
+    pub(super) fn new(
+        service: &ServiceName,
+        parts: &SelectorParts,
+        dispatch: Dispatch,
+        steer: Option<Box<dyn Steer>>,
+        sender: mpsc::WeakUnboundedSender<Message>,
+    ) -> Task {
+        Task {
+            service: service.clone(),
+            zone: parts.zone.clone(),
+            clock: Arc::clone(&parts.clock),
+            dispatch,
+            steer,
+            rng: fastrand::Rng::new(),
+            exchange: parts.exchange.clone(),
+            heard: parts.exchange.incoming(),
+            ticks: parts.timer.subscribe(TICK_MS),
+            snapshots: parts.snapshots.watch(),
+            topology: Arc::clone(&parts.snapshots.current().topology),
+            addrs: HashMap::new(),
+            waiting: HashMap::new(),
+            out: HashMap::new(),
+            meters: BTreeMap::new(),
+            sender,
+        }
+    }
+
+    pub(super) async fn serve(mut self, mut receiver: mpsc::UnboundedReceiver<Message>) {
+        self.set_snapshot();
+        loop {
+            tokio::select! {
+                message = receiver.recv() => {
+                    let Some(message) = message else { return };
+                    self.take(message);
+                }
+                word = self.heard.recv() => {
+                    let Some(word) = word else { return };
+                    self.hear(&word);
+                }
+                tick = self.ticks.recv() => {
+                    if tick.is_none() {
+                        return;
+                    }
+                    self.tick();
+                }
+                changed = self.snapshots.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.set_snapshot();
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now_ms = self.clock.now();
+        match message {
+            Message::Acquire { ticket, want, reply } => self.acquire(ticket, &want, reply),
+            Message::GiveUp { ticket } => {
+                if let Some(refusal) = self.dispatch.give_up(ticket) {
+                    self.refuse(ticket, refusal);
+                }
+            }
+            Message::Finish { held: Held::Slot(slot), ending } => {
+                self.dispatch.finish(&slot, ending, now_ms);
+                self.serve_waiting(slot.group);
+            }
+            Message::Finish { held: Held::HandOver { hand_over, ticket }, ending } => {
+                self.out.remove(&ticket);
+                self.dispatch.finish_hand_over(&hand_over, ending, now_ms);
+            }
+            Message::Report { slot, report } => self.dispatch.report(&slot, report),
+            Message::Hear { hand_over, load } => {
+                let from = self.dispatch.dispatcher_id(&hand_over).clone();
+                let group = self.dispatch.group_id(hand_over.group).clone();
+                self.dispatch.hear(&from, &group, load, false, now_ms);
+            }
+            Message::Word { to, group, reply } => {
+                let _ = reply.send(self.dispatch.word_for(&to, &group, now_ms));
+            }
+        }
+    }
+
+    fn hear(&mut self, word: &Word) {
+        if word.service == self.service {
+            let now_ms = self.clock.now();
+            self.dispatch.hear(&word.peer, &word.group, word.load, true, now_ms);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.clock.now();
+        for (&link, meter) in &self.meters {
+            let (up_bytes, down_bytes) = meter.read();
+            self.dispatch.passed(link, up_bytes, down_bytes, now_ms);
+        }
+        let (words, silent) = self.dispatch.tick(now_ms);
+        for word in words {
+            let service = self.service.clone();
+            self.exchange.say(Word { peer: word.to, service, group: word.group, load: word.load });
+        }
+        for peer in silent {
+            self.lose(peer);
+        }
+        self.serve_all_waiting();
+    }
+
+    /// Tells the requests in progress there, so that those that may be sent
+    /// again need not wait for their deadline.
+    fn lose(&mut self, peer: usize) {
+        log::warn!(service:% = self.service; "a dispatcher has gone silent");
+        let lost: Vec<u64> = self
+            .out
+            .iter()
+            .filter(|(_, out)| out.peer == peer)
+            .map(|(&ticket, _)| ticket)
+            .collect();
+        for ticket in lost {
+            if let Some(out) = self.out.remove(&ticket) {
+                let _ = out.lost.send(());
+            }
+        }
+    }
+
+    fn set_snapshot(&mut self) {
+        let snapshot = self.snapshots.borrow_and_update().clone();
+        self.topology = Arc::clone(&snapshot.topology);
+        let instances = snapshot.instances.iter();
+        self.addrs = instances.map(|i| (i.id.clone(), i.traffic_addr())).collect();
+        if let Some(steer) = &mut self.steer {
+            steer.set_snapshot(&snapshot);
+        }
+        for (waiting, refusal) in self.dispatch.set_snapshot(&snapshot) {
+            self.refuse(waiting.ticket, refusal);
+        }
+        self.serve_all_waiting();
+    }
+
+    fn acquire(&mut self, ticket: u64, want: &Want, reply: Reply) {
+        let step = match &want.handed {
+            None => self.place(ticket, want),
+            Some(handed) => {
+                let wait_ms = want.wait_ms.min(handed.wait_ms);
+                let ask = Ask {
+                    ticket,
+                    plan: &[],
+                    wait_ms,
+                    left_ms: want.left_ms,
+                    up_bytes: want.up_bytes,
+                };
+                let (from, group) = (&handed.from, &handed.group);
+                let now_ms = self.clock.now();
+                self.dispatch.place_handed(from, group, &ask, now_ms, &mut self.rng)
+            }
+        };
+        match step {
+            Step::Serve(slot) => self.reply_slot(reply, slot),
+            Step::HandOver(hand_over) => self.reply_hand_over(reply, ticket, hand_over, want),
+            Step::Wait { group } => {
+                self.waiting.insert(ticket, reply);
+                self.serve_waiting(group);
+            }
+            Step::Refuse(refusal) => {
+                let _ = reply.send(Err(refusal_error(refusal)));
+            }
+        }
+    }
+
+    fn place(&mut self, ticket: u64, want: &Want) -> Step {
+        let now_ms = self.clock.now();
+        let Want { wait_ms, left_ms, up_bytes, .. } = *want;
+        let Some(steer) = &mut self.steer else {
+            let plan = std::slice::from_ref(&self.zone);
+            let ask = Ask { ticket, plan, wait_ms, left_ms, up_bytes };
+            return self.dispatch.place(&ask, now_ms, &mut self.rng);
+        };
+        let plan = steer.plan(self.clock.epoch(), now_ms);
+        let ask = Ask { ticket, plan: &plan.zones, wait_ms, left_ms, up_bytes };
+        let step = self.dispatch.place(&ask, now_ms, &mut self.rng);
+        let group = match step {
+            Step::Serve(slot) => Some(slot.group),
+            Step::HandOver(hand_over) => Some(hand_over.group),
+            Step::Wait { group } => Some(group),
+            Step::Refuse(_) => None,
+        };
+        let zone = group.map(|group| &self.dispatch.group_id(group).zone);
+        steer.went(&plan, zone, now_ms);
+        step
+    }
+
+    fn serve_waiting(&mut self, group: usize) {
+        let now_ms = self.clock.now();
+        while let Some((waiting, slot)) = self.dispatch.serve_waiting(group, now_ms, &mut self.rng)
+        {
+            match self.waiting.remove(&waiting.ticket) {
+                // A caller that left meanwhile drops the lease, which gives it
+                // back.
+                Some(reply) => self.reply_slot(reply, slot),
+                None => self.dispatch.finish(&slot, Ending::Abandoned, now_ms),
+            }
+        }
+    }
+
+    fn serve_all_waiting(&mut self) {
+        for group in 0..self.dispatch.group_count() {
+            self.serve_waiting(group);
+        }
+    }
+
+    fn refuse(&mut self, ticket: u64, refusal: Refusal) {
+        if let Some(reply) = self.waiting.remove(&ticket) {
+            let _ = reply.send(Err(refusal_error(refusal)));
+        }
+    }
+
+    fn reply_slot(&mut self, reply: Reply, slot: Slot) {
+        let (Some(sender), Some(server)) = (self.sender.upgrade(), self.dispatch.server(&slot))
+        else {
+            let now_ms = self.clock.now();
+            self.dispatch.finish(&slot, Ending::Abandoned, now_ms);
+            return;
+        };
+        let distance = self.topology.distance(&self.zone, &server.zone);
+        let mut lease = Lease {
+            backend: server.id.clone(),
+            start: server.start,
+            addr: server.addr,
+            delay_ms: self.topology.delay_ms(distance),
+            handed_to: None,
+            meter: None,
+            held: Held::Slot(slot),
+            ending: Ending::Abandoned,
+            sender,
+        };
+        lease.meter = slot.booking.map(|booking| self.meter(booking.link));
+        let _ = reply.send(Ok(lease));
+    }
+
+    fn reply_hand_over(&mut self, reply: Reply, ticket: u64, hand_over: HandOver, want: &Want) {
+        let id = self.dispatch.dispatcher_id(&hand_over);
+        let (Some(sender), Some(&addr)) = (self.sender.upgrade(), self.addrs.get(id)) else {
+            let now_ms = self.clock.now();
+            self.dispatch.finish_hand_over(&hand_over, Ending::Failed, now_ms);
+            return;
+        };
+        let backend = BackendId::new(id.as_str());
+        let group = self.dispatch.group_id(hand_over.group).clone();
+        let distance = self.topology.distance(&self.zone, &group.zone);
+        let delay_ms = self.topology.delay_ms(distance);
+        let (lose, lost) = oneshot::channel();
+        self.out.insert(ticket, Out { peer: hand_over.peer, lost: lose });
+        let meter = hand_over.booking.map(|booking| self.meter(booking.link));
+        let lease = Lease {
+            backend,
+            start: StartNumber::default(),
+            addr,
+            delay_ms,
+            handed_to: Some(HandedTo { group, wait_ms: want.wait_ms, lost }),
+            meter,
+            held: Held::HandOver { hand_over, ticket },
+            ending: Ending::Abandoned,
+            sender,
+        };
+        let _ = reply.send(Ok(lease));
+    }
+
+    fn meter(&mut self, link: usize) -> Arc<Meter> {
+        Arc::clone(self.meters.entry(link).or_default())
+    }
+}
+
+fn refusal_error(refusal: Refusal) -> Error {
+    Error::new(refusal.kind, refusal.reason).with_retry_after_ms(refusal.retry_after_ms)
+}
