Take servers of the first list for warm, and pass over full queues

Ruled out: refusals of backend servers (none), silent dispatchers (none). Change: only servers that come later, start anew or were idle for a minute are cold; an unheard dispatcher's wait is estimated from what is in flight; a full queue is not chosen while another has room.

--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -8,7 +8,7 @@
         dispatch::{Ask, Dispatch, Group, HandOver, Hander, Refusal, Slot, Step, Who},
         group::GroupId,
         link::Booking,
-        queue::Waiting,
+        queue::{self, Waiting},
     },
     time::Millis,
 };
@@ -21,6 +21,8 @@
     booking: Option<Booking>,
     free: u64,
     wait_ms: u64,
+    /// Whether its queue takes no more.
+    full: bool,
 }
 
 impl Refusal {
@@ -61,7 +63,10 @@
                     crowded = true;
                     continue;
                 };
-                if shortest.is_none_or(|best| candidate.wait_ms < best.wait_ms) {
+                let shorter = shortest.is_none_or(|best| {
+                    (candidate.full, candidate.wait_ms) < (best.full, best.wait_ms)
+                });
+                if shorter {
                     shortest = Some(candidate);
                 }
                 if candidate.free > roomiest.map_or(0, |best| best.free) {
@@ -173,16 +178,21 @@
         };
         let who = self.dispatcher(index, now_ms);
         let group = &mut self.groups[index];
-        let (free, wait_ms) = match who {
-            Who::Me => (group.free(), group.wait_ms()),
+        let (free, wait_ms, queued) = match who {
+            Who::Me => (group.free(), group.wait_ms(), group.queue.len()),
             Who::Peer(peer) => {
                 group.know(peer);
                 let share = group.listed_slots.div_ceil(self.instances);
-                (group.known.free(share, now_ms), group.known.wait_ms())
+                (
+                    group.known.free(share, now_ms),
+                    group.known.wait_ms(group.listed_slots),
+                    group.known.queued(),
+                )
             }
         };
         let wait_ms = wait_ms + group.round_trip_ms;
-        Some(Candidate { group: index, who, booking, free, wait_ms })
+        let full = queued >= queue::limit(group.listed_slots);
+        Some(Candidate { group: index, who, booking, free, wait_ms, full })
     }
 
     fn send(
@@ -236,7 +246,7 @@
     fn enqueue(&mut self, index: usize, from: Option<usize>, ask: &Ask<'_>) -> Step {
         let group = &mut self.groups[index];
         let wait_ms = group.wait_ms();
-        if !group.queue.has_room(group.listed_slots) {
+        if group.queue.len() >= queue::limit(group.listed_slots) {
             return Step::Refuse(Refusal::queue_full(wait_ms));
         }
         let in_time = wait_ms <= ask.wait_ms && wait_ms + group.drain.hold_ms() <= ask.left_ms;
--- a/crates/azuregate-core/src/route/known.rs
+++ b/crates/azuregate-core/src/route/known.rs
@@ -4,6 +4,8 @@
 
 /// A word older than this says nothing about free slots any more.
 const FRESH_MS: Millis = Millis(300);
+/// Taken for the time in a slot until the dispatcher has spoken.
+const FIRST_SERVICE_MS: u32 = 20;
 
 /// The last word of a group's dispatcher, and what was sent since.
 #[derive(Clone, Copy, Debug, Default)]
@@ -65,16 +67,23 @@
         if now_ms.since(at_ms) <= FRESH_MS { said } else { said.min(cautious) }
     }
 
-    /// How long another request is likely to wait there.
-    pub fn wait_ms(&self) -> u64 {
-        let Some((load, _)) = self.word else {
-            return 0;
-        };
+    /// How long another request is likely to wait there, with `slots` slots
+    /// listed.
+    pub fn wait_ms(&self, slots: u32) -> u64 {
+        // Until the dispatcher has spoken, all slots are taken for its own
+        // instance's requests but those that are in flight from here.
+        let unheard = GroupLoad { slots, service_ms: FIRST_SERVICE_MS, ..GroupLoad::default() };
+        let load = self.word.map_or(unheard, |(load, _)| load);
         let ahead = u64::from(load.queued) + self.unseen(&load) + 1;
         let ahead = ahead.saturating_sub(u64::from(load.free));
         ahead * u64::from(load.service_ms) / u64::from(load.slots.max(1))
     }
 
+    /// How many requests are likely to wait there.
+    pub fn queued(&self) -> usize {
+        self.word.map_or(0, |(load, _)| load.queued as usize + self.unseen(&load) as usize)
+    }
+
     /// What the dispatcher had not seen when it spoke; all of it is in flight.
     fn unseen(&self, load: &GroupLoad) -> u64 {
         self.sent.saturating_sub(load.seen).min(self.in_flight)
--- a/crates/azuregate-core/src/route/limit.rs
+++ b/crates/azuregate-core/src/route/limit.rs
@@ -17,9 +17,9 @@
 
 /// The learnt concurrency limit of one backend server.
 ///
-/// It starts at one and grows with good answers, so that a cold server is not
-/// swamped; it falls at once with a refusal, since then somebody else holds the
-/// slots.
+/// A cold server starts at one and grows with good answers, so that it is not
+/// swamped; the limit falls at once with a refusal, since then somebody else
+/// holds the slots.
 #[derive(Clone, Debug)]
 pub struct Limit {
     start: StartNumber,
@@ -34,12 +34,17 @@
 }
 
 impl Limit {
-    /// The limit of a server that nothing is known of.
-    pub fn new(start: StartNumber, slots: u32) -> Limit {
+    /// The limit of a server that has just started, or was idle for long.
+    pub fn cold(start: StartNumber, slots: u32) -> Limit {
+        Limit { limit: slots.min(1), ..Limit::warm(start, slots) }
+    }
+
+    /// The limit of a server that served before this instance knew of it.
+    pub fn warm(start: StartNumber, slots: u32) -> Limit {
         Limit {
             start,
             slots,
-            limit: slots.min(1),
+            limit: slots,
             good: 0,
             hold_ms: HOLD_MS,
             raise_at_ms: Millis(0),
@@ -61,7 +66,7 @@
     /// Takes in the list; a new start begins anew.
     pub fn set_server(&mut self, start: StartNumber, slots: u32) {
         if start != self.start {
-            *self = Limit::new(start, slots);
+            *self = Limit::cold(start, slots);
             return;
         }
         self.slots = slots;
@@ -73,7 +78,7 @@
     pub fn wake(&mut self, now_ms: Millis) {
         let idle = self.answered_at_ms.is_some_and(|at_ms| now_ms.since(at_ms) > COLD_AFTER_MS);
         if idle {
-            *self = Limit::new(self.start, self.slots);
+            *self = Limit::cold(self.start, self.slots);
         }
     }
 
--- a/crates/azuregate-core/src/route/queue.rs
+++ b/crates/azuregate-core/src/route/queue.rs
@@ -11,6 +11,11 @@
 /// Taken for the mean time in a slot until one has been measured.
 const FIRST_HOLD_MS: u64 = 20;
 
+/// How many requests may wait for one of `slots` slots.
+pub fn limit(slots: u32) -> usize {
+    slots as usize * WAITING_PER_SLOT
+}
+
 /// A request that waits for a slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Waiting {
@@ -37,11 +42,6 @@
         self.waiting.is_empty()
     }
 
-    /// Whether another may wait, with `slots` slots in all.
-    pub fn has_room(&self, slots: u32) -> bool {
-        self.waiting.len() < (slots.max(1) as usize) * WAITING_PER_SLOT
-    }
-
     /// Puts a request at the end.
     pub fn push(&mut self, waiting: Waiting) {
         self.waiting.push_back(waiting);
--- a/crates/azuregate-core/src/route/slots.rs
+++ b/crates/azuregate-core/src/route/slots.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    names::{BackendId, StartNumber},
+    names::BackendId,
     route::{Ending, LoadReport, Place, Room, RouteServer, Router, limit::Limit},
     time::Millis,
 };
@@ -104,11 +104,11 @@
         }
     }
 
-    fn add(&mut self, id: &BackendId, start: StartNumber, slots: u32) -> usize {
+    fn add(&mut self, id: &BackendId, limit: Limit) -> usize {
         let key = self.servers.len();
         self.servers.push(Server {
             id: id.clone(),
-            limit: Limit::new(start, slots),
+            limit,
             open: false,
             in_use: 0,
             bucket: 0,
@@ -149,9 +149,14 @@
         for key in 0..self.servers.len() {
             self.update(key, |server| server.open = false);
         }
+        // Servers of the first list served before this instance looked: a new
+        // dispatcher that took them for cold would refuse what they can take.
+        let first = self.servers.is_empty();
         for RouteServer { server, open } in servers {
+            let make = if first { Limit::warm } else { Limit::cold };
             let known = self.by_id.get(&server.id).copied();
-            let key = known.unwrap_or_else(|| self.add(&server.id, server.start, server.slots));
+            let key =
+                known.unwrap_or_else(|| self.add(&server.id, make(server.start, server.slots)));
             self.update(key, |known| {
                 known.limit.set_server(server.start, server.slots);
                 known.open = *open;
