Plan requests by shares and move them no faster than the cap

Cause: ByNearness steered by nearness whatever the shares said, so a shift row moved nothing and nothing bounded what failed over.

Change: Capped implements Steer. Position from the row and the time, a limiter for each instance over a sliding window, a quota in place of lots, failing over as a movement under the same cap, overflow counted and kept room for. An empty plan is to be refused as CapReached.

Tried and dropped: a limiter that stamps a movement with the time when it is made. At one request in a few hundred milliseconds it counted movements that no request of the window saw, instances lagged behind the row, and a restart moved the whole by 0.028 with a cap of 0.02. Movements now count from the request before.

Seen to fail with the safeguard removed (tests/shift.rs): - limiter: one_instance_never_moves_more_than_the_cap, '0.4 moved, the cap is 0.02'; failing_over_is_a_capped_shift, refused [0, 0, 0, ...] for [0, 0, 41..] - quota: counts_follow_the_shares_at_any_rate, 'off by 2.736091' - position from the row (start at the goal): the_whole_never_moves_more_than_ the_cap, '0.924531 moved, the cap is 0.02' - delay after the commit: the same test, '0.032402 moved, the cap is 0.02' - room kept from the plan on: overflow_stays_within_the_cap - progress never back: a_clock_that_jumps_back_sends_no_traffic_back

All 10 tests of tests/shift.rs pass with the safeguards.

--- a/crates/azuregate-core/src/shift.rs
+++ b/crates/azuregate-core/src/shift.rs
@@ -16,8 +16,8 @@
 /// What a shift uses of its cap, in parts per million.
 ///
 /// The rest is room for the difference between the instances' clocks, up to one
-/// thirtieth of the window, and for requests that overflow.
-pub const RAMP_PPM: u64 = 937_500;
+/// sixtieth of the window, and for requests that overflow.
+pub const RAMP_PPM: u64 = 920_000;
 
 /// How many parts a window is counted in.
 const PARTS: u64 = 32;
@@ -104,50 +104,62 @@
 pub struct Limiter {
     moves: VecDeque<Move>,
     asked_at_ms: Millis,
+    asked_before_ms: Millis,
 }
 
+/// Movements of one part of a window.
 #[derive(Clone, Copy, Debug)]
 struct Move {
-    at_ms: Millis,
+    /// When a request last saw the shares from before the first of them.
+    seen_at_ms: Millis,
     share: f64,
 }
 
 impl Limiter {
+    /// Starts to count at `now_ms` of monotonic time.
+    pub fn start(&mut self, now_ms: Millis) {
+        self.asked_at_ms = now_ms;
+    }
+
+    /// What the last window has seen moved, as of the last budget.
+    pub fn used(&self) -> f64 {
+        self.moves.iter().map(|m| m.share).sum()
+    }
+
     /// What may move at `now_ms` of monotonic time, as a share of the whole.
     ///
     /// An instance that had nothing to do for more than a window gets what it
     /// might have used meanwhile: no request of its own fell into that time.
     pub fn budget(&mut self, cap: Cap, now_ms: Millis) -> f64 {
         let whole = f64::from(cap.share_ppm) / f64::from(WHOLE_PPM);
-        let idle_ms = now_ms.since(self.asked_at_ms).0;
-        self.asked_at_ms = now_ms;
+        self.asked_before_ms = std::mem::replace(&mut self.asked_at_ms, now_ms);
+        let idle_ms = now_ms.since(self.asked_before_ms).0;
         if idle_ms > cap.window_ms {
             self.moves.clear();
             return whole * idle_ms as f64 / cap.window_ms as f64;
         }
-        let part_ms = cap.window_ms.div_ceil(PARTS);
-        let oldest_ms = cap.window_ms + part_ms;
-        while self.moves.front().is_some_and(|m| now_ms.since(m.at_ms).0 >= oldest_ms) {
+        let oldest_ms = cap.window_ms + part_ms(cap);
+        while self.moves.front().is_some_and(|m| now_ms.since(m.seen_at_ms).0 >= oldest_ms) {
             self.moves.pop_front();
         }
-        let used: f64 = self.moves.iter().map(|m| m.share).sum();
-        (whole - used).max(0.0)
+        (whole - self.used()).max(0.0)
     }
 
-    /// Notes that `share` was moved at `now_ms`.
-    pub fn spend(&mut self, cap: Cap, share: f64, now_ms: Millis) {
-        let whole = f64::from(cap.share_ppm) / f64::from(WHOLE_PPM);
-        let part_ms = cap.window_ms.div_ceil(PARTS);
-        if share > whole {
-            // Caught up after an idle time: as if it had moved evenly.
-            let each = whole / PARTS as f64;
-            let times = (0..PARTS).rev().map(|part| now_ms - Millis(part * part_ms));
-            self.moves = times.map(|at_ms| Move { at_ms, share: each }).collect();
+    /// Notes that `share` was moved out of the last budget.
+    pub fn spend(&mut self, cap: Cap, share: f64) {
+        // What moves between two requests counts from the first of them: it was
+        // the last to see the shares from before.
+        let seen_at_ms = self.asked_before_ms;
+        if self.asked_at_ms.since(seen_at_ms).0 > cap.window_ms {
             return;
         }
         match self.moves.back_mut() {
-            Some(last) if now_ms.since(last.at_ms).0 < part_ms => last.share += share,
-            _ => self.moves.push_back(Move { at_ms: now_ms, share }),
+            Some(last) if seen_at_ms.since(last.seen_at_ms).0 < part_ms(cap) => last.share += share,
+            _ => self.moves.push_back(Move { seen_at_ms, share }),
         }
     }
 }
+
+fn part_ms(cap: Cap) -> u64 {
+    cap.window_ms.div_ceil(PARTS)
+}
--- /dev/null
+++ b/crates/azuregate-core/src/steer/capped.rs
@@ -0,0 +1,331 @@
+/*!
+Steers by the shares of the policy, and moves no faster than its cap.
+
+Each request is given to one zone by a quota: every zone is credited with its
+share of each request, and the zone with the largest credit takes it. Counts stay
+within a request of the shares, however low the rate; drawing lots would break
+the cap by chance alone.
+
+A zone without an open backend server gives its share to the others, as a
+movement under the same cap. Until its turn to move, a request of that zone is
+refused as not run.
+*/
+
+use std::sync::Arc;
+
+use crate::{
+    names::{InstanceId, RegionName, ServiceName, ZoneName},
+    policy::{Cap, Policy, Shares, Shift, WHOLE_PPM},
+    route::hash,
+    shift::Limiter,
+    snapshot::Snapshot,
+    steer::{Steer, ZonePlan, overflow::Overflow},
+    time::Millis,
+    topology::Topology,
+};
+
+/// The part of the cap that movements of shares may use.
+const SHARES_PART: f64 = 0.95;
+/// The part of the cap that requests without room in their zone may always use.
+const OVERFLOW_PART: f64 = 1.0 - SHARES_PART;
+/// The part of the cap that overflowing requests may use while shares stand.
+const STEADY_OVERFLOW_PART: f64 = 0.5;
+/// Shares closer than this to their goal have reached it.
+const NEAR: f64 = 1e-9;
+
+/// Plans the requests of one service on one instance, within the cap.
+#[derive(Clone, Debug)]
+pub struct Capped {
+    service: ServiceName,
+    instance: InstanceId,
+    from: ZoneName,
+    policy: Option<Arc<Policy>>,
+    zones: Vec<Zone>,
+    started: bool,
+    reached: Option<(Shift, u32)>,
+    limiter: Limiter,
+    overflow: Overflow,
+}
+
+/// A zone; kept in the order of preference of this instance.
+#[derive(Clone, Debug)]
+struct Zone {
+    name: ZoneName,
+    region: Option<RegionName>,
+    /// Whether any backend server of the service is listed there.
+    listed: bool,
+    /// Whether one of them takes new work.
+    open: bool,
+    share: f64,
+    /// The share that it is to have when nothing bounds the way there.
+    goal: f64,
+    credit: f64,
+}
+
+impl Capped {
+    /// Plans requests for `service` on `instance`, which is in zone `from`.
+    pub fn new(service: &ServiceName, instance: &InstanceId, from: &ZoneName) -> Capped {
+        Capped {
+            service: service.clone(),
+            instance: instance.clone(),
+            from: from.clone(),
+            policy: None,
+            zones: Vec::new(),
+            started: false,
+            reached: None,
+            limiter: Limiter::default(),
+            overflow: Overflow::default(),
+        }
+    }
+
+    /// The share of this instance's requests that each zone gets now.
+    pub fn shares(&self) -> impl Iterator<Item = (&ZoneName, f64)> {
+        self.zones.iter().map(|zone| (&zone.name, zone.share))
+    }
+
+    fn add_zones(&mut self, topology: &Topology) {
+        let policy = self.policy.as_deref();
+        let shift = policy.and_then(|policy| policy.shift.as_ref());
+        let named = policy.into_iter().flat_map(|policy| policy.zone_share_ppm.keys());
+        let from = shift.into_iter().flat_map(|shift| shift.from_share_ppm.keys());
+        let to = shift.into_iter().flat_map(|shift| shift.to_share_ppm.keys());
+        for name in topology.zones().chain(named).chain(from).chain(to) {
+            if self.zones.iter().any(|zone| zone.name == *name) {
+                continue;
+            }
+            let parts = [self.service.as_str(), self.instance.as_str(), name.as_str()];
+            // Instances that all started at the same credit would move their
+            // next request at the same time.
+            let phase = hash::score(&parts) as f64 / u64::MAX as f64;
+            self.zones.push(Zone {
+                name: name.clone(),
+                region: topology.region_of(name).cloned(),
+                listed: false,
+                open: false,
+                share: 0.0,
+                goal: 0.0,
+                credit: phase - 0.5,
+            });
+        }
+        // Zones equally near are ordered differently on each instance, or all
+        // would fail over to the same one.
+        self.zones.sort_by_key(|zone| {
+            let spread = hash::score(&[self.instance.as_str(), zone.name.as_str()]);
+            (topology.distance(&self.from, &zone.name), spread)
+        });
+    }
+
+    /// Where nearness alone sends requests: the home region while it is open.
+    fn nearest(&self, open_only: bool) -> Option<usize> {
+        let home = self.zones.iter().position(|zone| zone.listed)?;
+        let region = &self.zones[home].region;
+        let at_home = |zone: &Zone| zone.open && zone.region == *region;
+        let open_at_home = self.zones.iter().position(at_home);
+        let open_anywhere = || self.zones.iter().position(|zone| zone.open);
+        if open_only { open_at_home.or_else(open_anywhere) } else { open_at_home.or(Some(home)) }
+    }
+
+    /// The shares that a table gives, as parts of 1.
+    fn shares_of(&self, shares: &Shares, open_only: bool) -> Vec<f64> {
+        if shares.is_empty() {
+            let nearest = self.nearest(open_only);
+            return (0..self.zones.len()).map(|i| f64::from(Some(i) == nearest)).collect();
+        }
+        let share = |zone: &Zone| {
+            let ppm = shares.get(&zone.name).copied().unwrap_or(0);
+            f64::from(ppm) / f64::from(WHOLE_PPM)
+        };
+        self.zones.iter().map(share).collect()
+    }
+
+    /// The shares that the policy wants, failed zones included.
+    fn wanted(&mut self, policy: &Policy, epoch_ms: Millis, open_only: bool) -> Vec<f64> {
+        let Some(shift) = &policy.shift else {
+            self.reached = None;
+            return self.shares_of(&policy.zone_share_ppm, open_only);
+        };
+        let mut progress = shift.progress_ppm(epoch_ms);
+        if let Some((reached, before)) = &self.reached
+            && reached == shift
+        {
+            // A clock that jumps back does not send traffic back.
+            progress = progress.max(*before);
+        }
+        self.reached = Some((shift.clone(), progress));
+        let progress = f64::from(progress) / f64::from(WHOLE_PPM);
+        let from = self.shares_of(&shift.from_share_ppm, open_only);
+        let to = self.shares_of(&shift.to_share_ppm, open_only);
+        from.iter().zip(&to).map(|(a, b)| a + (b - a) * progress).collect()
+    }
+
+    /// Gives the shares of zones without an open server to the others.
+    fn fail_over(&self, wanted: &mut [f64]) {
+        let open = |(zone, share): (&Zone, &f64)| if zone.open { *share } else { 0.0 };
+        let left: f64 = self.zones.iter().zip(&*wanted).map(open).sum();
+        if left < NEAR {
+            return;
+        }
+        for (zone, share) in self.zones.iter().zip(wanted) {
+            *share = if zone.open { *share / left } else { 0.0 };
+        }
+    }
+
+    /// While nearness decides, requests move freely within a region.
+    fn gather_in_regions(&mut self) {
+        for index in 0..self.zones.len() {
+            let region = self.zones[index].region.clone();
+            let same = |zone: &Zone| zone.region == region;
+            let first = self.zones.iter().position(|zone| same(zone) && zone.open);
+            let Some(first) = first.filter(|&first| first != index) else {
+                continue;
+            };
+            self.zones[first].share += std::mem::take(&mut self.zones[index].share);
+        }
+    }
+
+    /// Moves the shares towards what is wanted; returns what may overflow.
+    fn advance(&mut self, policy: &Policy, epoch_ms: Millis, now_ms: Millis) -> f64 {
+        let cap = cap_of(policy);
+        let whole = f64::from(cap.share_ppm) / f64::from(WHOLE_PPM);
+        if !self.started {
+            // An instance that starts is where the row says, never at the goal;
+            // what has failed moves from there.
+            let shares = self.wanted(policy, epoch_ms, false);
+            self.set_shares(&shares);
+            self.started = true;
+            self.limiter.start(now_ms);
+        }
+        if by_nearness(policy) {
+            self.gather_in_regions();
+        }
+        let mut wanted = self.wanted(policy, epoch_ms, true);
+        self.fail_over(&mut wanted);
+        for (zone, goal) in self.zones.iter_mut().zip(&wanted) {
+            zone.goal = *goal;
+        }
+        let overflow = self.overflow.share(cap.window_ms, now_ms);
+        let taken = if overflow > whole * OVERFLOW_PART { overflow } else { 0.0 };
+        let budget = self.limiter.budget(scaled(cap, SHARES_PART), now_ms) - taken;
+        let way: f64 = self.way(&wanted);
+        if way < NEAR {
+            let used = self.limiter.used();
+            let left = (whole * SHARES_PART - used).min(whole * STEADY_OVERFLOW_PART);
+            return left.max(whole * OVERFLOW_PART);
+        }
+        let moved = way.min(budget.max(0.0));
+        if moved > 0.0 {
+            let part = moved / way;
+            let shares: Vec<f64> = self
+                .zones
+                .iter()
+                .zip(&wanted)
+                .map(|(zone, goal)| zone.share + (goal - zone.share) * part)
+                .collect();
+            self.set_shares(&shares);
+            self.limiter.spend(scaled(cap, SHARES_PART), moved);
+        }
+        whole * OVERFLOW_PART
+    }
+
+    fn set_shares(&mut self, shares: &[f64]) {
+        for (zone, share) in self.zones.iter_mut().zip(shares) {
+            zone.share = *share;
+        }
+    }
+
+    /// The share of requests that separates the shares from `wanted`.
+    fn way(&self, wanted: &[f64]) -> f64 {
+        let gains = self.zones.iter().zip(wanted).map(|(zone, goal)| (goal - zone.share).max(0.0));
+        gains.sum()
+    }
+
+    /// The zone whose turn it is.
+    fn next_zone(&mut self) -> Option<usize> {
+        for zone in &mut self.zones {
+            zone.credit += zone.share;
+        }
+        let has_share = |&index: &usize| self.zones[index].share > NEAR;
+        let next = (0..self.zones.len())
+            .filter(has_share)
+            .max_by(|&a, &b| self.zones[a].credit.total_cmp(&self.zones[b].credit))?;
+        self.zones[next].credit -= 1.0;
+        Some(next)
+    }
+
+    /// Open zones in the order of nearness to this instance, those of `first`'s
+    /// region before the others.
+    fn open_zones(&self, first: usize, by_nearness: bool) -> Vec<ZoneName> {
+        let region = &self.zones[first].region;
+        let mut others: Vec<_> = (0..self.zones.len())
+            .filter(|&index| index != first && self.zones[index].open)
+            .filter(|&index| by_nearness || self.zones[index].share > NEAR)
+            .collect();
+        others.sort_by_key(|&index| self.zones[index].region != *region);
+        others.into_iter().map(|index| self.zones[index].name.clone()).collect()
+    }
+}
+
+impl Steer for Capped {
+    fn set_snapshot(&mut self, snapshot: &Snapshot) {
+        self.policy = snapshot.policies.get(&self.service).cloned();
+        self.add_zones(&snapshot.topology);
+        for zone in &mut self.zones {
+            (zone.listed, zone.open) = (false, false);
+        }
+        for server in snapshot.route_servers(&self.service) {
+            let zone = self.zones.iter_mut().find(|zone| zone.name == server.server.zone);
+            let Some(zone) = zone else { continue };
+            zone.listed = true;
+            zone.open |= server.open;
+        }
+    }
+
+    fn plan(&mut self, epoch_ms: Millis, now_ms: Millis) -> ZonePlan {
+        let Some(policy) = self.policy.clone() else {
+            return ZonePlan { zones: Vec::new() };
+        };
+        let may_overflow = self.advance(&policy, epoch_ms, now_ms);
+        let Some(next) = self.next_zone() else {
+            return ZonePlan { zones: Vec::new() };
+        };
+        let waits = |zone: &Zone| zone.open && zone.goal > NEAR;
+        if !self.zones[next].open && self.zones.iter().any(waits) {
+            // The zones that take over have all that the cap lets them have.
+            return ZonePlan { zones: Vec::new() };
+        }
+        let mut zones = vec![self.zones[next].name.clone()];
+        if by_nearness(&policy) {
+            zones.extend(self.open_zones(next, true));
+            return ZonePlan { zones };
+        }
+        let window_ms = cap_of(&policy).window_ms;
+        self.overflow.count(window_ms, now_ms);
+        let others = self.open_zones(next, false);
+        if !others.is_empty() && self.overflow.reserve(may_overflow, window_ms, now_ms) {
+            zones.extend(others);
+        }
+        ZonePlan { zones }
+    }
+
+    fn went(&mut self, plan: &ZonePlan, zone: Option<&ZoneName>, now_ms: Millis) {
+        let Some(policy) = &self.policy else { return };
+        if plan.zones.len() < 2 || by_nearness(policy) {
+            return;
+        }
+        let elsewhere = zone.is_some_and(|zone| *zone != plan.zones[0]);
+        self.overflow.release(elsewhere, cap_of(policy).window_ms, now_ms);
+    }
+}
+
+fn by_nearness(policy: &Policy) -> bool {
+    policy.shift.is_none() && policy.zone_share_ppm.is_empty()
+}
+
+fn cap_of(policy: &Policy) -> Cap {
+    policy.shift.as_ref().map_or(policy.cap, |shift| shift.cap)
+}
+
+fn scaled(cap: Cap, part: f64) -> Cap {
+    let share_ppm = (f64::from(cap.share_ppm) * part) as u32;
+    Cap { share_ppm, ..cap }
+}
--- a/crates/azuregate-core/src/steer.rs
+++ b/crates/azuregate-core/src/steer/mod.rs
@@ -4,6 +4,11 @@
 //! choice of a backend server. The gateway asks it for a plan for each request,
 //! tries the zones in order, and says where the request went.
 
+mod capped;
+mod overflow;
+
+pub use capped::Capped;
+
 use crate::{
     names::ZoneName,
     snapshot::{Liveness, Snapshot},
@@ -15,7 +20,8 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ZonePlan {
     /// Zones that the policy and its cap allow. A request that none of them
-    /// takes is refused as not run.
+    /// takes is refused as not run. An empty plan is refused because the cap is
+    /// reached.
     pub zones: Vec<ZoneName>,
 }
 
@@ -28,10 +34,10 @@
     /// monotonic time.
     fn plan(&mut self, epoch_ms: Millis, now_ms: Millis) -> ZonePlan;
 
-    /// Counts where a planned request went, or that it went nowhere.
+    /// Counts where a planned request went, or that it went nowhere. Each plan
+    /// is followed by one call.
     fn went(&mut self, plan: &ZonePlan, zone: Option<&ZoneName>, now_ms: Millis);
 }
-
 /// All availability zones, nearest to `from` first.
 pub fn nearest_zones(topology: &Topology, from: &ZoneName) -> Vec<ZoneName> {
     let mut zones: Vec<_> = topology.zones().cloned().collect();
