--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -24,6 +24,8 @@
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`blocks`] finds the site of a client from its address.
+* [`membership`] tells which instances take new work, [`neighbours`] which keep
+  links to each other.
 * [`entries`] answers which entry instances a caller should use.
 * [`retry`] bounds retries to a share of recent requests.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
@@ -33,7 +35,9 @@
 pub mod claim;
 pub mod entries;
 pub mod error;
+pub mod membership;
 pub mod names;
+pub mod neighbours;
 pub mod policy;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/azuregate-core/src/membership.rs
@@ -0,0 +1,179 @@
+/*!
+Which instances take new work, from what is heard on the peer links.
+
+The platform's list lags by minutes at the worst. Heartbeats tell within seconds
+that an instance has gone silent, and carry how old its configuration may be.
+*/
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    names::{InstanceId, StartNumber},
+    time::Millis,
+};
+
+/// An instance that was not heard of for this long gets no new work.
+pub const SILENT_MS: u64 = 2_000;
+/// How many peers must agree with an instance that starts while the platform is
+/// down.
+pub const READY_PEERS: usize = 2;
+
+/// What an instance says of itself at rest.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// Whether it has a configuration in force.
+    #[serde(rename = "r")]
+    pub ready: bool,
+    /// How long ago its configuration was the platform's newest, by its own
+    /// reading or by that of an instance with the same versions.
+    #[serde(rename = "a")]
+    pub confirmed_age_ms: Option<u64>,
+    /// A hash of the versions that it has in force.
+    #[serde(rename = "d")]
+    pub digest: u64,
+}
+
+/// What one instance believes of the others.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: InstanceId,
+    peers: BTreeMap<InstanceId, Peer>,
+    stopping: BTreeMap<InstanceId, StartNumber>,
+    confirmed_at_ms: Option<Millis>,
+    confirm_limit_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    start: StartNumber,
+    heard_at_ms: Millis,
+    confirmed_at_ms: Option<Millis>,
+    agrees: bool,
+}
+
+impl Membership {
+    /// What `me` believes before it has heard of anyone.
+    pub fn new(me: &InstanceId) -> Membership {
+        Membership {
+            me: me.clone(),
+            peers: BTreeMap::new(),
+            stopping: BTreeMap::new(),
+            confirmed_at_ms: None,
+            confirm_limit_ms: u64::MAX,
+        }
+    }
+
+    /// Sets the instances that are watched. New ones count as heard of now, so
+    /// that they have time to open a link.
+    pub fn watch(&mut self, neighbours: &BTreeSet<InstanceId>, now_ms: Millis) {
+        self.peers.retain(|id, _| neighbours.contains(id));
+        for id in neighbours {
+            self.peers.entry(id.clone()).or_insert(Peer {
+                start: StartNumber(0),
+                heard_at_ms: now_ms,
+                confirmed_at_ms: Some(now_ms),
+                agrees: false,
+            });
+        }
+    }
+
+    /// Sets how long an instance stays in the answers without confirmation.
+    pub fn set_confirm_limit(&mut self, limit_ms: u64) {
+        self.confirm_limit_ms = limit_ms;
+    }
+
+    /// Takes in a heartbeat; `digest` is that of the own versions.
+    pub fn heard(
+        &mut self,
+        id: &InstanceId,
+        start: StartNumber,
+        heartbeat: Heartbeat,
+        digest: u64,
+        now_ms: Millis,
+    ) {
+        let Some(peer) = self.peers.get_mut(id) else { return };
+        if start < peer.start {
+            return;
+        }
+        let same = heartbeat.digest == digest;
+        peer.start = start;
+        peer.heard_at_ms = now_ms;
+        peer.confirmed_at_ms = heartbeat.confirmed_age_ms.map(|age_ms| now_ms - Millis(age_ms));
+        peer.agrees = heartbeat.ready && same;
+        if same {
+            self.confirmed_at_ms = self.confirmed_at_ms.max(peer.confirmed_at_ms);
+        }
+    }
+
+    /// Notes that an instance has started a planned stop.
+    pub fn stopping(&mut self, id: &InstanceId, start: StartNumber) {
+        let latest = self.stopping.entry(id.clone()).or_default();
+        *latest = start.max(*latest);
+    }
+
+    /// Notes that the own versions are the platform's newest.
+    pub fn confirmed(&mut self, now_ms: Millis) {
+        self.confirmed_at_ms = Some(now_ms);
+    }
+
+    /// Forgets what may have changed while this process was paused.
+    pub fn woke(&mut self, now_ms: Millis) {
+        self.confirmed_at_ms = None;
+        for peer in self.peers.values_mut() {
+            peer.heard_at_ms = now_ms;
+            peer.agrees = false;
+        }
+    }
+
+    /// How long ago the own versions were the platform's newest.
+    pub fn confirmed_age_ms(&self, now_ms: Millis) -> Option<u64> {
+        self.confirmed_at_ms.map(|at_ms| now_ms.since(at_ms).0)
+    }
+
+    /// How many peers serve with the same versions as this instance.
+    pub fn agreeing(&self, now_ms: Millis) -> usize {
+        self.peers.values().filter(|peer| peer.agrees && !is_silent(peer, now_ms)).count()
+    }
+
+    /// The instances that get no new work: those that stop, have gone silent, or
+    /// may have missed a change.
+    pub fn away(&self, now_ms: Millis) -> BTreeSet<InstanceId> {
+        let mut away: BTreeSet<_> = self.silent(now_ms).collect();
+        away.extend(self.unconfirmed(now_ms));
+        for (id, start) in &self.stopping {
+            let heard = self.peers.get(id).map(|peer| peer.start);
+            if heard.is_none_or(|heard| heard <= *start) {
+                away.insert(id.clone());
+            }
+        }
+        away
+    }
+
+    fn silent(&self, now_ms: Millis) -> impl Iterator<Item = InstanceId> {
+        let silent = self.peers.iter().filter(move |(_, peer)| is_silent(peer, now_ms));
+        // An instance that hears hardly anyone is cut off itself. If it believed
+        // the others dead it would send all callers to itself.
+        let cut_off = silent.clone().count() * 2 > self.peers.len();
+        silent.filter(move |_| !cut_off).map(|(id, _)| id.clone())
+    }
+
+    fn unconfirmed(&self, now_ms: Millis) -> Vec<InstanceId> {
+        let is_old = |at_ms: Option<Millis>| {
+            at_ms.is_none_or(|at_ms| now_ms.since(at_ms).0 > self.confirm_limit_ms)
+        };
+        let peers = self.peers.iter().map(|(id, peer)| (id, peer.confirmed_at_ms));
+        let all = peers.chain([(&self.me, self.confirmed_at_ms)]);
+        let (old, fresh): (Vec<_>, Vec<_>) = all.partition(|(_, at_ms)| is_old(*at_ms));
+        // With the platform down nobody can confirm, and no change can be made.
+        if fresh.is_empty() {
+            return Vec::new();
+        }
+        old.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+}
+
+fn is_silent(peer: &Peer, now_ms: Millis) -> bool {
+    now_ms.since(peer.heard_at_ms).0 > SILENT_MS
+}
