Check settings as a whole, with every error at its place

Cause: deserializing stopped at the first error, took a misspelt log level for the name of a module (and then logged nothing else), two listeners on one port, and a zone that no region has.

Ruled out: collecting errors while deserializing (serde has no place for them, and the built value no positions). Change: a table of shapes that is walked along the syntax tree, then the relations between settings.

--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -108,7 +108,13 @@
 }
 
 fn usage(e: &Report<crate::settings::SettingsError>) -> Exit {
-    eprintln!("{e:?}");
+    // The causes are only there when the file could not be read.
+    let causes: Vec<_> =
+        e.frames().filter_map(|frame| frame.downcast_ref::<std::io::Error>()).collect();
+    eprintln!("{}", e.current_context());
+    for cause in causes {
+        eprintln!("{cause}");
+    }
     Exit::Usage
 }
 
--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod clock;
 pub mod config;
 pub mod gateway;
+pub mod jsonc;
 pub mod logs;
 pub mod metrics;
 pub mod operators;
--- /dev/null
+++ b/crates/azuregate/src/settings/errors.rs
@@ -0,0 +1,51 @@
+//! Settings that cannot be used.
+
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+};
+
+use crate::jsonc::Problem;
+
+/// Settings that cannot be used: everything that is wrong with them.
+///
+/// Its text has one line for each problem, as `FILE:LINE:COLUMN: MESSAGE`.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SettingsError {
+    file: Option<PathBuf>,
+    problems: Vec<Problem>,
+}
+
+impl SettingsError {
+    pub(super) fn new(problems: Vec<Problem>) -> SettingsError {
+        SettingsError { file: None, problems }
+    }
+
+    pub(super) fn in_file(mut self, file: &Path) -> SettingsError {
+        self.file = Some(file.to_owned());
+        self
+    }
+
+    /// The problems, ordered by line and column. Empty when the file could not
+    /// be read at all.
+    pub fn problems(&self) -> &[Problem] {
+        &self.problems
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let file = self.file.as_deref().unwrap_or(Path::new("settings")).display();
+        if self.problems.is_empty() {
+            return write!(f, "{file}: the settings cannot be read");
+        }
+        for problem in &self.problems {
+            writeln!(f, "{file}:{problem}")?;
+        }
+        let count = self.problems.len();
+        let plural = if count == 1 { "" } else { "s" };
+        write!(f, "{file}: the settings cannot be used: {count} error{plural}")
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/crates/azuregate/src/settings/fields.rs
@@ -0,0 +1,110 @@
+//! What each setting may be, taken alone.
+
+use std::net::{IpAddr, SocketAddr};
+
+use logforth::filter::rustlog::RustLogFilterBuilder;
+
+use crate::jsonc::{
+    Field,
+    Presence::{self, Nullable, Optional, Required},
+    Shape,
+};
+
+/// The longest name of an instance, region or availability zone, in bytes.
+const NAME_LIMIT_BYTES: usize = 63;
+/// The longest planned stop, in milliseconds.
+const STOP_DELAY_LIMIT_MS: u64 = 3_600_000;
+/// The longest delay of a link, in milliseconds.
+const DELAY_LIMIT_MS: u64 = 60_000;
+/// The widest link, in megabits a second.
+const LINK_LIMIT_MBIT_PER_S: u64 = 10_000_000;
+/// The shortest and the longest time between two reads of the platform: more
+/// often is more than the platform serves to many instances, and more seldom
+/// leaves an accepted change out of force for too long.
+const POLL_RANGE_MS: (u64, u64) = (50, 60_000);
+/// The longest that a call to the platform may take, in milliseconds.
+const PLATFORM_TIMEOUT_LIMIT_MS: u64 = 60_000;
+
+/// The levels of the log, from the least to the most.
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+const PORT: Shape = Shape::Number { min: 1, max: 65_535 };
+const NAME: Shape = Shape::Text(name);
+const DELAY: Shape = Shape::Number { min: 0, max: DELAY_LIMIT_MS };
+
+/// The whole settings file.
+pub(super) const SETTINGS: Shape = Shape::Object(&[
+    field("instance", Required, NAME),
+    field("zone", Required, NAME),
+    field("ip", Required, Shape::Text(ip)),
+    field("traffic_port", Required, PORT),
+    field("peer_port", Required, PORT),
+    field("operators_port", Required, PORT),
+    field("status_port", Required, PORT),
+    field("platform", Required, PLATFORM),
+    field("topology", Required, TOPOLOGY),
+    field("statsd_addr", Nullable, Shape::Text(addr)),
+    field("log_filter", Optional, Shape::Text(log_filter)),
+    field("stop_delay_ms", Optional, Shape::Number { min: 0, max: STOP_DELAY_LIMIT_MS }),
+]);
+
+const PLATFORM: Shape = Shape::Object(&[
+    field("addr", Required, Shape::Text(addr)),
+    field("poll_ms", Optional, Shape::Number { min: POLL_RANGE_MS.0, max: POLL_RANGE_MS.1 }),
+    field("timeout_ms", Optional, Shape::Number { min: 1, max: PLATFORM_TIMEOUT_LIMIT_MS }),
+]);
+
+const TOPOLOGY: Shape = Shape::Object(&[
+    field("regions", Required, Shape::List(&REGION)),
+    field("zone_delay_ms", Required, DELAY),
+    field("region_delay_ms", Required, DELAY),
+    field("link_mbit_per_s", Required, Shape::Number { min: 1, max: LINK_LIMIT_MBIT_PER_S }),
+]);
+
+const REGION: Shape =
+    Shape::Object(&[field("name", Required, NAME), field("zones", Required, Shape::List(&NAME))]);
+
+const fn field(key: &'static str, presence: Presence, shape: Shape) -> Field {
+    Field { key, presence, shape }
+}
+
+fn name(text: &str) -> Result<(), String> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if (1..=NAME_LIMIT_BYTES).contains(&text.len()) && text.chars().all(is_allowed) {
+        return Ok(());
+    }
+    Err(format!("must be 1 to {NAME_LIMIT_BYTES} letters, digits, dots, hyphens or underscores"))
+}
+
+fn ip(text: &str) -> Result<(), String> {
+    let ip: IpAddr = text.parse().map_err(|_| "must be an IP number".to_owned())?;
+    usable(ip)
+}
+
+fn addr(text: &str) -> Result<(), String> {
+    let addr: SocketAddr =
+        text.parse().map_err(|_| "must be an IP number and a port".to_owned())?;
+    if addr.port() == 0 {
+        return Err("must have a port of 1 to 65535".to_owned());
+    }
+    usable(addr.ip())
+}
+
+/// The others are told this number, and cannot reach one that stands for many.
+fn usable(ip: IpAddr) -> Result<(), String> {
+    if ip.is_unspecified() || ip.is_multicast() {
+        return Err("must be the IP number of one machine".to_owned());
+    }
+    Ok(())
+}
+
+fn log_filter(text: &str) -> Result<(), String> {
+    // The library takes a lone word that is no level for the name of a module,
+    // and then logs nothing else: a misspelt level would silence the instance.
+    let is_clear = |part: &str| part.contains('=') || LEVELS.contains(&part.trim());
+    let is_known = RustLogFilterBuilder::try_from_spec(text).is_ok();
+    if is_known && text.split(',').all(is_clear) {
+        return Ok(());
+    }
+    Err(format!("must be one of {}, or a list of module=level", LEVELS.join(", ")))
+}
--- a/crates/azuregate/src/settings.rs
+++ b/crates/azuregate/src/settings/mod.rs
@@ -1,7 +1,16 @@
-//! The settings of an entry instance: JSON with comments.
+/*!
+The settings of an entry instance: JSON with comments.
+
+`fields` says what each setting may be, `check` what must hold between several.
+A file is checked as a whole, so that one look mends all of it.
+*/
+
+mod check;
+mod errors;
+mod fields;
 
 use std::{
-    fmt, fs,
+    fs,
     net::{IpAddr, SocketAddr},
     path::Path,
 };
@@ -11,9 +20,12 @@
     topology::Topology,
 };
 use error_stack::{Report, ResultExt};
-use jsonc_parser::ParseOptions;
 use serde::{Deserialize, Serialize};
 
+use crate::jsonc;
+
+pub use errors::SettingsError;
+
 /// The settings of an entry instance. What operators may change at run time is
 /// not here: it is policy, and lives in the platform's tables.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -78,38 +90,32 @@
     1_000
 }
 
-/// Settings that cannot be used.
-#[derive(Debug)]
-pub struct SettingsError;
-
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the settings cannot be used")
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 impl Settings {
     /// Reads settings from a file.
     ///
     /// # Errors
     ///
-    /// When the file cannot be read or says something that cannot be used.
+    /// When the file cannot be read or says something that cannot be used; all
+    /// that is wrong is told at once.
     pub fn load(path: &Path) -> Result<Settings, Report<SettingsError>> {
         let text = fs::read_to_string(path)
-            .change_context(SettingsError)
-            .attach_with(|| path.display().to_string())?;
-        Settings::parse(&text).attach_with(|| path.display().to_string())
+            .map_err(Report::new)
+            .change_context_lazy(|| SettingsError::default().in_file(path))?;
+        parse(&text).map_err(|e| Report::new(e.in_file(path)))
     }
 
     /// Reads settings from text.
     ///
     /// # Errors
     ///
-    /// When the text says something that cannot be used.
+    /// When the text says something that cannot be used; all that is wrong is
+    /// told at once.
     pub fn parse(text: &str) -> Result<Settings, Report<SettingsError>> {
-        jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-            .change_context(SettingsError)
+        parse(text).map_err(Report::new)
     }
 }
+
+fn parse(text: &str) -> Result<Settings, SettingsError> {
+    jsonc::check(text, &fields::SETTINGS, check::relations).map_err(SettingsError::new)?;
+    jsonc::read(text).map_err(|e| SettingsError::new(vec![e]))
+}
