--- a/crates/azuregate-core/src/names.rs
+++ b/crates/azuregate-core/src/names.rs
@@ -49,6 +49,10 @@
     /// A service that callers ask for by the Host header.
     ServiceName
 }
+name! {
+    /// A tenant on whose behalf callers send requests.
+    TenantName
+}
 name! {
     /// A region.
     RegionName
--- a/crates/azuregate-schema/src/gen/azuregate.v1.rs
+++ b/crates/azuregate-schema/src/gen/azuregate.v1.rs
@@ -21,6 +21,65 @@
         ::prost::alloc::string::String,
         u64,
     >,
+    /// Why it is ready, or is not.
+    #[prost(string, tag = "6")]
+    pub ready_reason: ::prost::alloc::string::String,
+    /// Version of the program.
+    #[prost(string, tag = "7")]
+    pub build_version: ::prost::alloc::string::String,
+    /// Its availability zone.
+    #[prost(string, tag = "8")]
+    pub zone: ::prost::alloc::string::String,
+    /// The entry instances that it knows of, ordered by name.
+    #[prost(message, repeated, tag = "9")]
+    pub instances: ::prost::alloc::vec::Vec<Instance>,
+    /// The backend servers that it knows of, ordered by service and name.
+    #[prost(message, repeated, tag = "10")]
+    pub backends: ::prost::alloc::vec::Vec<Backend>,
+    /// Latencies of its requests.
+    #[prost(message, repeated, tag = "11")]
+    pub histograms: ::prost::alloc::vec::Vec<Histogram>,
+}
+/// An entry instance.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Instance {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: ::prost::alloc::string::String,
+    /// Where callers reach it.
+    #[prost(string, tag = "3")]
+    pub traffic_addr: ::prost::alloc::string::String,
+    /// Whether it is believed to take new work.
+    #[prost(bool, tag = "4")]
+    pub live: bool,
+}
+/// A backend server.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Backend {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// The service that it serves.
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    /// Its availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
+    /// Where it takes requests.
+    #[prost(string, tag = "4")]
+    pub addr: ::prost::alloc::string::String,
+    /// How many requests it takes at once.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// Whether it gets new work.
+    #[prost(bool, tag = "6")]
+    pub open: bool,
+    /// Why it gets none, each reason by itself; empty if it is open.
+    #[prost(string, repeated, tag = "7")]
+    pub reasons: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GetPolicyRequest {
@@ -42,6 +101,21 @@
     #[prost(message, repeated, tag = "1")]
     pub policies: ::prost::alloc::vec::Vec<Policy>,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PolicyHistoryRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// How many versions to give at the most; 0 for 20, never more than 100.
+    #[prost(uint32, tag = "2")]
+    pub limit: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PolicyHistoryResponse {
+    /// The versions that the platform holds, newest first.
+    #[prost(message, repeated, tag = "1")]
+    pub policies: ::prost::alloc::vec::Vec<Policy>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SetPolicyRequest {
     /// The policy wanted. Its version and operation_id are ignored.
@@ -50,22 +124,273 @@
     /// The version that the change is based on; 0 creates the policy.
     #[prost(uint64, tag = "2")]
     pub based_on_version: u64,
-    /// Names the change, so that it can be repeated safely.
+    /// Names the change, so that it can be repeated safely: 1 to 64 letters,
+    /// digits, dots, hyphens or underscores.
+    #[prost(string, tag = "3")]
+    pub operation_id: ::prost::alloc::string::String,
+    /// Checks and answers without changing anything.
+    #[prost(bool, tag = "4")]
+    pub dry_run: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StartShiftRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Shares at the end, in parts per million; they add up to 1000000.
+    #[prost(btree_map = "string, uint32", tag = "2")]
+    pub to_share_ppm: ::prost::alloc::collections::BTreeMap<
+        ::prost::alloc::string::String,
+        u32,
+    >,
+    /// What bounds the movement; the policy's own cap if left out.
+    #[prost(message, optional, tag = "3")]
+    pub cap: ::core::option::Option<Cap>,
+    /// The version that the change is based on; any version if left out.
+    #[prost(uint64, optional, tag = "4")]
+    pub based_on_version: ::core::option::Option<u64>,
+    /// Names the change, see SetPolicyRequest.
+    #[prost(string, tag = "5")]
+    pub operation_id: ::prost::alloc::string::String,
+    /// Checks and answers without changing anything.
+    #[prost(bool, tag = "6")]
+    pub dry_run: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StopShiftRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The version that the change is based on; any version if left out.
+    #[prost(uint64, optional, tag = "2")]
+    pub based_on_version: ::core::option::Option<u64>,
+    /// Names the change, see SetPolicyRequest.
     #[prost(string, tag = "3")]
     pub operation_id: ::prost::alloc::string::String,
     /// Checks and answers without changing anything.
     #[prost(bool, tag = "4")]
     pub dry_run: bool,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GetShiftRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GetShiftResponse {
+    /// The movement in progress; absent if there is none.
+    #[prost(message, optional, tag = "1")]
+    pub shift: ::core::option::Option<Shift>,
+    /// How much of its way it has come, in parts per million.
+    #[prost(uint32, tag = "2")]
+    pub progress_ppm: u32,
+    /// Shares now, in parts per million; empty where nearness decides.
+    #[prost(btree_map = "string, uint32", tag = "3")]
+    pub share_ppm: ::prost::alloc::collections::BTreeMap<
+        ::prost::alloc::string::String,
+        u32,
+    >,
+    /// When it ends, in milliseconds since the Unix epoch; 0 if there is none.
+    #[prost(uint64, tag = "4")]
+    pub end_at_ms: u64,
+    /// Version of the policy in force.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DrainRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Names of the backend servers, at least one.
+    #[prost(string, repeated, tag = "2")]
+    pub backends: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The version that the change is based on; any version if left out.
+    #[prost(uint64, optional, tag = "3")]
+    pub based_on_version: ::core::option::Option<u64>,
+    /// Names the change, see SetPolicyRequest.
+    #[prost(string, tag = "4")]
+    pub operation_id: ::prost::alloc::string::String,
+    /// Checks and answers without changing anything.
+    #[prost(bool, tag = "5")]
+    pub dry_run: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ListDrainsRequest {
+    /// Name of the service; all services if empty.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ListDrainsResponse {
+    /// The backend servers that get no new work.
+    #[prost(message, repeated, tag = "1")]
+    pub backends: ::prost::alloc::vec::Vec<Backend>,
+}
+/// The answer to every call that changes something.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct SetPolicyResponse {
-    /// Whether the change was accepted.
+pub struct ChangeResponse {
+    /// Whether the change was accepted. It is false for a dry run, and when
+    /// another change came first.
     #[prost(bool, tag = "1")]
     pub accepted: bool,
     /// The policy that the platform holds after the call: the accepted one, or the
-    /// one that won.
+    /// one that won. For a dry run, the one that would be set.
     #[prost(message, optional, tag = "2")]
     pub policy: ::core::option::Option<Policy>,
+    /// Whether the change had been made by an earlier call with the same
+    /// operation_id.
+    #[prost(bool, tag = "3")]
+    pub repeated: bool,
+    /// Whether another change came first.
+    #[prost(bool, tag = "4")]
+    pub conflict: bool,
+    /// For a conflict, where the winner differs from what was wanted or, for
+    /// shifts and drains, from the version that the change is based on. Otherwise
+    /// what the change does to the policy.
+    #[prost(message, repeated, tag = "5")]
+    pub differences: ::prost::alloc::vec::Vec<Difference>,
+    /// What the change moves. Absent for a conflict.
+    #[prost(message, optional, tag = "6")]
+    pub effect: ::core::option::Option<Effect>,
+}
+/// One field that differs.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Difference {
+    /// The field, such as cap.window_ms.
+    #[prost(string, tag = "1")]
+    pub field: ::prost::alloc::string::String,
+    /// What it was or was wanted to be, as JSON; empty if it was not there.
+    #[prost(string, tag = "2")]
+    pub before: ::prost::alloc::string::String,
+    /// What it becomes or what won, as JSON; empty if it is not there.
+    #[prost(string, tag = "3")]
+    pub after: ::prost::alloc::string::String,
+}
+/// What a change moves.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Effect {
+    /// Shares and backend servers of each availability zone, ordered by name.
+    #[prost(message, repeated, tag = "1")]
+    pub zones: ::prost::alloc::vec::Vec<ZoneEffect>,
+    /// The share of the service's requests that moves, in parts per million. For a
+    /// drain, the share of the open slots that close.
+    #[prost(uint32, tag = "2")]
+    pub moved_ppm: u32,
+    /// When it starts to move, in milliseconds since the Unix epoch; 0 for at once.
+    #[prost(uint64, tag = "3")]
+    pub start_at_ms: u64,
+    /// How long it takes at its cap.
+    #[prost(uint64, tag = "4")]
+    pub duration_ms: u64,
+    /// Backend servers that get no more new work.
+    #[prost(string, repeated, tag = "5")]
+    pub drained: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Backend servers that get new work again.
+    #[prost(string, repeated, tag = "6")]
+    pub undrained: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// What an operator should look at before going on.
+    #[prost(string, repeated, tag = "7")]
+    pub warnings: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// What a change does to one availability zone.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ZoneEffect {
+    /// The availability zone.
+    #[prost(string, tag = "1")]
+    pub zone: ::prost::alloc::string::String,
+    /// Share before; absent where nearness decides.
+    #[prost(uint32, optional, tag = "2")]
+    pub before_ppm: ::core::option::Option<u32>,
+    /// Share after; absent where nearness decides.
+    #[prost(uint32, optional, tag = "3")]
+    pub after_ppm: ::core::option::Option<u32>,
+    /// Open backend servers of the service before.
+    #[prost(uint32, tag = "4")]
+    pub open_before: u32,
+    /// Open backend servers of the service after.
+    #[prost(uint32, tag = "5")]
+    pub open_after: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EntriesRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The caller's IP number, which spreads callers over equal instances; the
+    /// operator's own if empty.
+    #[prost(string, tag = "2")]
+    pub caller: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EntriesResponse {
+    /// Entry instances, the one to prefer first.
+    #[prost(message, repeated, tag = "1")]
+    pub entries: ::prost::alloc::vec::Vec<Entry>,
+    /// How long callers may keep the answer.
+    #[prost(uint64, tag = "2")]
+    pub max_age_s: u64,
+}
+/// An entry instance in an answer to callers.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Entry {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// Where it takes requests.
+    #[prost(string, tag = "2")]
+    pub addr: ::prost::alloc::string::String,
+    /// Its availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HistogramsRequest {
+    /// Name of the service; all services if empty.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HistogramsResponse {
+    /// Histograms in short, ordered by service, tenant and class.
+    #[prost(message, repeated, tag = "1")]
+    pub histograms: ::prost::alloc::vec::Vec<Histogram>,
+    /// Samples that were dropped since the start, because the recorder was behind.
+    #[prost(uint64, tag = "2")]
+    pub dropped: u64,
+}
+/// Latencies of one service, tenant and class in short.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Histogram {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The tenant; empty for requests that name none, "other" for tenants beyond
+    /// those that are told apart.
+    #[prost(string, tag = "2")]
+    pub tenant: ::prost::alloc::string::String,
+    /// read, write or keyed.
+    #[prost(string, tag = "3")]
+    pub class: ::prost::alloc::string::String,
+    /// How many requests were recorded.
+    #[prost(uint64, tag = "4")]
+    pub count: u64,
+    /// How many of them azuregate answered itself, with an error.
+    #[prost(uint64, tag = "5")]
+    pub errors: u64,
+    /// Median of latency.
+    #[prost(uint64, tag = "6")]
+    pub p50_ms: u64,
+    /// 99th percentile of latency.
+    #[prost(uint64, tag = "7")]
+    pub p99_ms: u64,
+    /// 99.9th percentile of latency.
+    #[prost(uint64, tag = "8")]
+    pub p999_ms: u64,
+    /// Largest latency.
+    #[prost(uint64, tag = "9")]
+    pub max_ms: u64,
 }
 /// A steering policy.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -79,7 +404,8 @@
     /// Names the change that led to this version.
     #[prost(string, tag = "3")]
     pub operation_id: ::prost::alloc::string::String,
-    /// Share of traffic for each availability zone, in parts per million.
+    /// Share of traffic for each availability zone, in parts per million; empty to
+    /// leave the choice to nearness.
     #[prost(btree_map = "string, uint32", tag = "4")]
     pub zone_share_ppm: ::prost::alloc::collections::BTreeMap<
         ::prost::alloc::string::String,
@@ -100,6 +426,9 @@
     /// How long a request may wait for a slot.
     #[prost(uint64, tag = "9")]
     pub queue_ms: u64,
+    /// How long after its commit a shift starts to move; 13000 if left out.
+    #[prost(uint64, optional, tag = "10")]
+    pub shift_delay_ms: ::core::option::Option<u64>,
 }
 /// The largest share of traffic that may move in any window of time.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -297,14 +626,36 @@
                 .insert(GrpcMethod::new("azuregate.v1.Operators", "ListPolicies"));
             self.inner.unary(req, path, codec).await
         }
-        /// Replaces a policy, if it is still at the version that the change is based on.
-        pub async fn set_policy(
+        /// The accepted changes of one policy, newest first, from the platform.
+        pub async fn policy_history(
             &mut self,
-            request: impl tonic::IntoRequest<super::SetPolicyRequest>,
+            request: impl tonic::IntoRequest<super::PolicyHistoryRequest>,
         ) -> std::result::Result<
-            tonic::Response<super::SetPolicyResponse>,
+            tonic::Response<super::PolicyHistoryResponse>,
             tonic::Status,
         > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/PolicyHistory",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "PolicyHistory"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Replaces a policy, if it is still at the version that the change is based on.
+        pub async fn set_policy(
+            &mut self,
+            request: impl tonic::IntoRequest<super::SetPolicyRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status> {
             self.inner
                 .ready()
                 .await
@@ -322,48 +673,290 @@
                 .insert(GrpcMethod::new("azuregate.v1.Operators", "SetPolicy"));
             self.inner.unary(req, path, codec).await
         }
-    }
-}
-/// Generated server implementations.
-pub mod operators_server {
-    #![allow(
-        unused_variables,
-        dead_code,
-        missing_docs,
-        clippy::wildcard_imports,
-        clippy::let_unit_value,
-    )]
-    use tonic::codegen::*;
-    /// Generated trait containing gRPC methods that should be implemented for use with OperatorsServer.
-    #[async_trait]
-    pub trait Operators: std::marker::Send + std::marker::Sync + 'static {
-        /// What the asked instance knows and does.
-        async fn status(
-            &self,
-            request: tonic::Request<super::StatusRequest>,
-        ) -> std::result::Result<tonic::Response<super::StatusResponse>, tonic::Status>;
-        /// The policy in force for one service.
-        async fn get_policy(
-            &self,
-            request: tonic::Request<super::GetPolicyRequest>,
+        /// Starts to move traffic to other shares, within a cap.
+        pub async fn start_shift(
+            &mut self,
+            request: impl tonic::IntoRequest<super::StartShiftRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/StartShift",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "StartShift"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Stops the movement where it stands.
+        pub async fn stop_shift(
+            &mut self,
+            request: impl tonic::IntoRequest<super::StopShiftRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/StopShift",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "StopShift"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// How far the movement has come.
+        pub async fn get_shift(
+            &mut self,
+            request: impl tonic::IntoRequest<super::GetShiftRequest>,
         ) -> std::result::Result<
-            tonic::Response<super::GetPolicyResponse>,
+            tonic::Response<super::GetShiftResponse>,
             tonic::Status,
-        >;
-        /// The policies in force for all services.
-        async fn list_policies(
-            &self,
-            request: tonic::Request<super::ListPoliciesRequest>,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/GetShift",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "GetShift"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Takes backend servers out of service.
+        pub async fn start_drain(
+            &mut self,
+            request: impl tonic::IntoRequest<super::DrainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/StartDrain",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "StartDrain"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Takes backend servers back into service.
+        pub async fn stop_drain(
+            &mut self,
+            request: impl tonic::IntoRequest<super::DrainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/StopDrain",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "StopDrain"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// The backend servers that take no new work, and why.
+        pub async fn list_drains(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ListDrainsRequest>,
         ) -> std::result::Result<
-            tonic::Response<super::ListPoliciesResponse>,
+            tonic::Response<super::ListDrainsResponse>,
             tonic::Status,
-        >;
-        /// Replaces a policy, if it is still at the version that the change is based on.
-        async fn set_policy(
-            &self,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/ListDrains",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "ListDrains"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Which entry instances a caller of the asked instance would be told to use.
+        pub async fn entries(
+            &mut self,
+            request: impl tonic::IntoRequest<super::EntriesRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::EntriesResponse>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/Entries",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "Entries"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Latencies of requests at the asked instance.
+        pub async fn histograms(
+            &mut self,
+            request: impl tonic::IntoRequest<super::HistogramsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::HistogramsResponse>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuregate.v1.Operators/Histograms",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuregate.v1.Operators", "Histograms"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod operators_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with OperatorsServer.
+    #[async_trait]
+    pub trait Operators: std::marker::Send + std::marker::Sync + 'static {
+        /// What the asked instance knows and does.
+        async fn status(
+            &self,
+            request: tonic::Request<super::StatusRequest>,
+        ) -> std::result::Result<tonic::Response<super::StatusResponse>, tonic::Status>;
+        /// The policy in force for one service.
+        async fn get_policy(
+            &self,
+            request: tonic::Request<super::GetPolicyRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::GetPolicyResponse>,
+            tonic::Status,
+        >;
+        /// The policies in force for all services.
+        async fn list_policies(
+            &self,
+            request: tonic::Request<super::ListPoliciesRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ListPoliciesResponse>,
+            tonic::Status,
+        >;
+        /// The accepted changes of one policy, newest first, from the platform.
+        async fn policy_history(
+            &self,
+            request: tonic::Request<super::PolicyHistoryRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::PolicyHistoryResponse>,
+            tonic::Status,
+        >;
+        /// Replaces a policy, if it is still at the version that the change is based on.
+        async fn set_policy(
+            &self,
             request: tonic::Request<super::SetPolicyRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status>;
+        /// Starts to move traffic to other shares, within a cap.
+        async fn start_shift(
+            &self,
+            request: tonic::Request<super::StartShiftRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status>;
+        /// Stops the movement where it stands.
+        async fn stop_shift(
+            &self,
+            request: tonic::Request<super::StopShiftRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status>;
+        /// How far the movement has come.
+        async fn get_shift(
+            &self,
+            request: tonic::Request<super::GetShiftRequest>,
         ) -> std::result::Result<
-            tonic::Response<super::SetPolicyResponse>,
+            tonic::Response<super::GetShiftResponse>,
+            tonic::Status,
+        >;
+        /// Takes backend servers out of service.
+        async fn start_drain(
+            &self,
+            request: tonic::Request<super::DrainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status>;
+        /// Takes backend servers back into service.
+        async fn stop_drain(
+            &self,
+            request: tonic::Request<super::DrainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangeResponse>, tonic::Status>;
+        /// The backend servers that take no new work, and why.
+        async fn list_drains(
+            &self,
+            request: tonic::Request<super::ListDrainsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ListDrainsResponse>,
+            tonic::Status,
+        >;
+        /// Which entry instances a caller of the asked instance would be told to use.
+        async fn entries(
+            &self,
+            request: tonic::Request<super::EntriesRequest>,
+        ) -> std::result::Result<tonic::Response<super::EntriesResponse>, tonic::Status>;
+        /// Latencies of requests at the asked instance.
+        async fn histograms(
+            &self,
+            request: tonic::Request<super::HistogramsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::HistogramsResponse>,
             tonic::Status,
         >;
     }
@@ -577,6 +1170,51 @@
                     };
                     Box::pin(fut)
                 }
+                "/azuregate.v1.Operators/PolicyHistory" => {
+                    #[allow(non_camel_case_types)]
+                    struct PolicyHistorySvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::PolicyHistoryRequest>
+                    for PolicyHistorySvc<T> {
+                        type Response = super::PolicyHistoryResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PolicyHistoryRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::policy_history(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PolicyHistorySvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/azuregate.v1.Operators/SetPolicy" => {
                     #[allow(non_camel_case_types)]
                     struct SetPolicySvc<T: Operators>(pub Arc<T>);
@@ -584,7 +1222,7 @@
                         T: Operators,
                     > tonic::server::UnaryService<super::SetPolicyRequest>
                     for SetPolicySvc<T> {
-                        type Response = super::SetPolicyResponse;
+                        type Response = super::ChangeResponse;
                         type Future = BoxFuture<
                             tonic::Response<Self::Response>,
                             tonic::Status,
@@ -622,6 +1260,360 @@
                     };
                     Box::pin(fut)
                 }
+                "/azuregate.v1.Operators/StartShift" => {
+                    #[allow(non_camel_case_types)]
+                    struct StartShiftSvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::StartShiftRequest>
+                    for StartShiftSvc<T> {
+                        type Response = super::ChangeResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::StartShiftRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::start_shift(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = StartShiftSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuregate.v1.Operators/StopShift" => {
+                    #[allow(non_camel_case_types)]
+                    struct StopShiftSvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::StopShiftRequest>
+                    for StopShiftSvc<T> {
+                        type Response = super::ChangeResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::StopShiftRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::stop_shift(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = StopShiftSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuregate.v1.Operators/GetShift" => {
+                    #[allow(non_camel_case_types)]
+                    struct GetShiftSvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::GetShiftRequest>
+                    for GetShiftSvc<T> {
+                        type Response = super::GetShiftResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::GetShiftRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::get_shift(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = GetShiftSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuregate.v1.Operators/StartDrain" => {
+                    #[allow(non_camel_case_types)]
+                    struct StartDrainSvc<T: Operators>(pub Arc<T>);
+                    impl<T: Operators> tonic::server::UnaryService<super::DrainRequest>
+                    for StartDrainSvc<T> {
+                        type Response = super::ChangeResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::DrainRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::start_drain(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = StartDrainSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuregate.v1.Operators/StopDrain" => {
+                    #[allow(non_camel_case_types)]
+                    struct StopDrainSvc<T: Operators>(pub Arc<T>);
+                    impl<T: Operators> tonic::server::UnaryService<super::DrainRequest>
+                    for StopDrainSvc<T> {
+                        type Response = super::ChangeResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::DrainRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::stop_drain(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = StopDrainSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuregate.v1.Operators/ListDrains" => {
+                    #[allow(non_camel_case_types)]
+                    struct ListDrainsSvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::ListDrainsRequest>
+                    for ListDrainsSvc<T> {
+                        type Response = super::ListDrainsResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ListDrainsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::list_drains(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ListDrainsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuregate.v1.Operators/Entries" => {
+                    #[allow(non_camel_case_types)]
+                    struct EntriesSvc<T: Operators>(pub Arc<T>);
+                    impl<T: Operators> tonic::server::UnaryService<super::EntriesRequest>
+                    for EntriesSvc<T> {
+                        type Response = super::EntriesResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::EntriesRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::entries(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = EntriesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuregate.v1.Operators/Histograms" => {
+                    #[allow(non_camel_case_types)]
+                    struct HistogramsSvc<T: Operators>(pub Arc<T>);
+                    impl<
+                        T: Operators,
+                    > tonic::server::UnaryService<super::HistogramsRequest>
+                    for HistogramsSvc<T> {
+                        type Response = super::HistogramsResponse;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::HistogramsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operators>::histograms(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = HistogramsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -26,7 +26,7 @@
     claims::Claims,
     clock::SharedClock,
     config::{Config, Snapshots},
-    metrics::Recorder,
+    metrics::{ANSWERED, Recorder, Sample},
     selector::Selector,
 };
 
@@ -82,8 +82,14 @@
         };
         let result = self.serve(request, &attributes, &snapshot).await;
         let taken_ms = self.parts.clock.now().since(started_ms).0;
-        let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| "answered");
-        self.parts.recorder.request(&attributes.service, attributes.class, code, taken_ms);
+        let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| ANSWERED);
+        self.parts.recorder.record(Sample {
+            service: attributes.service.clone(),
+            tenant: attributes.tenant.clone(),
+            class: attributes.class,
+            code,
+            taken_ms,
+        });
         result.unwrap_or_else(|e| {
             log::info!(
                 request:% = attributes.request_id, service:% = attributes.service,
--- a/crates/azuregate/src/gateway/request.rs
+++ b/crates/azuregate/src/gateway/request.rs
@@ -4,7 +4,7 @@
 
 use azuregate_core::{
     error::{Error, ErrorKind},
-    names::ServiceName,
+    names::{ServiceName, TenantName},
     route::hash,
 };
 use hyper::{HeaderMap, Method, Request, header};
@@ -18,6 +18,11 @@
 /// Names the request in logs here and at the backend server.
 pub(crate) const REQUEST_ID: &str = "azuregate-request-id";
 
+/// Names the tenant, for the histograms.
+pub(crate) const TENANT: &str = "azuregate-tenant";
+
+/// The longest name of a tenant, in bytes.
+const TENANT_LIMIT_BYTES: usize = 63;
 /// The longest idempotency key that is taken, in bytes.
 const KEY_LIMIT_BYTES: usize = 255;
 /// The longest time that a caller may ask for, in milliseconds.
@@ -32,6 +37,8 @@
     pub idempotency_key: Option<String>,
     /// The caller's time limit, if it set one.
     pub timeout_ms: Option<u64>,
+    /// On whose behalf the request is, if the caller says so.
+    pub tenant: Option<TenantName>,
     /// Names the request in logs.
     pub request_id: String,
     /// Hash of service, method and path: one key names one request.
@@ -58,11 +65,13 @@
         let fingerprint = hash::score(&[service.as_str(), method.as_str(), path]);
         let idempotent = method.is_idempotent();
         let class = class(method, idempotency_key.is_some());
+        let tenant = tenant(headers)?;
         let request_id = request_id(headers)?;
         Ok(Attributes {
             service,
             idempotency_key,
             timeout_ms,
+            tenant,
             request_id,
             fingerprint,
             class,
@@ -118,6 +127,21 @@
     Ok(Some(ms))
 }
 
+fn tenant(headers: &HeaderMap) -> Result<Option<TenantName>, Error> {
+    let Some(tenant) = text(headers, TENANT)? else {
+        return Ok(None);
+    };
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !(1..=TENANT_LIMIT_BYTES).contains(&tenant.len()) || !tenant.chars().all(is_allowed) {
+        let detail = format!(
+            "Azuregate-Tenant must be 1 to {TENANT_LIMIT_BYTES} letters, digits, dots, \
+             hyphens or underscores"
+        );
+        return Err(bad(detail));
+    }
+    Ok(Some(TenantName::new(tenant)))
+}
+
 fn request_id(headers: &HeaderMap) -> Result<String, Error> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     if let Some(id) = text(headers, REQUEST_ID)? {
--- /dev/null
+++ b/crates/azuregate/src/metrics/recorder.rs
@@ -0,0 +1,223 @@
+//! The task that owns the histograms.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use azuregate_core::{
+    error::ErrorKind,
+    names::{ServiceName, TenantName},
+};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{ANSWERED, Class, MetricSink, Sample};
+
+/// The longest latency that the histograms tell apart, in milliseconds.
+const LATENCY_LIMIT_MS: u64 = 3_600_000;
+/// How many samples wait for the task at the most.
+const QUEUE_LIMIT: usize = 16_384;
+/// How many tenants are told apart.
+const TENANT_LIMIT: usize = 64;
+/// How many services are told apart.
+const SERVICE_LIMIT: usize = 64;
+/// Stands for all services and tenants that are not told apart.
+const OTHER: &str = "other";
+
+/// A handle to the task that owns the histograms; cheap to clone.
+#[derive(Clone)]
+pub struct Recorder {
+    samples: mpsc::Sender<Sample>,
+    reads: mpsc::Sender<Read>,
+    dropped: Arc<AtomicU64>,
+}
+
+struct Read {
+    reply: oneshot::Sender<Histograms>,
+}
+
+/// All histograms in short.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Histograms {
+    /// Ordered by service, tenant and class.
+    pub histograms: Vec<Summary>,
+    /// Samples that were dropped since the start, because the task was behind.
+    pub dropped: u64,
+}
+
+/// One histogram in short.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Summary {
+    /// The service.
+    pub service: ServiceName,
+    /// The tenant, `None` for requests that named none.
+    pub tenant: Option<TenantName>,
+    /// The class of its requests.
+    pub class: Class,
+    /// How many requests were recorded.
+    pub count: u64,
+    /// How many of them azuregate answered itself, with an error.
+    pub errors: u64,
+    /// Median of latency.
+    pub p50_ms: u64,
+    /// 99th percentile of latency.
+    pub p99_ms: u64,
+    /// 99.9th percentile of latency.
+    pub p999_ms: u64,
+    /// Largest latency.
+    pub max_ms: u64,
+}
+
+impl Recorder {
+    /// Starts the task; it ends when the last handle is dropped.
+    pub fn start(sink: Arc<dyn MetricSink>) -> Recorder {
+        let (samples, receiver) = mpsc::channel(QUEUE_LIMIT);
+        let (reads, read_receiver) = mpsc::channel(1);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let task = Task {
+            sink,
+            dropped: Arc::clone(&dropped),
+            dropped_told: 0,
+            series: BTreeMap::new(),
+            services: BTreeSet::new(),
+            tenants: BTreeSet::new(),
+        };
+        tokio::spawn(task.serve(receiver, read_receiver));
+        Recorder { samples, reads, dropped }
+    }
+
+    /// Takes in one request.
+    ///
+    /// Never waits: when the task is behind, the sample is dropped and counted.
+    /// A queue without a bound would hold ever more memory just when load is
+    /// highest.
+    pub fn record(&self, sample: Sample) {
+        if self.samples.try_send(sample).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Reads all histograms.
+    pub async fn histograms(&self) -> Histograms {
+        let (reply, answer) = oneshot::channel();
+        // The task ends only after the last handle, and this is a handle.
+        let _ = self.reads.send(Read { reply }).await;
+        answer.await.unwrap_or_default()
+    }
+}
+
+type Key = (ServiceName, Option<TenantName>, Class);
+
+struct Series {
+    latency_ms: Histogram<u64>,
+    errors: u64,
+}
+
+struct Task {
+    sink: Arc<dyn MetricSink>,
+    dropped: Arc<AtomicU64>,
+    dropped_told: u64,
+    series: BTreeMap<Key, Series>,
+    services: BTreeSet<ServiceName>,
+    tenants: BTreeSet<TenantName>,
+}
+
+impl Task {
+    async fn serve(mut self, mut samples: mpsc::Receiver<Sample>, mut reads: mpsc::Receiver<Read>) {
+        loop {
+            tokio::select! {
+                sample = samples.recv() => {
+                    let Some(sample) = sample else { return };
+                    self.record(sample);
+                }
+                Some(read) = reads.recv() => {
+                    // What was recorded before a read is in its answer.
+                    for _ in 0..samples.len() {
+                        let Ok(sample) = samples.try_recv() else { break };
+                        self.record(sample);
+                    }
+                    let _ = read.reply.send(self.read());
+                }
+            }
+        }
+    }
+
+    fn record(&mut self, mut sample: Sample) {
+        self.tell_dropped();
+        self.fold(&mut sample);
+        self.sink.request(&sample);
+        let key = (sample.service, sample.tenant, sample.class);
+        let series = self.series.entry(key).or_insert_with(Series::new);
+        series.latency_ms.saturating_record(sample.taken_ms);
+        series.errors += u64::from(sample.code != ANSWERED);
+    }
+
+    /// Callers choose the names, so what they send must not decide how much
+    /// memory and how many series there are: the first names that are seen are
+    /// told apart, and all others go together.
+    fn fold(&mut self, sample: &mut Sample) {
+        let unknown = [ErrorKind::UnknownService.code(), ErrorKind::NotReady.code()];
+        let known = !unknown.contains(&sample.code)
+            && admit(&mut self.services, &sample.service, SERVICE_LIMIT);
+        if !known {
+            sample.service = ServiceName::new(OTHER);
+        }
+        if let Some(tenant) = &sample.tenant
+            && !(known && admit(&mut self.tenants, tenant, TENANT_LIMIT))
+        {
+            sample.tenant = Some(TenantName::new(OTHER));
+        }
+    }
+
+    fn tell_dropped(&mut self) {
+        let dropped = self.dropped.load(Ordering::Relaxed);
+        if dropped > self.dropped_told {
+            self.sink.dropped(dropped - self.dropped_told);
+            self.dropped_told = dropped;
+        }
+    }
+
+    fn read(&self) -> Histograms {
+        Histograms {
+            histograms: self.series.iter().map(summary).collect(),
+            dropped: self.dropped.load(Ordering::Relaxed),
+        }
+    }
+}
+
+fn admit<T: Clone + Ord>(seen: &mut BTreeSet<T>, name: &T, limit: usize) -> bool {
+    if seen.contains(name) {
+        return true;
+    }
+    seen.len() < limit && seen.insert(name.clone())
+}
+
+impl Series {
+    fn new() -> Series {
+        let latency_ms =
+            Histogram::new_with_max(LATENCY_LIMIT_MS, 2).expect("the bounds are valid constants");
+        Series { latency_ms, errors: 0 }
+    }
+}
+
+fn summary(((service, tenant, class), series): (&Key, &Series)) -> Summary {
+    let latency_ms = &series.latency_ms;
+    Summary {
+        service: service.clone(),
+        tenant: tenant.clone(),
+        class: *class,
+        count: latency_ms.len(),
+        errors: series.errors,
+        p50_ms: latency_ms.value_at_quantile(0.5),
+        p99_ms: latency_ms.value_at_quantile(0.99),
+        p999_ms: latency_ms.value_at_quantile(0.999),
+        max_ms: latency_ms.max(),
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/metrics/statsd.rs
@@ -0,0 +1,56 @@
+//! Metrics by UDP in the statsd format; docs/OPERATING.md lists the names.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::{Counted, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+
+use super::{MetricSink, Sample};
+
+/// How many metrics wait for the sending thread at the most. More are lost,
+/// rather than held in memory while the network is slow.
+const QUEUE_LIMIT: usize = 8_192;
+
+/// Sends metrics by UDP in the statsd format.
+pub struct StatsdSink {
+    client: StatsdClient,
+}
+
+impl StatsdSink {
+    /// A sink that sends to `addr`.
+    ///
+    /// # Errors
+    ///
+    /// When no local UDP port can be opened.
+    pub fn new(addr: SocketAddr) -> Result<StatsdSink, Box<dyn std::error::Error + Send + Sync>> {
+        let any = if addr.is_ipv6() { "[::]:0" } else { "0.0.0.0:0" };
+        let socket = UdpSocket::bind(any)?;
+        socket.set_nonblocking(true)?;
+        let sink =
+            QueuingMetricSink::with_capacity(UdpMetricSink::from(addr, socket)?, QUEUE_LIMIT);
+        Ok(StatsdSink { client: StatsdClient::from_sink("azuregate", sink) })
+    }
+}
+
+impl MetricSink for StatsdSink {
+    fn request(&self, sample: &Sample) {
+        let tenant = sample.tenant.as_ref().map_or("none", |tenant| tenant.as_str());
+        self.client
+            .count_with_tags("request", 1)
+            .with_tag("service", sample.service.as_str())
+            .with_tag("tenant", tenant)
+            .with_tag("class", sample.class.as_str())
+            .with_tag("code", sample.code)
+            .send();
+        self.client
+            .time_with_tags("request_ms", sample.taken_ms)
+            .with_tag("service", sample.service.as_str())
+            .with_tag("tenant", tenant)
+            .with_tag("class", sample.class.as_str())
+            .send();
+    }
+
+    fn dropped(&self, count: u64) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.client.count_with_tags("samples_dropped", count).send();
+    }
+}
--- a/crates/azuregate/src/operators/convert.rs
+++ b/crates/azuregate/src/operators/convert.rs
@@ -1,14 +1,17 @@
 //! Policies between their own type and that of the operators' calls.
 
-use std::fmt;
+use std::{collections::BTreeMap, fmt};
 
 use azuregate_core::{
     names::{BackendId, ServiceName, ZoneName},
-    policy::{Cap, Policy, SHIFT_DELAY_MS, Shift, WHOLE_PPM},
+    policy::{Cap, Policy, SHIFT_DELAY_MS, Shares, Shift},
     time::Millis,
 };
 use azuregate_schema::v1;
 
+/// The longest name, in bytes.
+const NAME_LIMIT_BYTES: usize = 63;
+
 /// A policy that operators may not set.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PolicyError {
@@ -23,8 +26,6 @@
 
 impl std::error::Error for PolicyError {}
 
-type Shares = std::collections::BTreeMap<ZoneName, u32>;
-
 /// The policy as operators see it.
 pub fn to_proto(policy: &Policy) -> v1::Policy {
     v1::Policy {
@@ -37,6 +38,7 @@
         drains: policy.drains.iter().map(ToString::to_string).collect(),
         timeout_ms: policy.timeout_ms,
         queue_ms: policy.queue_ms,
+        shift_delay_ms: Some(policy.shift_delay_ms),
     }
 }
 
@@ -46,29 +48,60 @@
 ///
 /// When a field is missing or out of bounds; the error names it.
 pub fn from_proto(policy: v1::Policy) -> Result<Policy, PolicyError> {
-    if policy.service.is_empty() {
-        return Err(error("service must not be empty"));
-    }
-    if policy.timeout_ms == 0 {
-        return Err(error("timeout_ms must be at least 1"));
-    }
+    let service = service(&policy.service)?;
     let zone_share_ppm = shares_from_proto("zone_share_ppm", &policy.zone_share_ppm)?;
+    for id in &policy.drains {
+        check_name("drains", id)?;
+    }
     let shift = policy.shift.map(shift_from_proto).transpose()?;
-    Ok(Policy {
-        service: ServiceName::new(&policy.service),
+    let policy = Policy {
+        service,
         version: policy.version,
         operation_id: policy.operation_id,
         zone_share_ppm,
         cap: cap_from_proto("cap", policy.cap)?,
         shift,
-        shift_delay_ms: SHIFT_DELAY_MS,
+        shift_delay_ms: policy.shift_delay_ms.unwrap_or(SHIFT_DELAY_MS),
         drains: policy.drains.iter().map(|id| BackendId::new(id)).collect(),
         timeout_ms: policy.timeout_ms,
         queue_ms: policy.queue_ms,
-    })
+    };
+    policy.check().map_err(|e| error(e.to_string()))?;
+    Ok(policy)
 }
 
-fn shift_to_proto(shift: &Shift) -> v1::Shift {
+/// The name of a service that operators may set a policy for.
+///
+/// # Errors
+///
+/// When the name is empty, too long, or holds what has a meaning in the keys of
+/// rows or cannot stand in a Host header.
+pub fn service(text: &str) -> Result<ServiceName, PolicyError> {
+    check_name("service", text)?;
+    if text.chars().any(|c| c.is_ascii_uppercase()) {
+        return Err(error(format!("service must be in lower case, as in Host, not {text:?}")));
+    }
+    Ok(ServiceName::new(text))
+}
+
+/// Checks the text of a name.
+///
+/// # Errors
+///
+/// When it is empty, too long, or holds anything but letters, digits, dots,
+/// hyphens and underscores.
+pub fn check_name(field: &str, text: &str) -> Result<(), PolicyError> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if (1..=NAME_LIMIT_BYTES).contains(&text.len()) && text.chars().all(is_allowed) {
+        return Ok(());
+    }
+    Err(error(format!(
+        "{field} must be 1 to {NAME_LIMIT_BYTES} letters, digits, dots, hyphens or underscores, \
+         not {text:?}"
+    )))
+}
+
+pub(crate) fn shift_to_proto(shift: &Shift) -> v1::Shift {
     v1::Shift {
         from_share_ppm: shares_to_proto(&shift.from_share_ppm),
         to_share_ppm: shares_to_proto(&shift.to_share_ppm),
@@ -86,34 +119,28 @@
     })
 }
 
-fn cap_to_proto(cap: Cap) -> v1::Cap {
+pub(crate) fn cap_to_proto(cap: Cap) -> v1::Cap {
     v1::Cap { share_ppm: cap.share_ppm, window_ms: cap.window_ms }
 }
 
 fn cap_from_proto(field: &str, cap: Option<v1::Cap>) -> Result<Cap, PolicyError> {
-    let Some(cap) = cap else {
+    let Some(v1::Cap { share_ppm, window_ms }) = cap else {
         return Err(error(format!("{field} is missing")));
     };
-    if cap.share_ppm == 0 || cap.share_ppm > WHOLE_PPM {
-        return Err(error(format!("{field}.share_ppm must be 1 to {WHOLE_PPM}")));
-    }
-    if cap.window_ms == 0 {
-        return Err(error(format!("{field}.window_ms must be at least 1")));
-    }
-    Ok(Cap { share_ppm: cap.share_ppm, window_ms: cap.window_ms })
+    Ok(Cap { share_ppm, window_ms })
 }
 
-fn shares_to_proto(shares: &Shares) -> std::collections::BTreeMap<String, u32> {
+pub(crate) fn shares_to_proto(shares: &Shares) -> BTreeMap<String, u32> {
     shares.iter().map(|(zone, &ppm)| (zone.to_string(), ppm)).collect()
 }
 
-fn shares_from_proto(
+/// Shares as operators give them; what they add up to is not looked at.
+pub(crate) fn shares_from_proto(
     field: &str,
-    shares: &std::collections::BTreeMap<String, u32>,
+    shares: &BTreeMap<String, u32>,
 ) -> Result<Shares, PolicyError> {
-    let sum: u64 = shares.values().map(|&ppm| u64::from(ppm)).sum();
-    if !shares.is_empty() && sum != u64::from(WHOLE_PPM) {
-        return Err(error(format!("{field} adds up to {sum}, not {WHOLE_PPM}")));
+    for zone in shares.keys() {
+        check_name(field, zone)?;
     }
     Ok(shares.iter().map(|(zone, &ppm)| (ZoneName::new(zone), ppm)).collect())
 }
--- a/crates/azuregate/src/operators/mod.rs
+++ b/crates/azuregate/src/operators/mod.rs
@@ -1,31 +1,66 @@
-//! The operators' remote procedure calls.
+/*!
+The operators' remote procedure calls.
+
+Every instance answers for the whole deployment: changes go through the platform,
+are in force at once on the instance that made them, and spread from there.
+
+# Design
+
+* `edit` turns what an operator asked for into the next version of a policy.
+* `rows` keeps that version, its history and the operation, in one transaction.
+* `settle` makes a change once at the most, whatever answers are lost.
+* `validate` refuses names that nobody knows, `effect` tells what a change moves.
+*/
 
 pub mod convert;
 
+mod answer;
+mod describe;
+mod difference;
+mod edit;
+mod effect;
+mod rows;
+mod service;
+mod settle;
+mod validate;
+
+use std::sync::Arc;
+
 use azuregate_core::{
-    names::{InstanceId, ServiceName, StartNumber},
+    names::{InstanceId, ServiceName, StartNumber, ZoneName},
     policy::Policy,
 };
-use azuregate_schema::v1::{
-    GetPolicyRequest, GetPolicyResponse, ListPoliciesRequest, ListPoliciesResponse,
-    SetPolicyRequest, SetPolicyResponse, StatusRequest, StatusResponse,
-    operators_server::Operators,
-};
-use tonic::{Request, Response, Status};
+use azuregate_schema::v1;
+use futures_util::future;
+use tonic::Status;
+
+pub use answer::FailureClass;
 
+use self::{
+    edit::{Edit, Wanted},
+    effect::Comparison,
+    rows::{ReadError, Rows},
+    settle::{Settled, Settler},
+};
 use crate::{
+    clock::SharedClock,
     config::{Change, Config, Snapshots, Source},
-    platform::{Commit, Effect, Expect, Row, SharedPlatform, Table, Write},
+    metrics::Recorder,
+    platform::SharedPlatform,
     stop::Stop,
 };
 
-/// How often a write with an unknown effect is asked after.
-const SETTLE_ATTEMPTS: usize = 3;
+/// How many versions a history holds unless the operator says otherwise.
+const HISTORY_DEFAULT: u32 = 20;
+/// How many versions a history holds at the most: each is a read.
+const HISTORY_LIMIT: u32 = 100;
 
-/// Answers operators.
-pub struct OperatorsService {
+/// What the operators' service works with.
+pub struct Parts {
     /// The name of this instance.
     pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// Its start number.
     pub start: StartNumber,
     /// Takes in accepted policies.
@@ -34,151 +69,153 @@
     pub snapshots: Snapshots,
     /// Keeps the policies.
     pub platform: SharedPlatform,
+    /// The clock.
+    pub clock: SharedClock,
+    /// The histograms.
+    pub recorder: Recorder,
     /// Whether the instance is stopping.
     pub stop: Stop,
 }
 
-/// What the platform holds for a policy.
-struct Held {
-    row_version: u64,
-    policy: Policy,
+/// Answers operators; cheap to clone.
+#[derive(Clone)]
+pub struct OperatorsService {
+    parts: Arc<Parts>,
+    rows: Rows,
+    settler: Settler,
 }
 
 impl OperatorsService {
-    async fn held(&self, service: &ServiceName) -> Result<Option<Held>, Status> {
-        let row = self.platform.read(Table::Policy, service.as_str()).await.map_err(unavailable)?;
-        row.map(held).transpose()
+    /// A service that works with `parts`.
+    pub fn new(parts: Parts) -> OperatorsService {
+        let rows = Rows::new(Arc::clone(&parts.platform));
+        let settler = Settler { rows: rows.clone(), clock: Arc::clone(&parts.clock) };
+        OperatorsService { parts: Arc::new(parts), rows, settler }
     }
 
-    async fn set(&self, wanted: Policy, based_on: u64) -> Result<(bool, Policy), Status> {
-        // A write whose answer was lost may have taken effect: the operation id
-        // in the row tells, so that the change is never applied twice.
-        let mut last = None;
-        for _ in 0..SETTLE_ATTEMPTS {
-            let held = self.held(&wanted.service).await?;
-            if let Some(held) = &held
-                && held.policy.operation_id == wanted.operation_id
-            {
-                return Ok((true, held.policy.clone()));
-            }
-            let version = held.as_ref().map_or(0, |held| held.policy.version);
-            if version != based_on {
-                let winner = held.map_or(wanted, |held| held.policy);
-                return Ok((false, winner));
-            }
-            match self.commit(&wanted, held.as_ref()).await {
-                Ok(Commit::Done(_)) => return Ok((true, wanted)),
-                Ok(Commit::Conflict { row: Some(row), .. }) => {
-                    let winner = self::held(row)?.policy;
-                    return Ok((winner.operation_id == wanted.operation_id, winner));
-                }
-                Ok(Commit::Conflict { row: None, .. }) => continue,
-                Err(e) if e.effect() == Effect::None => return Err(unavailable(e)),
-                Err(e) => last = Some(e),
-            }
-        }
-        let detail = last.map_or_else(String::new, |e| e.to_string());
-        Err(Status::unknown(format!(
-            "it is not known whether the change was made; repeat it with the same operation id: {detail}"
-        )))
+    /// Makes a change and brings it into force on this instance.
+    async fn change(&self, wanted: Wanted, dry_run: bool) -> Result<v1::ChangeResponse, Status> {
+        convert::check_name("operation_id", &wanted.operation_id)
+            .map_err(|e| answer::usage(e.to_string()))?;
+        validate::known_names(&wanted, &self.parts.snapshots.current())?;
+        // An operator who goes away, or whose deadline passes, drops the call's
+        // future. A task of its own goes on: otherwise a write might be left
+        // unsettled, and be in force everywhere but here.
+        let service = self.clone();
+        let task = tokio::spawn(async move { service.change_to_end(&wanted, dry_run).await });
+        task.await.map_err(|e| answer::failed(e.to_string()))?
     }
 
-    async fn commit(
+    async fn change_to_end(
         &self,
-        wanted: &Policy,
-        held: Option<&Held>,
-    ) -> crate::platform::Result<Commit> {
-        let value = serde_json::to_value(wanted)
-            .map_err(|e| crate::platform::PlatformError::new(Effect::None, e.to_string()))?;
-        let policy = Write {
-            table: Table::Policy,
-            key: wanted.service.to_string(),
-            expect: held.map_or(Expect::Absent, |held| Expect::Version(held.row_version)),
-            value: Some(value.clone()),
-        };
-        let history = Write {
-            table: Table::PolicyHistory,
-            key: format!("{}/{}", wanted.service, wanted.version),
-            expect: Expect::Absent,
-            value: Some(value),
+        wanted: &Wanted,
+        dry_run: bool,
+    ) -> Result<v1::ChangeResponse, Status> {
+        let settled = self.settler.settle(wanted, dry_run).await.inspect_err(|e| {
+            log::warn!(
+                service:% = wanted.service, operation:% = wanted.operation_id,
+                code = FailureClass::of(e).map_or("unknown", FailureClass::as_str),
+                detail = e.message();
+                "change failed"
+            );
+        })?;
+        let response = match settled {
+            Settled::Accepted { before, policy, repeated } => {
+                self.apply(&policy);
+                log::info!(
+                    service:% = wanted.service, operation:% = wanted.operation_id,
+                    version = policy.version, repeated = repeated;
+                    "change accepted"
+                );
+                let response = self.compare(before.as_ref(), &policy);
+                v1::ChangeResponse { accepted: true, repeated, ..response }
+            }
+            Settled::Planned { before, policy } => self.compare(before.as_ref(), &policy),
+            Settled::Conflict(winner) => self.conflict(wanted, winner).await,
         };
-        self.platform.transact(&[policy, history]).await
+        Ok(response)
     }
-}
 
-fn held(row: Row) -> Result<Held, Status> {
-    let policy = serde_json::from_value(row.value)
-        .map_err(|e| Status::internal(format!("the row of {} is not understood: {e}", row.key)))?;
-    Ok(Held { row_version: row.version, policy })
-}
+    /// The change is in force here before the operator has the answer.
+    fn apply(&self, policy: &Policy) {
+        self.parts.config.change(Change::Policy(Box::new(policy.clone()), Source::Platform));
+    }
 
-fn unavailable(e: crate::platform::PlatformError) -> Status {
-    Status::unavailable(e.to_string())
-}
+    fn compare(&self, before: Option<&Policy>, after: &Policy) -> v1::ChangeResponse {
+        let snapshot = self.parts.snapshots.current();
+        let now_ms = self.parts.clock.epoch();
+        let comparison = Comparison { before, after, snapshot: &snapshot, now_ms };
+        v1::ChangeResponse {
+            policy: Some(convert::to_proto(after)),
+            differences: difference::between(before, after),
+            effect: Some(comparison.effect()),
+            ..v1::ChangeResponse::default()
+        }
+    }
 
-#[tonic::async_trait]
-impl Operators for OperatorsService {
-    async fn status(
-        &self,
-        _request: Request<StatusRequest>,
-    ) -> Result<Response<StatusResponse>, Status> {
-        let snapshot = self.snapshots.current();
-        let policy_versions = snapshot
-            .policies
-            .iter()
-            .map(|(service, policy)| (service.to_string(), policy.version))
-            .collect();
-        Ok(Response::new(StatusResponse {
-            instance: self.instance.to_string(),
-            start: self.start.0,
-            ready: snapshot.ready,
-            stopping: self.stop.is_stopping(),
-            policy_versions,
-        }))
+    async fn conflict(&self, wanted: &Wanted, winner: Option<Policy>) -> v1::ChangeResponse {
+        log::info!(
+            service:% = wanted.service, operation:% = wanted.operation_id,
+            version = winner.as_ref().map_or(0, |winner| winner.version);
+            "change lost to another"
+        );
+        let Some(winner) = winner else {
+            return v1::ChangeResponse { conflict: true, ..v1::ChangeResponse::default() };
+        };
+        self.apply(&winner);
+        let base = match (&wanted.edit, wanted.based_on_version) {
+            (Edit::Set(policy), _) => Some(Policy::clone(policy)),
+            // The differences are an extra; the conflict is told without them.
+            (_, Some(version)) => self.rows.version(&wanted.service, version).await.ok().flatten(),
+            (_, None) => None,
+        };
+        let differences =
+            base.map_or_else(Vec::new, |base| difference::between(Some(&base), &winner));
+        v1::ChangeResponse {
+            policy: Some(convert::to_proto(&winner)),
+            conflict: true,
+            differences,
+            ..v1::ChangeResponse::default()
+        }
     }
 
-    async fn get_policy(
-        &self,
-        request: Request<GetPolicyRequest>,
-    ) -> Result<Response<GetPolicyResponse>, Status> {
-        let service = ServiceName::new(&request.into_inner().service);
-        let snapshot = self.snapshots.current();
-        let Some(policy) = snapshot.policies.get(&service) else {
-            return Err(Status::not_found(format!("no policy names {service}")));
+    async fn history(&self, service: &ServiceName, limit: u32) -> Result<Vec<Policy>, Status> {
+        let limit = if limit == 0 { HISTORY_DEFAULT } else { limit.min(HISTORY_LIMIT) };
+        let held = self.rows.policy(service).await.map_err(|e| read_error(&e))?;
+        let Some(held) = held else {
+            return Err(answer::refused(format!("no policy names {service}")));
         };
-        Ok(Response::new(GetPolicyResponse { policy: Some(convert::to_proto(policy)) }))
+        let newest = held.policy.version;
+        let oldest = newest.saturating_sub(u64::from(limit) - 1).max(1);
+        let reads = (oldest..newest).rev().map(|version| self.rows.version(service, version));
+        let older = future::try_join_all(reads).await.map_err(|e| read_error(&e))?;
+        let mut history = vec![held.policy];
+        history.extend(older.into_iter().flatten());
+        Ok(history)
     }
 
-    async fn list_policies(
-        &self,
-        _request: Request<ListPoliciesRequest>,
-    ) -> Result<Response<ListPoliciesResponse>, Status> {
-        let snapshot = self.snapshots.current();
-        let policies = snapshot.policies.values().map(|policy| convert::to_proto(policy)).collect();
-        Ok(Response::new(ListPoliciesResponse { policies }))
+    fn policy_in_force(&self, service: &str) -> Result<Arc<Policy>, Status> {
+        let service = service_name(service)?;
+        let snapshot = self.parts.snapshots.current();
+        let policy = snapshot.policies.get(&service).cloned();
+        policy.ok_or_else(|| answer::refused(format!("no policy names {service}")))
     }
+}
 
-    async fn set_policy(
-        &self,
-        request: Request<SetPolicyRequest>,
-    ) -> Result<Response<SetPolicyResponse>, Status> {
-        let request = request.into_inner();
-        let mut policy = convert::from_proto(request.policy.unwrap_or_default())
-            .map_err(|e| Status::invalid_argument(e.to_string()))?;
-        if request.operation_id.is_empty() {
-            return Err(Status::invalid_argument("operation_id must not be empty"));
-        }
-        policy.operation_id = request.operation_id;
-        policy.version = request.based_on_version + 1;
-        if request.dry_run {
-            return Ok(Response::new(SetPolicyResponse {
-                accepted: false,
-                policy: Some(convert::to_proto(&policy)),
-            }));
-        }
-        let (accepted, policy) = self.set(policy, request.based_on_version).await?;
-        self.config.change(Change::Policy(Box::new(policy.clone()), Source::Platform));
-        let policy = Some(convert::to_proto(&policy));
-        Ok(Response::new(SetPolicyResponse { accepted, policy }))
+fn service_name(text: &str) -> Result<ServiceName, Status> {
+    convert::service(text).map_err(|e| answer::usage(e.to_string()))
+}
+
+fn optional_service(text: &str) -> Result<Option<ServiceName>, Status> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    service_name(text).map(Some)
+}
+
+fn read_error(e: &ReadError) -> Status {
+    match e {
+        ReadError::Platform(e) => answer::unreachable(e),
+        ReadError::Garbage(detail) => answer::failed(detail),
     }
 }
--- /dev/null
+++ b/crates/azuregate/src/operators/service.rs
@@ -0,0 +1,205 @@
+//! The calls of the schema, one by one.
+
+use azuregate_core::{
+    entries::{self, MAX_AGE_S},
+    names::BackendId,
+    policy::Cap,
+};
+use azuregate_schema::v1::{self, operators_server::Operators};
+use tonic::{Request, Response, Status};
+
+use super::{
+    OperatorsService, answer, convert, describe,
+    edit::{Edit, Wanted},
+    effect, optional_service, service_name,
+};
+
+type Answer<T> = Result<Response<T>, Status>;
+
+/// The change that a request for a drain stands for.
+fn drain(request: &v1::DrainRequest, edit: fn(Vec<BackendId>) -> Edit) -> Result<Wanted, Status> {
+    if request.backends.is_empty() {
+        return Err(answer::usage("backends must not be empty"));
+    }
+    for id in &request.backends {
+        convert::check_name("backends", id).map_err(|e| answer::usage(e.to_string()))?;
+    }
+    let mut ids: Vec<_> = request.backends.iter().map(|id| BackendId::new(id)).collect();
+    ids.sort();
+    ids.dedup();
+    Ok(Wanted {
+        service: service_name(&request.service)?,
+        operation_id: request.operation_id.clone(),
+        based_on_version: request.based_on_version,
+        edit: edit(ids),
+    })
+}
+
+#[tonic::async_trait]
+impl Operators for OperatorsService {
+    async fn status(&self, _request: Request<v1::StatusRequest>) -> Answer<v1::StatusResponse> {
+        let snapshot = self.parts.snapshots.current();
+        let stopping = self.parts.stop.is_stopping();
+        let (ready, reason) = describe::readiness(&snapshot, stopping);
+        let versions = snapshot.policies.iter();
+        Ok(Response::new(v1::StatusResponse {
+            instance: self.parts.instance.to_string(),
+            start: self.parts.start.0,
+            ready,
+            stopping,
+            policy_versions: versions.map(|(name, p)| (name.to_string(), p.version)).collect(),
+            ready_reason: reason.to_owned(),
+            build_version: env!("CARGO_PKG_VERSION").to_owned(),
+            zone: self.parts.zone.to_string(),
+            instances: describe::instances(&snapshot),
+            backends: describe::backends(&snapshot, None),
+            histograms: describe::histograms(self.parts.recorder.histograms().await, None),
+        }))
+    }
+
+    async fn get_policy(
+        &self,
+        request: Request<v1::GetPolicyRequest>,
+    ) -> Answer<v1::GetPolicyResponse> {
+        let policy = self.policy_in_force(&request.into_inner().service)?;
+        Ok(Response::new(v1::GetPolicyResponse { policy: Some(convert::to_proto(&policy)) }))
+    }
+
+    async fn list_policies(
+        &self,
+        _request: Request<v1::ListPoliciesRequest>,
+    ) -> Answer<v1::ListPoliciesResponse> {
+        let snapshot = self.parts.snapshots.current();
+        let policies = snapshot.policies.values().map(|policy| convert::to_proto(policy)).collect();
+        Ok(Response::new(v1::ListPoliciesResponse { policies }))
+    }
+
+    async fn policy_history(
+        &self,
+        request: Request<v1::PolicyHistoryRequest>,
+    ) -> Answer<v1::PolicyHistoryResponse> {
+        let request = request.into_inner();
+        let history = self.history(&service_name(&request.service)?, request.limit).await?;
+        let policies = history.iter().map(convert::to_proto).collect();
+        Ok(Response::new(v1::PolicyHistoryResponse { policies }))
+    }
+
+    async fn set_policy(
+        &self,
+        request: Request<v1::SetPolicyRequest>,
+    ) -> Answer<v1::ChangeResponse> {
+        let request = request.into_inner();
+        let mut policy = convert::from_proto(request.policy.unwrap_or_default())
+            .map_err(|e| answer::usage(e.to_string()))?;
+        // What the file says of these is of the version that it was read from.
+        policy.version = 0;
+        policy.operation_id.clear();
+        let wanted = Wanted {
+            service: policy.service.clone(),
+            operation_id: request.operation_id,
+            based_on_version: Some(request.based_on_version),
+            edit: Edit::Set(Box::new(policy)),
+        };
+        Ok(Response::new(self.change(wanted, request.dry_run).await?))
+    }
+
+    async fn start_shift(
+        &self,
+        request: Request<v1::StartShiftRequest>,
+    ) -> Answer<v1::ChangeResponse> {
+        let request = request.into_inner();
+        let to_share_ppm = convert::shares_from_proto("to_share_ppm", &request.to_share_ppm)
+            .map_err(|e| answer::usage(e.to_string()))?;
+        let cap = request.cap.map(|v1::Cap { share_ppm, window_ms }| Cap { share_ppm, window_ms });
+        let wanted = Wanted {
+            service: service_name(&request.service)?,
+            operation_id: request.operation_id,
+            based_on_version: request.based_on_version,
+            edit: Edit::StartShift { to_share_ppm, cap },
+        };
+        Ok(Response::new(self.change(wanted, request.dry_run).await?))
+    }
+
+    async fn stop_shift(
+        &self,
+        request: Request<v1::StopShiftRequest>,
+    ) -> Answer<v1::ChangeResponse> {
+        let request = request.into_inner();
+        let wanted = Wanted {
+            service: service_name(&request.service)?,
+            operation_id: request.operation_id,
+            based_on_version: request.based_on_version,
+            edit: Edit::StopShift,
+        };
+        Ok(Response::new(self.change(wanted, request.dry_run).await?))
+    }
+
+    async fn get_shift(
+        &self,
+        request: Request<v1::GetShiftRequest>,
+    ) -> Answer<v1::GetShiftResponse> {
+        let policy = self.policy_in_force(&request.into_inner().service)?;
+        let now_ms = self.parts.clock.epoch();
+        let shares = effect::shares_now(&policy, now_ms).unwrap_or_default();
+        let shift = policy.settled(now_ms).shift;
+        Ok(Response::new(v1::GetShiftResponse {
+            progress_ppm: shift.as_ref().map_or(0, |shift| shift.progress_ppm(now_ms)),
+            share_ppm: convert::shares_to_proto(&shares),
+            end_at_ms: shift.as_ref().map_or(0, |shift| shift.end_at_ms().0),
+            version: policy.version,
+            shift: shift.as_ref().map(convert::shift_to_proto),
+        }))
+    }
+
+    async fn start_drain(&self, request: Request<v1::DrainRequest>) -> Answer<v1::ChangeResponse> {
+        let request = request.into_inner();
+        let wanted = drain(&request, Edit::Drain)?;
+        Ok(Response::new(self.change(wanted, request.dry_run).await?))
+    }
+
+    async fn stop_drain(&self, request: Request<v1::DrainRequest>) -> Answer<v1::ChangeResponse> {
+        let request = request.into_inner();
+        let wanted = drain(&request, Edit::Undrain)?;
+        Ok(Response::new(self.change(wanted, request.dry_run).await?))
+    }
+
+    async fn list_drains(
+        &self,
+        request: Request<v1::ListDrainsRequest>,
+    ) -> Answer<v1::ListDrainsResponse> {
+        let service = optional_service(&request.into_inner().service)?;
+        let mut backends = describe::backends(&self.parts.snapshots.current(), service.as_ref());
+        backends.retain(|backend| !backend.open);
+        Ok(Response::new(v1::ListDrainsResponse { backends }))
+    }
+
+    async fn entries(&self, request: Request<v1::EntriesRequest>) -> Answer<v1::EntriesResponse> {
+        let from = request.remote_addr().map(|addr| addr.ip().to_string());
+        let request = request.into_inner();
+        let policy = self.policy_in_force(&request.service)?;
+        let caller = match request.caller.as_str() {
+            "" => from.unwrap_or_default(),
+            caller => caller.to_owned(),
+        };
+        let snapshot = self.parts.snapshots.current();
+        let answer = entries::entries(&snapshot, &policy.service, &self.parts.zone, &caller);
+        let entries = answer.entries.into_iter().map(|entry| v1::Entry {
+            id: entry.id.to_string(),
+            addr: entry.addr.to_string(),
+            zone: entry.zone.to_string(),
+        });
+        Ok(Response::new(v1::EntriesResponse { entries: entries.collect(), max_age_s: MAX_AGE_S }))
+    }
+
+    async fn histograms(
+        &self,
+        request: Request<v1::HistogramsRequest>,
+    ) -> Answer<v1::HistogramsResponse> {
+        let service = optional_service(&request.into_inner().service)?;
+        let histograms = self.parts.recorder.histograms().await;
+        Ok(Response::new(v1::HistogramsResponse {
+            dropped: histograms.dropped,
+            histograms: describe::histograms(histograms, service.as_ref()),
+        }))
+    }
+}
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -23,7 +23,7 @@
     config::{Change, Config, Source},
     gateway::{Gateway, Parts},
     metrics::{MetricSink, NullSink, Recorder, StatsdSink},
-    operators::OperatorsService,
+    operators::{self, OperatorsService},
     peer::Mesh,
     platform::{HttpPlatform, SharedPlatform, Table},
     settings::Settings,
@@ -78,14 +78,17 @@
         timer: timer.clone(),
     };
     let mesh = tokio::spawn(mesh.serve(peers));
-    let operators_service = OperatorsService {
+    let operators_service = OperatorsService::new(operators::Parts {
         instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
         start,
         config: config.clone(),
         snapshots: snapshots.clone(),
         platform: Arc::clone(&platform),
+        clock: Arc::clone(&clock),
+        recorder: recorder.clone(),
         stop: stop.clone(),
-    };
+    });
     let operators = tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(OperatorsServer::new(operators_service))
--- a/crates/azuregate/src/status.rs
+++ b/crates/azuregate/src/status.rs
@@ -43,8 +43,8 @@
         "/health" => (StatusCode::OK, "alive\n".to_owned()),
         "/ready" => ready(status),
         "/histograms" => {
-            let summaries = status.recorder.summaries().await;
-            (StatusCode::OK, serde_json::to_string(&summaries).unwrap_or_default())
+            let histograms = status.recorder.histograms().await;
+            (StatusCode::OK, serde_json::to_string(&histograms).unwrap_or_default())
         }
         _ => (StatusCode::NOT_FOUND, "paths: /health /ready /histograms\n".to_owned()),
     };
