Give the lab delays, faults, callers and an audit

Cause: the stand-ins had one service time, no delays and few faults; the load tool opened a connection for each request, asked one entry once, and could not tell a duplicate or a loss.

Change: network (delays by the address that a connection comes from, relays before the entries), backends in modules (service time distributions, lagging and lying reports, cold starts, silence of open connections, answers cut in the middle, deadlines, cancellation, counts by key and by time), platform (lagging list, refusals by rate), load (callers near each zone that cache the answer of /v1/entries and keep connections alive, uploads, audit against what ran, SVG). 'up' gives a light load with a line each two seconds until Ctrl-C.

A request still counts as run from its first byte at the backend server; the audit counts a read that ran again as work, an order or an upload as a duplicate.

--- /dev/null
+++ b/crates/azuregate-lab/src/backends/mod.rs
@@ -0,0 +1,17 @@
+/*!
+Stand-ins of backend servers: slots, bounded connections, service times, load
+reports, and everything that can go wrong with them.
+
+`POST /lab/behaviour` replaces the [`Behaviour`]; `POST /lab/silence` makes all
+open connections silent for good. `GET /lab/ran`, `/lab/keys` and `/lab/stats`
+tell what truly ran.
+*/
+
+mod behaviour;
+mod count;
+mod load;
+mod server;
+
+pub use behaviour::{Behaviour, Distribution};
+pub use count::{BUCKET_MS, Bucket, Counts, Stats, epoch_ms};
+pub use server::{Backend, serve};
--- /dev/null
+++ b/crates/azuregate-lab/src/cli/up.rs
@@ -0,0 +1,146 @@
+//! `up`: all of an example in one process.
+
+use std::{collections::BTreeMap, path::PathBuf};
+
+use gumdrop::Options;
+use tokio::signal;
+
+use crate::{
+    baselines,
+    cli::load_example,
+    client::ClientError,
+    example::{Example, ServiceExample},
+    load::{self, Class, Report},
+    up::{self, Lab},
+};
+
+/// How often figures are printed.
+const PERIOD_MS: u64 = 2_000;
+
+/// Arguments of `up`.
+#[derive(Debug, Options)]
+pub(crate) struct UpArgs {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(free, required, help = "the example's file")]
+    example: PathBuf,
+    #[options(
+        help = "how entries choose: random, round-robin, least-load, nearest or dispatcher",
+        default = "dispatcher"
+    )]
+    rule: String,
+    #[options(no_short, help = "requests a second of the load; 0 for none", default = "200")]
+    rate_per_s: f64,
+    #[options(no_short, help = "leave out the delays of the network")]
+    no_delays: bool,
+}
+
+/// Runs `up`.
+pub(crate) async fn run(args: &UpArgs) -> Result<(), ClientError> {
+    azuregate::logs::start("warn");
+    let example = load_example(&args.example)?;
+    let Some(service) = example.services.first() else {
+        return Err("the example has no service".into());
+    };
+    let options = up::Options {
+        rule: baselines::rule(&args.rule)?,
+        delays: !args.no_delays,
+        ..up::Options::default()
+    };
+    let lab = up::start_with(&example, &options).await?;
+    lab.wait_ready().await?;
+    describe(&lab.example, service)?;
+    tokio::select! {
+        moving = keep_moving(&lab, service, args.rate_per_s) => moving?,
+        stopped = signal::ctrl_c() => stopped?,
+    }
+    println!(
+        "stopping as planned: entry instances go on for {} ms, then finish what is in progress; \
+         Ctrl-C again ends at once",
+        example.stop_delay_ms
+    );
+    tokio::select! {
+        () = lab.stop() => println!("stopped"),
+        stopped = signal::ctrl_c() => stopped?,
+    }
+    Ok(())
+}
+
+fn describe(example: &Example, service: &ServiceExample) -> Result<(), ClientError> {
+    let entry = example.entries.first().ok_or("the example has no entry instance")?;
+    let (ip, ports, name) = (entry.ip, example.ports, &service.name);
+    let traffic = example.traffic_addr(entry);
+    println!("{} is up: {} entry instances", example.name, example.entries.len());
+    println!("  entries     http://{traffic}/v1/entries?service={name}");
+    println!("  histograms  http://{ip}:{}/histograms", ports.status);
+    println!("  operators   {ip}:{}", ports.operators);
+    println!("  platform    http://{}/lab/counts", example.platform_addr);
+    println!("try next, in another terminal:");
+    println!("  curl -H 'Host: {name}' http://{traffic}/hello");
+    println!("  azuregate status --at {ip}:{}", ports.operators);
+    println!(
+        "  azuregate-lab load --at {traffic} --service {name} --platform {}",
+        example.platform_addr
+    );
+    if let Some(server) = example.backends(service).first() {
+        println!("  curl -d '{{\"shed\":true}}' http://{}/lab/behaviour", server.addr);
+    }
+    println!("Ctrl-C stops everything");
+    println!();
+    Ok(())
+}
+
+/// Gives a light load without end and prints a line for each period of it.
+async fn keep_moving(
+    lab: &Lab,
+    service: &ServiceExample,
+    rate_per_s: f64,
+) -> Result<(), ClientError> {
+    if rate_per_s <= 0.0 {
+        return std::future::pending().await;
+    }
+    let entry = lab.example.entries.first().ok_or("the example has no entry instance")?;
+    let at = lab.example.traffic_addr(entry);
+    let mut config = load::Config::new(at, &service.name).with_places_of(&lab.example);
+    config.rate_per_s = rate_per_s;
+    config.duration_ms = PERIOD_MS;
+    loop {
+        let ended = load::run(&config).await?;
+        let audit = load::audit(&ended, &lab.ran());
+        let report = Report::new(&ended, PERIOD_MS, Some(audit));
+        println!("{}", line(&report, &regions(lab, service)));
+        // What was audited is forgotten, or a long run would fill the memory.
+        for backend in &lab.backends {
+            backend.counts().forget();
+        }
+        config.seed += 1;
+    }
+}
+
+fn line(report: &Report, regions: &str) -> String {
+    let reads = report.latency.get(&Class::Read).copied().unwrap_or_default();
+    let doubled = report.audit.as_ref().map_or(0, |audit| audit.duplicates.len());
+    format!(
+        "{:>4}/s answered  {:>3} refused  {:>3} failed  {doubled} doubled  \
+         reads p50 {:.0} ms p99 {:.0} ms  {regions}",
+        report.goodput_per_s.round(),
+        report.refused_count(),
+        report.failed_count(),
+        reads.p50_ms,
+        reads.p99_ms,
+    )
+}
+
+/// What share of the requests ran in each region.
+fn regions(lab: &Lab, service: &ServiceExample) -> String {
+    let mut ran: BTreeMap<String, u64> = BTreeMap::new();
+    for backend in lab.backends.iter().filter(|b| b.server.service == service.name) {
+        let region = lab.example.topology.region_of(&backend.server.zone);
+        let name = region.map_or_else(String::new, ToString::to_string);
+        let buckets: u64 = backend.counts().buckets.values().map(|bucket| bucket.ran).sum();
+        *ran.entry(name).or_default() += buckets;
+    }
+    let all = ran.values().sum::<u64>().max(1);
+    let shares = ran.iter().map(|(region, count)| format!("{region} {}%", count * 100 / all));
+    shares.collect::<Vec<_>>().join("  ")
+}
--- a/crates/azuregate-lab/src/example.rs
+++ b/crates/azuregate-lab/src/example.rs
@@ -18,6 +18,15 @@
 use jsonc_parser::ParseOptions;
 use serde::{Deserialize, Serialize};
 
+use crate::{
+    backends::{Behaviour, Distribution},
+    network::{Network, Party},
+};
+
+/// The last part of the IP number of the clients in the first availability zone;
+/// those of the other zones follow.
+const FIRST_CLIENT: u8 = 150;
+
 /// A deployment.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -36,6 +45,10 @@
     pub entries: Vec<EntryExample>,
     /// The services with their backend servers.
     pub services: Vec<ServiceExample>,
+    /// Whether relays with the delays of the network stand before the entry
+    /// instances.
+    #[serde(skip)]
+    pub relays: bool,
 }
 
 /// The ports of every entry instance; each has an IP number of its own.
@@ -52,6 +65,9 @@
     pub status: u16,
 }
 
+/// How far the port of a relay is from the one that it stands before.
+const RELAY_PORTS: u16 = 1_000;
+
 /// An entry instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -78,12 +94,32 @@
     pub connections: usize,
     /// Mean time that a request takes there.
     pub service_ms: u64,
+    /// How that time varies.
+    #[serde(default)]
+    pub distribution: Distribution,
     /// The IP number of all of them.
     pub ip: IpAddr,
     /// The port of the first; the others follow.
     pub first_port: u16,
 }
 
+impl ServiceExample {
+    /// How its backend servers behave when all is well.
+    pub fn behaviour(&self) -> Behaviour {
+        Behaviour {
+            service_ms: self.service_ms,
+            distribution: self.distribution,
+            ..Behaviour::default()
+        }
+    }
+
+    /// Requests a second that fill all of its slots.
+    pub fn capacity_per_s(&self) -> f64 {
+        let slots = f64::from(u32::from(self.upstreams) * self.slots);
+        slots * 1_000.0 / self.service_ms.max(1) as f64
+    }
+}
+
 /// An example that cannot be used.
 #[derive(Debug)]
 pub struct ExampleError;
@@ -133,20 +169,58 @@
         }
     }
 
+    /// Where callers reach an entry instance.
+    pub fn traffic_addr(&self, entry: &EntryExample) -> SocketAddr {
+        SocketAddr::new(entry.ip, self.listed(self.ports.traffic))
+    }
+
+    /// The ports that a relay of an entry instance stands before, and its own.
+    pub fn relayed_ports(&self) -> [(u16, u16); 2] {
+        [self.ports.traffic, self.ports.peers].map(|port| (port, port + RELAY_PORTS))
+    }
+
+    fn listed(&self, port: u16) -> u16 {
+        if self.relays { port + RELAY_PORTS } else { port }
+    }
+
     /// What the platform lists when all is well.
     pub fn instance_list(&self) -> InstanceList {
         let instances = self.entries.iter().map(|entry| Instance {
             id: entry.id.clone(),
             zone: entry.zone.clone(),
             ip: entry.ip,
-            traffic_port: self.ports.traffic,
-            peer_port: self.ports.peers,
+            traffic_port: self.listed(self.ports.traffic),
+            peer_port: self.listed(self.ports.peers),
             liveness: Liveness::Live,
         });
         let backends = self.services.iter().flat_map(|service| self.backends(service));
         InstanceList { instances: instances.collect(), backends: backends.collect() }
     }
 
+    /// Who is where.
+    pub fn network(&self) -> Network {
+        let entries = self.entries.iter().map(|e| (e.ip, Party::Entry(e.zone.clone())));
+        let zones = self.topology.zones();
+        let clients = zones.map(|zone| (self.client_ip(zone), Party::Clients(zone.clone())));
+        Network::new(self.topology.clone(), entries.chain(clients).collect())
+    }
+
+    /// The IP number that clients near an availability zone come from.
+    pub fn client_ip(&self, zone: &ZoneName) -> IpAddr {
+        let index = self.topology.zones().position(|z| z == zone).unwrap_or(0);
+        let IpAddr::V4(platform) = self.platform_addr.ip() else {
+            return self.platform_addr.ip();
+        };
+        let [a, b, c, _] = platform.octets();
+        let last = FIRST_CLIENT.saturating_add(u8::try_from(index).unwrap_or(u8::MAX));
+        IpAddr::from([a, b, c, last])
+    }
+
+    /// The availability zone that the platform stands in: the first.
+    pub fn platform_zone(&self) -> ZoneName {
+        self.topology.zones().next().cloned().unwrap_or_else(|| ZoneName::new(""))
+    }
+
     /// The backend servers of a service.
     pub fn backends(&self, service: &ServiceExample) -> Vec<BackendServer> {
         let zones: Vec<_> = self.topology.zones().collect();
--- a/crates/azuregate-lab/src/lib.rs
+++ b/crates/azuregate-lab/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod client;
 pub mod example;
 pub mod load;
+pub mod network;
 pub mod platform;
 pub mod up;
--- /dev/null
+++ b/crates/azuregate-lab/src/load/report.rs
@@ -0,0 +1,167 @@
+//! Sums up a run.
+
+use std::{collections::BTreeMap, fmt};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::load::{Audit, Class, Ended, Ending};
+
+/// The longest latency that is told apart, in microseconds.
+const LATENCY_LIMIT_US: u64 = 60_000_000;
+
+/// Latency from the intended start, of answered requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Latency {
+    /// How many there were.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// 99.9th percentile.
+    pub p999_ms: f64,
+    /// Largest.
+    pub max_ms: f64,
+}
+
+/// What came of the load.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Requests that were due.
+    pub offered: u64,
+    /// Requests that got their own whole answer.
+    pub answered: u64,
+    /// Those, a second.
+    pub goodput_per_s: f64,
+    /// Answers that azuregate or a backend server refused with, by status and
+    /// outcome.
+    pub refused: BTreeMap<String, u64>,
+    /// Requests that got no whole answer, by reason.
+    pub failed: BTreeMap<String, u64>,
+    /// Answers that belonged to another request.
+    pub mixed_up: u64,
+    /// Times that callers came back after a refusal.
+    pub came_back: u64,
+    /// Latency by class.
+    pub latency: BTreeMap<Class, Latency>,
+    /// What does not add up, when the backend servers were asked.
+    pub audit: Option<Audit>,
+}
+
+impl Latency {
+    /// Latency of the answered requests among `ended`.
+    pub fn of<'a>(ended: impl IntoIterator<Item = &'a Ended>) -> Latency {
+        let mut histogram = Histogram::<u64>::new_with_max(LATENCY_LIMIT_US, 3)
+            .expect("the bounds are valid constants");
+        for request in ended {
+            if request.ending == Ending::Answered {
+                histogram.saturating_record(request.latency_us);
+            }
+        }
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+        Latency {
+            count: histogram.len(),
+            p50_ms: at(0.5),
+            p99_ms: at(0.99),
+            p999_ms: at(0.999),
+            max_ms: histogram.max() as f64 / 1_000.0,
+        }
+    }
+}
+
+impl Report {
+    /// Sums up `ended`, which were due within `duration_ms`.
+    pub fn new(ended: &[Ended], duration_ms: u64, audit: Option<Audit>) -> Report {
+        let mut report = Report {
+            offered: ended.len() as u64,
+            answered: 0,
+            goodput_per_s: 0.0,
+            refused: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            mixed_up: 0,
+            came_back: 0,
+            latency: BTreeMap::new(),
+            audit,
+        };
+        for request in ended {
+            report.came_back += u64::from(request.tries.saturating_sub(1));
+            match &request.ending {
+                Ending::Answered => report.answered += 1,
+                Ending::MixedUp => report.mixed_up += 1,
+                Ending::Refused { status, outcome } => {
+                    *report.refused.entry(format!("{status} {outcome}")).or_default() += 1;
+                }
+                Ending::Failed(reason) => {
+                    *report.failed.entry(reason.clone()).or_default() += 1;
+                }
+            }
+        }
+        report.goodput_per_s = report.answered as f64 * 1_000.0 / duration_ms.max(1) as f64;
+        for class in [Class::Read, Class::Keyed, Class::Upload] {
+            let latency = Latency::of(ended.iter().filter(|request| request.class == class));
+            if latency.count > 0 {
+                report.latency.insert(class, latency);
+            }
+        }
+        report
+    }
+
+    /// All refusals.
+    pub fn refused_count(&self) -> u64 {
+        self.refused.values().sum()
+    }
+
+    /// All failures.
+    pub fn failed_count(&self) -> u64 {
+        self.failed.values().sum()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "offered {}  answered {}  goodput {:.1}/s",
+            self.offered, self.answered, self.goodput_per_s
+        )?;
+        for (how, count) in &self.refused {
+            writeln!(f, "refused {how}: {count}")?;
+        }
+        for (why, count) in &self.failed {
+            writeln!(f, "failed {why}: {count}")?;
+        }
+        if self.mixed_up > 0 {
+            writeln!(f, "MIXED UP {}", self.mixed_up)?;
+        }
+        if self.came_back > 0 {
+            writeln!(f, "callers came back {} times", self.came_back)?;
+        }
+        for (class, l) in &self.latency {
+            writeln!(
+                f,
+                "{:<7} p50 {:.1} ms  p99 {:.1} ms  p99.9 {:.1} ms  max {:.1} ms",
+                format!("{class:?}").to_lowercase(),
+                l.p50_ms,
+                l.p99_ms,
+                l.p999_ms,
+                l.max_ms
+            )?;
+        }
+        let Some(audit) = &self.audit else {
+            return Ok(());
+        };
+        writeln!(
+            f,
+            "duplicates {}  losses {}  ran though refused as not run {}",
+            audit.duplicates.len(),
+            audit.losses.len(),
+            audit.false_not_run.len()
+        )?;
+        writeln!(
+            f,
+            "reads run again {}  runs without an answer {}",
+            audit.extra_reads, audit.unanswered_runs
+        )
+    }
+}
--- /dev/null
+++ b/crates/azuregate-lab/src/network/relay.rs
@@ -0,0 +1,54 @@
+//! Puts delay in front of a process.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc};
+
+use azuregate_core::names::ZoneName;
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time,
+};
+
+use crate::network::{Network, delay};
+
+/// Takes connections for a process in an availability zone and passes them on
+/// with the delay of the way that they came.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    /// Who is where.
+    pub network: Arc<Network>,
+    /// Where the process is.
+    pub zone: ZoneName,
+    /// Where it listens.
+    pub to: SocketAddr,
+}
+
+impl Relay {
+    /// Serves until the task is aborted.
+    pub async fn serve(self, listener: TcpListener) -> Infallible {
+        loop {
+            let Ok((stream, caller)) = listener.accept().await else {
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            tokio::spawn(self.clone().pass_on(stream, caller));
+        }
+    }
+
+    async fn pass_on(self, stream: TcpStream, caller: SocketAddr) {
+        let one_way = self.network.one_way(caller.ip(), &self.zone);
+        time::sleep(self.network.opening(caller.ip(), &self.zone)).await;
+        let Ok(onward) = connect_from(caller, self.to).await else {
+            return;
+        };
+        delay::carry(stream, onward, one_way).await;
+    }
+}
+
+/// Connects from the caller's own IP number, which the process then sees.
+async fn connect_from(caller: SocketAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(caller.ip(), 0))?;
+    let stream = socket.connect(to).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- a/crates/azuregate-lab/src/platform/faults.rs
+++ b/crates/azuregate-lab/src/platform/faults.rs
@@ -14,4 +14,18 @@
     pub lose_answers: u32,
     /// Accepts connections and never answers.
     pub silent: bool,
+    /// Refuses reads beyond this rate, without effect.
+    pub reads_per_s: Option<u32>,
+    /// Refuses writes beyond this rate, without effect.
+    pub writes_per_s: Option<u32>,
+    /// Changes of the instance list are told so much later.
+    pub list_lag_ms: u64,
+}
+
+impl Faults {
+    /// The capacity that users may count on: several hundred writes and two
+    /// thousand reads a second.
+    pub fn capacity() -> Faults {
+        Faults { reads_per_s: Some(2_000), writes_per_s: Some(500), ..Faults::default() }
+    }
 }
--- a/crates/azuregate-lab/src/platform/mod.rs
+++ b/crates/azuregate-lab/src/platform/mod.rs
@@ -2,14 +2,19 @@
 A stand-in of the platform: tables with transactions, objects, and the list of
 live and leaving instances, in memory.
 
-It speaks the protocol of docs/PLATFORM.md and can be told to be down, slow, or
-to lose an answer after the effect.
+It speaks the protocol of docs/PLATFORM.md. `POST /lab/faults` makes it down,
+slow, silent, refuse by rate, or lose an answer after the effect;
+`POST /lab/instances` replaces the list; `GET /lab/counts` tells how many calls
+there were.
 */
 
 mod faults;
+mod list;
+mod rate;
 mod server;
 mod store;
 
 pub use faults::Faults;
-pub use server::{Server, serve};
+pub use list::LaggingList;
+pub use server::{Counts, Server, serve};
 pub use store::Store;
--- a/crates/azuregate-lab/src/platform/server.rs
+++ b/crates/azuregate-lab/src/platform/server.rs
@@ -3,11 +3,11 @@
 use std::{
     convert::Infallible,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use azuregate::platform::Write;
-use azuregate_core::snapshot::InstanceList;
+use azuregate_core::{names::ZoneName, snapshot::InstanceList};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -17,7 +17,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, time};
 
-use crate::platform::{Faults, Store};
+use crate::{
+    network::{self, Network},
+    platform::{Faults, Store, rate::Rate},
+};
 
 /// The stand-in's state, shared between its connections.
 #[derive(Debug, Default)]
@@ -25,6 +28,14 @@
     store: Mutex<Store>,
     faults: Mutex<Faults>,
     counts: Mutex<Counts>,
+    rates: Mutex<Rates>,
+    place: Option<(Arc<Network>, ZoneName)>,
+}
+
+#[derive(Debug, Default)]
+struct Rates {
+    reads: Rate,
+    writes: Rate,
 }
 
 /// How many calls there were, for measurements.
@@ -34,6 +45,8 @@
     pub reads: u64,
     /// Transactions and objects written.
     pub writes: u64,
+    /// Calls refused without effect.
+    pub refused: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -60,10 +73,22 @@
     /// A stand-in that lists `list`.
     pub fn new(list: InstanceList) -> Server {
         let server = Server::default();
-        server.store().list = list;
+        server.set_list(list);
         server
     }
 
+    /// Adds the delays of a network to every connection.
+    pub fn with_network(mut self, network: Arc<Network>, zone: ZoneName) -> Server {
+        self.place = Some((network, zone));
+        self
+    }
+
+    /// Replaces the list, which readers see when its lag is over.
+    pub fn set_list(&self, list: InstanceList) {
+        let lag = Duration::from_millis(self.faults().list_lag_ms);
+        self.store().list.set(list, lag);
+    }
+
     /// What it keeps.
     pub fn store(&self) -> MutexGuard<'_, Store> {
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
@@ -79,9 +104,26 @@
         *self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn count(&self, method: &Method) {
+    /// Counts a call, or its refusal.
+    fn admit(&self, method: &Method, faults: &Faults) -> bool {
+        let read = method == Method::GET;
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        let in_rate = if read {
+            rates.reads.take(faults.reads_per_s, Instant::now())
+        } else {
+            rates.writes.take(faults.writes_per_s, Instant::now())
+        };
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        if method == Method::GET { counts.reads += 1 } else { counts.writes += 1 }
+        if faults.down || !in_rate {
+            counts.refused += 1;
+            return false;
+        }
+        if read {
+            counts.reads += 1
+        } else {
+            counts.writes += 1
+        }
+        true
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Option<Answer> {
@@ -100,10 +142,9 @@
         if faults.silent {
             return std::future::pending().await;
         }
-        if faults.down {
-            return Some(Answer::text(StatusCode::SERVICE_UNAVAILABLE, "down\n"));
+        if !self.admit(&head.method, &faults) {
+            return Some(Answer::text(StatusCode::SERVICE_UNAVAILABLE, "down or too many calls\n"));
         }
-        self.count(&head.method);
         let answer = self.serve(&head.method, &path, &query, &body);
         if head.method != Method::GET && self.loses_answer() {
             return None;
@@ -129,7 +170,7 @@
             },
             (&Method::POST, "instances") => match serde_json::from_slice(body) {
                 Ok(list) => {
-                    self.store().list = list;
+                    self.set_list(list);
                     Answer::text(StatusCode::OK, "set\n")
                 }
                 Err(e) => Answer::text(StatusCode::BAD_REQUEST, &e.to_string()),
@@ -163,7 +204,9 @@
                     None => Answer::text(StatusCode::NOT_FOUND, "no such object\n"),
                 }
             }
-            (&Method::GET, ["v1", "instances"]) => Answer::json(StatusCode::OK, &self.store().list),
+            (&Method::GET, ["v1", "instances"]) => {
+                Answer::json(StatusCode::OK, self.store().list.told())
+            }
             _ => Answer::text(StatusCode::BAD_REQUEST, "no such call\n"),
         }
     }
@@ -198,12 +241,17 @@
 /// Serves until the task is aborted.
 pub async fn serve(listener: TcpListener, server: Arc<Server>) -> Infallible {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, caller)) = listener.accept().await else {
             continue;
         };
         let _ = stream.set_nodelay(true);
         let server = Arc::clone(&server);
         tokio::spawn(async move {
+            let one_way = match &server.place {
+                Some((network, zone)) => network.one_way(caller.ip(), zone),
+                None => Duration::ZERO,
+            };
+            let stream = network::stretch(stream, one_way);
             let service = service_fn(|request| {
                 let server = Arc::clone(&server);
                 async move {
--- a/crates/azuregate-lab/src/platform/store.rs
+++ b/crates/azuregate-lab/src/platform/store.rs
@@ -3,16 +3,17 @@
 use std::collections::BTreeMap;
 
 use azuregate::platform::{Changes, Commit, Expect, Row, Write};
-use azuregate_core::snapshot::InstanceList;
 use bytes::Bytes;
 
+use crate::platform::LaggingList;
+
 /// Everything that the stand-in keeps.
 #[derive(Debug, Default)]
 pub struct Store {
     tables: BTreeMap<String, Table>,
     objects: BTreeMap<String, Bytes>,
     /// The list of live and leaving instances.
-    pub list: InstanceList,
+    pub list: LaggingList,
 }
 
 #[derive(Debug, Default)]
--- a/crates/azuregate-lab/src/up.rs
+++ b/crates/azuregate-lab/src/up.rs
@@ -1,6 +1,6 @@
 //! Runs all of an example in one process.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use azuregate::{
     dispatch::Rule,
@@ -13,6 +13,7 @@
     backends::{self, Backend},
     client::{self, ClientError},
     example::{EntryExample, Example},
+    network::{Network, Relay},
     platform::{self, Server},
 };
 
@@ -24,6 +25,8 @@
     pub backends: Vec<Arc<Backend>>,
     /// The entry instances.
     pub entries: Vec<Entry>,
+    /// What is run.
+    pub example: Example,
     status_addrs: Vec<SocketAddr>,
     stand_ins: Vec<JoinHandle<()>>,
 }
@@ -36,50 +39,117 @@
     task: JoinHandle<()>,
 }
 
-/// Starts everything that an example describes.
+/// How an example is run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How entry instances choose backend servers.
+    pub rule: Rule,
+    /// Whether the network has the delays of the example.
+    pub delays: bool,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { rule: Rule::default(), delays: false, seed: 1 }
+    }
+}
+
+/// Starts everything that an example describes, by the shipped rule and
+/// without delays.
 ///
 /// # Errors
 ///
 /// When a port cannot be opened.
 pub async fn start(example: &Example) -> Result<Lab, ClientError> {
-    start_with(example, &Rule::default()).await
+    start_with(example, &Options::default()).await
 }
 
-/// Starts everything that an example describes, with entry instances that
-/// choose backend servers by `rule`.
+/// Starts everything that an example describes.
 ///
 /// # Errors
 ///
 /// When a port cannot be opened.
-pub async fn start_with(example: &Example, rule: &Rule) -> Result<Lab, ClientError> {
-    let mut lab = stand_ins(example).await?;
+pub async fn start_with(example: &Example, options: &Options) -> Result<Lab, ClientError> {
+    let example = &Example { relays: options.delays, ..example.clone() };
+    let mut lab = stand_ins_with(example, options).await?;
     for entry in &example.entries {
-        lab.entries.push(start_entry(example, entry, rule.clone()));
+        lab.entries.push(start_entry(example, entry, options.rule.clone()));
         lab.status_addrs.push(SocketAddr::new(entry.ip, example.ports.status));
     }
     Ok(lab)
 }
 
 /// Starts the platform and the backend servers of an example, without entry
-/// instances.
+/// instances and without delays.
 ///
 /// # Errors
 ///
 /// When a port cannot be opened.
 pub async fn stand_ins(example: &Example) -> Result<Lab, ClientError> {
-    let server = start_platform(example);
+    stand_ins_with(example, &Options::default()).await
+}
+
+/// Starts the platform, the backend servers and, with delays, the relays of an
+/// example, without entry instances.
+///
+/// # Errors
+///
+/// When a port cannot be opened.
+pub async fn stand_ins_with(example: &Example, options: &Options) -> Result<Lab, ClientError> {
+    let network = options.delays.then(|| Arc::new(example.network()));
+    let mut server = start_platform(example);
+    if let Some(network) = &network {
+        server = server.with_network(Arc::clone(network), example.platform_zone());
+    }
+    let server = Arc::new(server);
     let listener = TcpListener::bind(example.platform_addr).await?;
     let mut stand_ins = vec![spawn(platform::serve(listener, Arc::clone(&server)))];
-    let backends = make_backends(example);
-    for backend in &backends {
+    let mut backends = Vec::new();
+    for mut backend in make_backends(example, options.seed) {
+        if let Some(network) = &network {
+            backend = backend.with_network(Arc::clone(network));
+        }
         let listener = TcpListener::bind(backend.server.addr).await?;
-        stand_ins.push(spawn(backends::serve(listener, Arc::clone(backend))));
+        let backend = Arc::new(backend);
+        stand_ins.push(spawn(backends::serve(listener, Arc::clone(&backend))));
+        backends.push(backend);
     }
-    Ok(Lab { platform: server, backends, entries: Vec::new(), status_addrs: Vec::new(), stand_ins })
+    if let Some(network) = &network {
+        start_relays(example, network, &mut stand_ins).await?;
+    }
+    Ok(Lab {
+        platform: server,
+        backends,
+        entries: Vec::new(),
+        example: example.clone(),
+        status_addrs: Vec::new(),
+        stand_ins,
+    })
+}
+
+async fn start_relays(
+    example: &Example,
+    network: &Arc<Network>,
+    stand_ins: &mut Vec<JoinHandle<()>>,
+) -> Result<(), ClientError> {
+    for entry in &example.entries {
+        for (port, relay_port) in example.relayed_ports() {
+            let listener = TcpListener::bind(SocketAddr::new(entry.ip, relay_port)).await?;
+            let relay = Relay {
+                network: Arc::clone(network),
+                zone: entry.zone.clone(),
+                to: SocketAddr::new(entry.ip, port),
+            };
+            stand_ins.push(spawn(relay.serve(listener)));
+        }
+    }
+    Ok(())
 }
 
 /// A platform that holds the first policy of each service.
-pub fn start_platform(example: &Example) -> Arc<Server> {
+pub fn start_platform(example: &Example) -> Server {
     let server = Server::new(example.instance_list());
     for service in &example.services {
         let policy = example.first_policy(service);
@@ -92,19 +162,20 @@
         let commit = server.store().transact(&[write]);
         debug_assert!(matches!(commit, Commit::Done(_)), "a new store has no rows");
     }
-    Arc::new(server)
+    server
 }
 
-/// The backend servers of all services.
-pub fn make_backends(example: &Example) -> Vec<Arc<Backend>> {
-    let of_service = |service: &crate::example::ServiceExample| {
-        let (connections, service_ms) = (service.connections, service.service_ms);
-        example
-            .backends(service)
-            .into_iter()
-            .map(move |server| Arc::new(Backend::new(server, connections, service_ms)))
-    };
-    example.services.iter().flat_map(of_service).collect()
+/// The backend servers of all services, with a seed for their service times.
+pub fn make_backends(example: &Example, seed: u64) -> Vec<Backend> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut backends = Vec::new();
+    for service in &example.services {
+        for server in example.backends(service) {
+            let (connections, behaviour) = (service.connections, service.behaviour());
+            backends.push(Backend::new(server, connections, behaviour, rng.u64(..)));
+        }
+    }
+    backends
 }
 
 fn spawn<F>(serve: F) -> JoinHandle<()>
@@ -160,6 +231,17 @@
         }
     }
 
+    /// How often each request ran, over all backend servers.
+    pub fn ran(&self) -> HashMap<String, u64> {
+        let mut all = HashMap::new();
+        for backend in &self.backends {
+            for (name, count) in &backend.counts().ran {
+                *all.entry(name.clone()).or_default() += count;
+            }
+        }
+        all
+    }
+
     /// Waits until a stand-in ends, which none does by itself.
     pub async fn wait(&mut self) {
         for task in &mut self.stand_ins {
