Test the stand-ins, the callers and the audit

Cause: the faults of the stand-ins and the accounting of the load tool were only tried by hand.

Change: tables of faults at the platform and the backend servers, callers against an entry that answers for another request, cuts, or refuses; the audit case by case; insta for the report's forms; both examples' sizes and addresses.

Found by them: a slow write whose caller had given up was never made by the platform's stand-in, since hyper drops the call with its connection. A database makes it. Before: an_insert_ends_as_the_fault_says failed in the case 'too slow' with is_there false; after: the call is a task of its own and the test passes.

--- a/crates/azuregate-lab/src/platform/server.rs
+++ b/crates/azuregate-lab/src/platform/server.rs
@@ -255,7 +255,10 @@
             let service = service_fn(|request| {
                 let server = Arc::clone(&server);
                 async move {
-                    let answer = server.answer(request).await.ok_or(Lost)?;
+                    // A task of its own: a write that is slow is made even if
+                    // the caller has given up, and its row is there later.
+                    let answer = tokio::spawn(async move { server.answer(request).await });
+                    let answer = answer.await.ok().flatten().ok_or(Lost)?;
                     let mut response = Response::new(Full::new(answer.bytes));
                     *response.status_mut() = answer.status;
                     Ok::<_, Lost>(response)
--- /dev/null
+++ b/crates/azuregate-lab/tests/lab/backends.rs
@@ -0,0 +1,222 @@
+//! What the stand-in of a backend server does when told to.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use azuregate_lab::{
+    backends::{Backend, Behaviour, Distribution, serve},
+    client::{self, ClientError},
+    example::Example,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::examples;
+
+/// How long a caller waits before it takes a server for silent.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+async fn start(connections: usize, behaviour: Behaviour) -> (Arc<Backend>, SocketAddr) {
+    let example: Example = examples::load("kvas");
+    let server = example.backends(&example.services[0])[0].clone();
+    let backend = Arc::new(Backend::new(server, connections, behaviour, 1));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, Arc::clone(&backend)));
+    (backend, addr)
+}
+
+fn request(name: &str) -> Request<Full<Bytes>> {
+    Request::post("/orders")
+        .header("azuregate-request-id", name)
+        .header("idempotency-key", format!("key-{name}"))
+        .body(Full::from("order"))
+        .unwrap()
+}
+
+async fn ask(addr: SocketAddr, request: Request<Full<Bytes>>) -> Result<String, String> {
+    match tokio::time::timeout(PATIENCE, client::call(addr, request)).await {
+        Ok(Ok(answer)) => Ok(summary(&answer)),
+        Ok(Err(_)) => Err("no whole answer".to_owned()),
+        Err(_) => Err("silent".to_owned()),
+    }
+}
+
+fn summary(answer: &Response<Bytes>) -> String {
+    let header = |name| {
+        let value = answer.headers().get(name).map(|value| value.to_str().unwrap());
+        value.unwrap_or("-").to_owned()
+    };
+    format!(
+        "{} {} {} {}",
+        answer.status().as_u16(),
+        header("backend-outcome"),
+        header("backend-load"),
+        header("connection")
+    )
+}
+
+#[tokio::test]
+async fn a_request_ends_as_the_behaviour_says() {
+    let quick = || Behaviour { service_ms: 5, ..Behaviour::default() };
+    let table = [
+        ("well", quick(), Ok("200 - 0/3 -"), 1),
+        (
+            "exponential",
+            Behaviour { distribution: Distribution::Exponential, ..quick() },
+            Ok("200 - 0/3 -"),
+            1,
+        ),
+        ("shed", Behaviour { shed: true, ..quick() }, Ok("503 not-run 0/3 -"), 0),
+        ("leaving", Behaviour { leaving: true, ..quick() }, Ok("200 - 0/3 close"), 1),
+        ("silent", Behaviour { silent: true, ..quick() }, Err("silent"), 0),
+        ("cut", Behaviour { cut: true, ..quick() }, Err("no whole answer"), 1),
+        ("lie", Behaviour { report_lie: Some(2), ..quick() }, Ok("200 - 2/3 -"), 1),
+        ("past deadline", Behaviour { service_ms: 900, ..quick() }, Ok("504 - - -"), 1),
+    ];
+    for (case, behaviour, expected, runs) in table {
+        let (backend, addr) = start(10, Behaviour::default()).await;
+        let set = client::post_json(addr, "/lab/behaviour", &behaviour).await.unwrap();
+        assert!(set.status().is_success(), "{case}");
+        let mut request = request("r");
+        request.headers_mut().insert("azuregate-timeout-ms", 100.into());
+        let seen = ask(addr, request).await;
+        assert_eq!(
+            seen.as_deref(),
+            expected.map_err(ToOwned::to_owned).as_ref().map(|s| *s),
+            "{case}"
+        );
+        let counts = backend.counts();
+        assert_eq!(counts.ran.get("r").copied().unwrap_or(0), runs, "{case}");
+        assert_eq!(counts.keys.get("key-r").copied().unwrap_or(0), runs, "{case}");
+        assert_eq!(counts.stats.ran, runs, "{case}");
+    }
+}
+
+#[tokio::test]
+async fn a_request_beyond_the_slots_is_refused_and_does_not_run() {
+    let (backend, addr) = start(10, Behaviour { service_ms: 100, ..Behaviour::default() }).await;
+    let names = ["a", "b", "c", "d"];
+    let asked = names.map(|name| tokio::spawn(ask(addr, request(name))));
+    let mut statuses = Vec::new();
+    for task in asked {
+        statuses.push(task.await.unwrap().unwrap()[..3].to_owned());
+    }
+    statuses.sort();
+    assert_eq!(statuses, ["200", "200", "200", "503"]);
+    let stats = backend.stats();
+    assert_eq!((stats.arrived, stats.ran, stats.shed, stats.peak_in_use), (4, 3, 1, 3));
+    assert_eq!(stats.completed, 3);
+}
+
+#[tokio::test]
+async fn a_connection_beyond_the_bound_is_turned_away() {
+    let (backend, addr) = start(1, Behaviour::default()).await;
+    let held = Open::new(addr).await;
+    // The first connection is counted before the second is accepted.
+    assert_eq!(ask(addr, request("r")).await, Err("no whole answer".to_owned()));
+    assert_eq!(backend.stats().connections_refused, 1);
+    drop(held);
+}
+
+/// A connection that stays open.
+struct Open {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Open {
+    async fn new(addr: SocketAddr) -> Open {
+        let stream = TcpStream::connect(addr).await.unwrap();
+        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(conn);
+        Open { sender }
+    }
+
+    async fn ask(&mut self, name: &str) -> Result<u16, ClientError> {
+        let mut request = request(name);
+        request.headers_mut().insert("host", "lab".parse()?);
+        let answer = tokio::time::timeout(PATIENCE, self.sender.send_request(request)).await??;
+        let status = answer.status().as_u16();
+        answer.into_body().collect().await?;
+        Ok(status)
+    }
+}
+
+// Something between the two ends loses track of the connections: the caller of
+// an old one waits for ever, and a new one is answered.
+#[tokio::test]
+async fn open_connections_go_silent_and_new_ones_work() {
+    let (_backend, addr) = start(10, Behaviour::default()).await;
+    let mut old = Open::new(addr).await;
+    assert_eq!(old.ask("before").await.unwrap(), 200);
+    client::post_json(addr, "/lab/silence", &()).await.unwrap();
+    assert!(old.ask("after").await.is_err());
+    assert_eq!(Open::new(addr).await.ask("new").await.unwrap(), 200);
+}
+
+// The caller leaves while its request runs: the work stops and the slot is free
+// at once, not when the service time is over.
+#[tokio::test]
+async fn a_closed_connection_frees_its_slot() {
+    let (backend, addr) = start(10, Behaviour { service_ms: 60_000, ..Behaviour::default() }).await;
+    let asked = ["a", "b", "c"].map(|name| {
+        tokio::spawn(async move {
+            let mut open = Open::new(addr).await;
+            let _ = open.ask(name).await;
+        })
+    });
+    for task in asked {
+        task.await.unwrap();
+    }
+    *backend.behaviour() = Behaviour::default();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(ask(addr, request("d")).await, Ok("200 - 0/3 -".to_owned()));
+    assert_eq!((backend.stats().cancelled, backend.stats().completed), (3, 1));
+}
+
+#[tokio::test]
+async fn first_requests_after_a_start_or_an_idle_time_are_slower() {
+    let cold = Behaviour {
+        cold_requests: 1,
+        cold_extra_ms: 100,
+        cold_after_idle_ms: 150,
+        ..Behaviour::default()
+    };
+    let (_backend, addr) = start(10, cold).await;
+    // How long to wait before each request, and whether it is slower.
+    for (idle_ms, slower) in [(0, true), (0, false), (200, true), (0, false)] {
+        tokio::time::sleep(Duration::from_millis(idle_ms)).await;
+        let quick = tokio::time::timeout(Duration::from_millis(90), ask(addr, request("r"))).await;
+        assert_eq!(quick.is_err(), slower, "after {idle_ms} ms");
+        if slower {
+            // It was given up; the next one finds the caches filled.
+            continue;
+        }
+        assert_eq!(quick.unwrap(), Ok("200 - 0/3 -".to_owned()));
+    }
+}
+
+#[tokio::test]
+async fn a_lagging_report_tells_of_the_past() {
+    let lag = Behaviour { service_ms: 400, report_lag_ms: 200, ..Behaviour::default() };
+    let (backend, addr) = start(10, lag).await;
+    let busy = tokio::spawn(async move { client::call(addr, request("long")).await.is_ok() });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    backend.behaviour().shed = true;
+    assert_eq!(ask(addr, request("early")).await, Ok("503 not-run 0/3 -".to_owned()));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(ask(addr, request("late")).await, Ok("503 not-run 1/3 -".to_owned()));
+    assert!(busy.await.unwrap());
+}
+
+#[test]
+fn service_times_have_the_mean_that_they_are_given() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    for distribution in [Distribution::Fixed, Distribution::Exponential, Distribution::TwoPoint] {
+        let total: Duration = (0..20_000).map(|_| distribution.draw(20, &mut rng)).sum();
+        let mean_ms = total.as_secs_f64() * 1_000.0 / 20_000.0;
+        assert!((19.0..21.0).contains(&mean_ms), "{distribution:?}: {mean_ms}");
+    }
+}
--- /dev/null
+++ b/crates/azuregate-lab/tests/lab/main.rs
@@ -0,0 +1,11 @@
+//! Contract tests of the stand-ins, and of the load tool's accounting.
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+mod audit;
+mod backends;
+mod callers;
+mod examples;
+mod network;
+mod platform;
+mod reports;
--- /dev/null
+++ b/crates/azuregate-lab/tests/lab/reports.rs
@@ -0,0 +1,46 @@
+//! The forms of a report.
+
+use azuregate_lab::load::{Class, Ended, Ending, Report, audit, svg};
+
+use crate::audit::{ended, refused};
+
+fn run() -> Vec<Ended> {
+    let mut all: Vec<_> = (0..98)
+        .map(|i| {
+            let mut request = ended(&format!("r{i}"), Class::Read, Ending::Answered);
+            request.due_ms = i * 20;
+            request.latency_us = 10_000 + i * 1_000;
+            request
+        })
+        .collect();
+    all.push(ended("o1", Class::Keyed, Ending::Answered));
+    all.push(ended("o2", Class::Keyed, refused(503, "not-run")));
+    all.push(ended("o3", Class::Keyed, Ending::Failed("cut short".to_owned())));
+    all.push(ended("o4", Class::Keyed, Ending::MixedUp));
+    all
+}
+
+fn report() -> Report {
+    let ended = run();
+    let mut ran: std::collections::HashMap<_, _> =
+        ended.iter().map(|request| (request.name.clone(), 1)).collect();
+    ran.remove("o2");
+    ran.insert("o1".to_owned(), 2);
+    ran.remove("r7");
+    Report::new(&ended, 2_000, Some(audit(&ended, &ran)))
+}
+
+#[test]
+fn as_text() {
+    insta::assert_snapshot!(report().to_string());
+}
+
+#[test]
+fn as_json() {
+    insta::assert_json_snapshot!(report());
+}
+
+#[test]
+fn as_a_drawing() {
+    insta::assert_snapshot!(svg("kvas <1> & more", &run()[..3]));
+}
