--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -20,13 +20,16 @@
 * [`policy`] and [`snapshot`] hold what operators decided and what the platform
   listed; a snapshot is immutable and is replaced as a whole.
 * [`route`] chooses a backend server for one request.
+* [`shift`] works out how far a shift has come, and bounds what moves.
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
+* [`blocks`] finds the site of a client from its address.
 * [`entries`] answers which entry instances a caller should use.
 * [`retry`] bounds retries to a share of recent requests.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
+pub mod blocks;
 pub mod claim;
 pub mod entries;
 pub mod error;
@@ -34,6 +37,7 @@
 pub mod policy;
 pub mod retry;
 pub mod route;
+pub mod shift;
 pub mod snapshot;
 pub mod steer;
 pub mod time;
