--- a/crates/azuregate-lab/benches/capacity_process.rs
+++ b/crates/azuregate-lab/benches/capacity_process.rs
@@ -136,7 +136,9 @@
     println!("| instances listed | look-ups | processor us each | bytes of an answer |");
     println!("|---|---|---|---|");
     for listed in LISTED {
-        lab.platform.store().list.instances = listed_instances(example, listed);
+        let mut list = example.instance_list();
+        list.instances = listed_instances(example, listed);
+        lab.platform.store().list.set(list, Duration::ZERO);
         time::sleep(SETTLE).await;
         for count in [16_000, 32_000, 64_000] {
             let (each_us, bytes) =
@@ -144,7 +146,7 @@
             println!("| {listed} | {count} | {each_us:.1} | {bytes} |");
         }
     }
-    lab.platform.store().list.instances = example.instance_list().instances;
+    lab.platform.store().list.set(example.instance_list(), Duration::ZERO);
     time::sleep(SETTLE).await;
     println!();
     Ok(())
