Test the decisions of routing, and mend the first answer of a group

Cause: the first answer of a group was compared with a usual latency of zero and taken for slow, which lowered the limit of a warm server; found by a_server_that_started_again_is_loaded_slowly (left 1, right 2). Change: the first answer sets what is usual; a request that would wait in an empty queue looks for a rested server first.

--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -231,6 +231,11 @@
         group.servers.get(group.router.id(slot.key))
     }
 
+    /// The name of the server of a slot, listed or not any more.
+    pub fn server_id(&self, slot: &Slot) -> &BackendId {
+        self.groups[slot.group].router.id(slot.key)
+    }
+
     /// The dispatcher that a request is handed over to.
     pub fn dispatcher_id(&self, hand_over: &HandOver) -> &InstanceId {
         self.peers.id(hand_over.peer)
--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -78,7 +78,7 @@
             }
         }
         match shortest {
-            Some(candidate) => self.wait_at(candidate, ask, now_ms),
+            Some(candidate) => self.wait_at(candidate, ask, now_ms, rng),
             None if crowded => Step::Refuse(Refusal::no_link()),
             None => Step::Refuse(Refusal::no_backend()),
         }
@@ -211,10 +211,16 @@
         }
     }
 
-    fn wait_at(&mut self, candidate: Candidate, ask: &Ask<'_>, now_ms: Millis) -> Step {
+    fn wait_at(
+        &mut self,
+        candidate: Candidate,
+        ask: &Ask<'_>,
+        now_ms: Millis,
+        rng: &mut fastrand::Rng,
+    ) -> Step {
         let Candidate { group, who, booking, wait_ms, .. } = candidate;
         let Who::Peer(peer) = who else {
-            return self.enqueue(group, None, ask);
+            return self.place_here(group, None, ask, now_ms, rng);
         };
         if wait_ms > ask.wait_ms || wait_ms >= ask.left_ms {
             return Step::Refuse(Refusal::too_late(wait_ms));
--- a/crates/azuregate-core/src/route/slots.rs
+++ b/crates/azuregate-core/src/route/slots.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    /// The first answer sets what is usual: against nothing, all are slow.
+    fn learn_usual(&mut self, latency_ms: f64) {
+        let weight = if self.usual_ms == 0.0 { 1.0 } else { WEIGHT };
+        self.usual_ms += weight * (latency_ms - self.usual_ms);
+    }
+
     fn rest_if_closed(&mut self, key: usize) {
         let limit = &self.servers[key].limit;
         if limit.get() == 0 {
@@ -183,27 +189,22 @@
     }
 
     fn finish(&mut self, key: usize, ending: Ending, now_ms: Millis) {
+        if let Ending::Answered { latency_ms } = ending {
+            self.learn_usual(latency_ms as f64);
+        }
         let usual_ms = self.usual_ms;
         self.update(key, |server| {
             debug_assert!(server.in_use > 0, "a slot is given back once");
             server.in_use = server.in_use.saturating_sub(1);
             match ending {
                 Ending::Answered { latency_ms } => {
-                    server.limit.answered(latency_ms, usual_ms.max(1.0), now_ms);
+                    server.limit.answered(latency_ms, usual_ms, now_ms);
                 }
                 Ending::Refused | Ending::Failed => server.limit.refused(server.in_use, now_ms),
                 Ending::Abandoned => {}
             }
         });
-        match ending {
-            Ending::Answered { latency_ms } => {
-                let latency_ms = latency_ms as f64;
-                let weight = if self.usual_ms == 0.0 { 1.0 } else { WEIGHT };
-                self.usual_ms += weight * (latency_ms - self.usual_ms);
-            }
-            Ending::Refused | Ending::Failed => self.rest_if_closed(key),
-            Ending::Abandoned => {}
-        }
+        self.rest_if_closed(key);
     }
 
     /// Changes nothing: the slots taken here are counted exactly, and a report
--- /dev/null
+++ b/crates/azuregate-core/tests/routing/dispatch.rs
@@ -0,0 +1,139 @@
+//! Where a request goes.
+
+use azuregate_core::{
+    error::ErrorKind,
+    route::{
+        Ending,
+        dispatch::{Ask, Refusal, Step},
+    },
+    snapshot::{BackendServer, Liveness, Snapshot},
+    time::Millis,
+};
+
+use crate::world::{Node, instance, server, snapshot, zone};
+
+const ALL: [&str; 4] = ["sofia-a", "sofia-b", "varna-a", "varna-b"];
+
+/// One instance, and one server in each availability zone.
+fn alone(test: &str) -> (Node, Snapshot) {
+    let servers = ALL.map(|zone_name| server(&format!("s-{zone_name}"), zone_name, 1));
+    let snapshot = snapshot(&[instance("entry-1", "sofia-a")], &servers);
+    (Node::new(test, "entry-1", "sofia-a", &snapshot), snapshot)
+}
+
+fn refusal(step: Step) -> Refusal {
+    let Step::Refuse(refusal) = step else { panic!("not refused: {step:?}") };
+    refusal
+}
+
+#[test]
+fn the_nearest_zone_of_the_plan_with_a_free_slot_is_taken() {
+    let (mut node, _) = alone("nearest_zone");
+    let zones: Vec<_> = node
+        .fill(&ALL)
+        .iter()
+        .map(|slot| node.dispatch.group_id(slot.group).zone.to_string())
+        .collect();
+    let expected: Vec<_> = ALL.iter().flat_map(|&zone_name| [zone_name; 3]).collect();
+    assert_eq!(zones, expected);
+}
+
+#[test]
+fn zones_outside_the_plan_get_nothing() {
+    let (mut node, _) = alone("outside_the_plan");
+    assert_eq!(node.fill(&["varna-b"]).len(), 3);
+    let refused = refusal(node.place(&["nowhere"]));
+    assert_eq!(refused.kind, ErrorKind::NoBackend);
+}
+
+// All slots are taken and requests wait. One whose deadline would pass while it
+// waits gets its answer at once, and is told when a slot is likely to be free;
+// one with more time waits.
+#[test]
+fn a_request_that_would_wait_too_long_is_refused_at_once() {
+    let (mut node, _) = alone("wait_too_long");
+    let slots = node.fill(&["sofia-a"]);
+    // Each request holds a slot for 90 ms: three slots give one every 30 ms.
+    node.now_ms = node.now_ms + Millis(90);
+    for slot in &slots {
+        node.dispatch.finish(slot, Ending::Answered { latency_ms: 90 }, node.now_ms);
+    }
+    node.fill(&["sofia-a"]);
+    let plan = [zone("sofia-a")];
+    let cases = [
+        // Wait, time left, what happens.
+        (20, 10_000, Some(ErrorKind::TooLate)),
+        (200, 100, Some(ErrorKind::TooLate)),
+        (200, 10_000, None),
+    ];
+    for (wait_ms, left_ms, expected) in cases {
+        let ask = Ask { wait_ms, left_ms, ..node.ask(&plan) };
+        let step = node.dispatch.place(&ask, node.now_ms, &mut node.rng);
+        match expected {
+            None => assert!(matches!(step, Step::Wait { .. }), "{step:?}"),
+            Some(kind) => {
+                let refused = refusal(step);
+                assert_eq!(refused.kind, kind);
+                assert!((30..=90).contains(&refused.retry_after_ms), "{refused:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn the_queue_is_bounded() {
+    let (mut node, _) = alone("bounded");
+    node.fill(&["sofia-a"]);
+    let mut waiting = 0;
+    let plan = [zone("sofia-a")];
+    loop {
+        let ask = Ask { wait_ms: 60_000, left_ms: 60_000, ..node.ask(&plan) };
+        match node.dispatch.place(&ask, node.now_ms, &mut node.rng) {
+            Step::Wait { .. } => waiting += 1,
+            step => {
+                assert_eq!(refusal(step).kind, ErrorKind::QueueFull);
+                break;
+            }
+        }
+    }
+    assert_eq!(waiting, 12);
+}
+
+// All servers of a zone leave while requests wait for them. The requests get
+// their final answer with the list that says so, not at their deadline.
+#[test]
+fn requests_that_wait_for_a_zone_that_closes_are_refused_at_once() {
+    let (mut node, snapshot) = alone("zone_closes");
+    node.fill(&["sofia-a"]);
+    assert!(matches!(node.place(&["sofia-a"]), Step::Wait { .. }));
+    let leaving: Vec<_> = snapshot
+        .backends
+        .values()
+        .flat_map(|servers| servers.iter().cloned())
+        .map(|server| BackendServer { liveness: Liveness::Leaving, ..server })
+        .collect();
+    let refused = node.dispatch.set_snapshot(&crate::world::snapshot(&[], &leaving));
+    assert_eq!(refused.len(), 1);
+    assert!(refused.iter().all(|(_, refusal)| refusal.kind == ErrorKind::NoBackend));
+    assert_eq!(refusal(node.place(&ALL)).kind, ErrorKind::NoBackend);
+}
+
+// A server starts again with empty caches. Sent all it can hold, it would answer
+// all of it slowly; it gets one request, and more as it answers.
+#[test]
+fn a_server_that_started_again_is_loaded_slowly() {
+    let (mut node, snapshot) = alone("started_again");
+    let instances = [instance("entry-1", "sofia-a")];
+    let again = [server("s-sofia-a", "sofia-a", 2)];
+    assert_eq!(snapshot.instances.len(), 1);
+    node.dispatch.set_snapshot(&crate::world::snapshot(&instances, &again));
+    let mut held = Vec::new();
+    for expected in [1, 2, 3] {
+        held.extend(node.fill(&["sofia-a"]));
+        assert_eq!(held.len(), expected);
+        node.now_ms = node.now_ms + Millis(20);
+        for slot in held.drain(..) {
+            node.dispatch.finish(&slot, Ending::Answered { latency_ms: 20 }, node.now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuregate-core/tests/routing/handing_over.rs
@@ -0,0 +1,252 @@
+//! What instances do with each other's groups.
+
+use std::collections::VecDeque;
+
+use azuregate_core::{
+    names::InstanceId,
+    route::{
+        Ending,
+        dispatch::{Slot, Step},
+        group::GroupId,
+    },
+    snapshot::Snapshot,
+    time::Millis,
+};
+
+use crate::world::{Node, instance, server, snapshot, zone};
+
+/// Two instances in two availability zones, each with one server.
+fn pair() -> Snapshot {
+    let instances = [instance("entry-1", "sofia-a"), instance("entry-2", "sofia-b")];
+    snapshot(&instances, &[server("s1", "sofia-a", 1), server("s2", "sofia-b", 1)])
+}
+
+fn group(zone_name: &str) -> GroupId {
+    GroupId { zone: zone(zone_name), part: 0 }
+}
+
+fn id(name: &str) -> InstanceId {
+    InstanceId::new(name)
+}
+
+/// Hands a request of `from` over to `to`, as the wire would.
+fn arrive(from: &str, to: &mut Node, zone_name: &str) -> Step {
+    let ask = to.ask(&[]);
+    let (now_ms, rng) = (to.now_ms, &mut to.rng);
+    to.dispatch.place_handed(&id(from), &group(zone_name), &ask, now_ms, rng)
+}
+
+/// Brings back the word of `from` about its group.
+fn answer(from: &mut Node, from_id: &str, to: &mut Node, to_id: &str, zone_name: &str) {
+    let load = from.dispatch.word_for(&id(to_id), &group(zone_name), from.now_ms).unwrap();
+    to.dispatch.hear(&id(from_id), &group(zone_name), load, false, to.now_ms);
+}
+
+#[test]
+fn each_group_is_dispatched_by_an_instance_of_its_zone() {
+    let snapshot = pair();
+    let mut first = Node::new("own_zone", "entry-1", "sofia-a", &snapshot);
+    first.serve(&["sofia-a"]);
+    let hand_over = first.hand_over(&["sofia-b"]);
+    assert_eq!(first.dispatch.dispatcher_id(&hand_over).as_str(), "entry-2");
+}
+
+// The dispatcher said that three slots were free. Its next word takes a while.
+// Without counting what was sent since, all requests of that while would go
+// there and wait, and the other zone's slots would stay idle.
+#[test]
+fn what_was_sent_since_the_last_word_is_taken_off() {
+    let snapshot = pair();
+    let mut first = Node::new("sent_since", "entry-1", "sofia-a", &snapshot);
+    let mut second = Node::new("sent_since_2", "entry-2", "sofia-b", &snapshot);
+    first.hand_over(&["sofia-b"]);
+    assert!(matches!(arrive("entry-1", &mut second, "sofia-b"), Step::Serve(_)));
+    answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
+    for _ in 0..2 {
+        first.hand_over(&["sofia-b", "sofia-a"]);
+    }
+    first.serve(&["sofia-b", "sofia-a"]);
+}
+
+// A word that is old says nothing of free slots any more: it may lower what is
+// sent, but never lets through more than this instance's even share.
+#[test]
+fn an_old_word_only_lowers_what_is_sent() {
+    let snapshot = pair();
+    let mut first = Node::new("old_word", "entry-1", "sofia-a", &snapshot);
+    let mut second = Node::new("old_word_2", "entry-2", "sofia-b", &snapshot);
+    let probe = first.hand_over(&["sofia-b"]);
+    arrive("entry-1", &mut second, "sofia-b");
+    answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
+    let ending = Ending::Answered { latency_ms: 20 };
+    first.dispatch.finish_hand_over(&probe, ending, first.now_ms);
+    first.now_ms = first.now_ms + Millis(1_000);
+    // Two of the three slots are an even share of two instances; the word says
+    // that two are free.
+    for _ in 0..2 {
+        first.hand_over(&["sofia-b", "sofia-a"]);
+    }
+    first.serve(&["sofia-b", "sofia-a"]);
+}
+
+// The sender's list is behind: it takes this instance for the dispatcher of a
+// group that another dispatches here. Passing the request on could lead it back,
+// and round for ever; it is served here or refused.
+#[test]
+fn a_request_that_was_handed_over_goes_no_further() {
+    let snapshot = pair();
+    let mut first = Node::new("second_hop", "entry-1", "sofia-a", &snapshot);
+    assert!(matches!(first.place(&["sofia-b"]), Step::HandOver(_)));
+    let mut steps = Vec::new();
+    for _ in 0..40 {
+        steps.push(arrive("entry-2", &mut first, "sofia-b"));
+    }
+    let handed_on = steps.iter().filter(|step| matches!(step, Step::HandOver(_))).count();
+    let served = steps.iter().filter(|step| matches!(step, Step::Serve(_))).count();
+    let refused = steps.iter().filter(|step| matches!(step, Step::Refuse(_))).count();
+    assert_eq!((handed_on, served), (0, 3));
+    assert!(refused > 0, "the queue is bounded");
+}
+
+// The dispatcher of a zone dies. The request that found out is tried again, and
+// goes to the next in order at once. Later one request alone asks whether the
+// dispatcher is back; when that is answered, all go there again.
+#[test]
+fn a_dispatcher_that_does_not_answer_is_passed_over_and_tried_again() {
+    let snapshot = pair();
+    let mut first = Node::new("passed_over", "entry-1", "sofia-a", &snapshot);
+    let failed = first.hand_over(&["sofia-b"]);
+    first.dispatch.finish_hand_over(&failed, Ending::Failed, first.now_ms);
+    first.serve(&["sofia-b"]);
+    first.now_ms = first.now_ms + Millis(999);
+    first.serve(&["sofia-b"]);
+    first.now_ms = first.now_ms + Millis(1);
+    let probe = first.hand_over(&["sofia-b"]);
+    first.serve(&["sofia-b"]);
+    let mut second = Node::new("passed_over_2", "entry-2", "sofia-b", &snapshot);
+    arrive("entry-1", &mut second, "sofia-b");
+    answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
+    first.dispatch.finish_hand_over(&probe, Ending::Answered { latency_ms: 9 }, first.now_ms);
+    first.hand_over(&["sofia-b"]);
+}
+
+/// Lets time pass in ticks; returns whether any dispatcher was found silent.
+fn pass(node: &mut Node, ms: u64) -> bool {
+    let mut silent = false;
+    for _ in 0..ms / 50 {
+        node.now_ms = node.now_ms + Millis(50);
+        silent |= !node.dispatch.tick(node.now_ms).1.is_empty();
+    }
+    silent
+}
+
+// A dispatcher freezes: its connections stay open and nothing comes back. It had
+// spoken by frames, which come every 200 ms while it holds requests, so after
+// 500 ms of silence it is passed over; its requests are told.
+#[test]
+fn a_dispatcher_that_goes_silent_is_passed_over() {
+    let snapshot = pair();
+    let mut first = Node::new("silent", "entry-1", "sofia-a", &snapshot);
+    let mut second = Node::new("silent_2", "entry-2", "sofia-b", &snapshot);
+    pass(&mut first, 50);
+    first.hand_over(&["sofia-b"]);
+    arrive("entry-1", &mut second, "sofia-b");
+    for _ in 0..20 {
+        second.now_ms = second.now_ms + Millis(50);
+        for word in second.dispatch.tick(second.now_ms).0 {
+            first.dispatch.hear(&id("entry-2"), &word.group, word.load, true, first.now_ms);
+        }
+        assert!(!pass(&mut first, 50), "it speaks while it holds the request");
+    }
+    assert!(pass(&mut first, 600));
+    first.serve(&["sofia-b"]);
+}
+
+// This process was paused. On waking, all others look silent, since what they
+// said is still unread; passing them over would make it dispatch for everybody.
+#[test]
+fn a_pause_of_this_process_is_not_taken_for_the_silence_of_others() {
+    let snapshot = pair();
+    let mut first = Node::new("own_pause", "entry-1", "sofia-a", &snapshot);
+    let mut second = Node::new("own_pause_2", "entry-2", "sofia-b", &snapshot);
+    pass(&mut first, 50);
+    first.hand_over(&["sofia-b"]);
+    arrive("entry-1", &mut second, "sofia-b");
+    let load = second.dispatch.word_for(&id("entry-1"), &group("sofia-b"), second.now_ms).unwrap();
+    first.dispatch.hear(&id("entry-2"), &group("sofia-b"), load, true, first.now_ms);
+    first.now_ms = first.now_ms + Millis(30_000);
+    assert!(first.dispatch.tick(first.now_ms).1.is_empty());
+    first.hand_over(&["sofia-b"]);
+}
+
+// The dispatcher is replaced by a new start that has seen none of what was sent
+// to the old one. Comparing the counts would make it look full for ever.
+#[test]
+fn a_dispatcher_that_started_again_does_not_look_full() {
+    let snapshot = pair();
+    let mut first = Node::new("new_start", "entry-1", "sofia-a", &snapshot);
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        held.push(first.hand_over(&["sofia-b"]));
+    }
+    for (start, seen) in [(1, 2), (2, 0)] {
+        let load = azuregate_core::route::group::GroupLoad {
+            start: azuregate_core::names::StartNumber(start),
+            free: 2,
+            slots: 3,
+            service_ms: 20,
+            seen,
+            ..Default::default()
+        };
+        first.dispatch.hear(&id("entry-2"), &group("sofia-b"), load, true, first.now_ms);
+    }
+    for _ in 0..2 {
+        first.hand_over(&["sofia-b", "sofia-a"]);
+    }
+    first.serve(&["sofia-b", "sofia-a"]);
+}
+
+/// A backend server of three slots that refuses what does not fit.
+#[derive(Default)]
+struct Backend {
+    /// When each request in progress is done, by instance.
+    running: VecDeque<(Millis, usize, Slot)>,
+}
+
+// Two instances do not see each other and both dispatch for the same server.
+// Each counts only its own requests, so the server refuses some; the refusals
+// lower both limits, and no request runs that does not fit.
+#[test]
+fn two_dispatchers_for_one_group_are_held_by_the_refusals() {
+    let server = [server("s1", "sofia-a", 1)];
+    let list = |me: &str| snapshot(&[instance(me, "sofia-a")], &server);
+    let mut nodes = [
+        Node::new("doubled_1", "entry-1", "sofia-a", &list("entry-1")),
+        Node::new("doubled_2", "entry-2", "sofia-a", &list("entry-2")),
+    ];
+    let mut backend = Backend::default();
+    let (mut ran, mut refused, mut busy_ms) = (0, 0, 0);
+    for ms in 0..10_000 {
+        let now_ms = Millis(1_000 + ms);
+        while backend.running.front().is_some_and(|(done_ms, ..)| *done_ms <= now_ms) {
+            let (_, of, slot) = backend.running.pop_front().unwrap();
+            let ending = Ending::Answered { latency_ms: 20 };
+            nodes[of].dispatch.finish(&slot, ending, now_ms);
+        }
+        for (of, node) in nodes.iter_mut().enumerate() {
+            node.now_ms = now_ms;
+            for slot in node.fill(&["sofia-a"]) {
+                if backend.running.len() >= 3 {
+                    refused += 1;
+                    node.dispatch.finish(&slot, Ending::Refused, now_ms);
+                } else {
+                    ran += 1;
+                    backend.running.push_back((now_ms + Millis(20), of, slot));
+                }
+            }
+        }
+        busy_ms += backend.running.len();
+    }
+    assert!(refused * 10 <= ran, "{refused} refused, {ran} ran");
+    assert!(busy_ms >= 20_000, "{busy_ms} of 30000 ms of slots in use");
+}
--- /dev/null
+++ b/crates/azuregate-core/tests/routing/links.rs
@@ -0,0 +1,85 @@
+//! The budget of links between regions.
+
+use azuregate_core::{
+    error::ErrorKind,
+    names::RegionName,
+    route::{
+        dispatch::{Ask, Step},
+        link::Links,
+    },
+    snapshot::{InstanceList, Snapshot},
+    time::Millis,
+};
+
+use crate::world::{Node, instance, server, topology, zone};
+
+const SECOND_MS: Millis = Millis(1_000);
+
+fn links(mbit_per_s: u64) -> (Links, usize) {
+    let instances = [instance("entry-1", "sofia-a"), instance("entry-2", "varna-a")];
+    let mut links = Links::default();
+    links.set(&topology(mbit_per_s), &RegionName::new("sofia"), &instances);
+    let link = links.to(&RegionName::new("varna")).unwrap();
+    (links, link)
+}
+
+#[test]
+fn there_is_no_link_to_the_own_region() {
+    let (links, _) = links(8);
+    assert_eq!(links.to(&RegionName::new("sofia")), None);
+}
+
+// 8 Mbit/s are 1,000,000 bytes a second; two instances share them.
+#[test]
+fn bytes_of_the_last_second_and_bytes_in_progress_count() {
+    let (mut links, link) = links(8);
+    links.passed(link, 400_000, 0, Millis(0));
+    let booking = links.room(link, 90_000, Millis(0)).expect("490,000 of 500,000 bytes");
+    links.book(booking);
+    assert_eq!(links.room(link, 90_000, Millis(0)), None);
+    links.release(booking);
+    assert!(links.room(link, 90_000, Millis(0)).is_some());
+    assert_eq!(links.room(link, 110_000, Millis(900)), None);
+    assert!(links.room(link, 110_000, SECOND_MS).is_some());
+}
+
+#[test]
+fn answers_count_the_other_way() {
+    let (mut links, link) = links(8);
+    links.passed(link, 0, 499_000, Millis(0));
+    assert_eq!(links.room(link, 0, Millis(0)), None);
+}
+
+// A body larger than a second's share would never find room.
+#[test]
+fn a_large_body_books_no_more_than_a_quarter() {
+    let (mut links, link) = links(8);
+    for _ in 0..3 {
+        let booking = links.room(link, 50_000_000, Millis(0)).unwrap();
+        links.book(booking);
+    }
+    assert!(links.room(link, 50_000_000, Millis(0)).is_some());
+    links.passed(link, 200_000, 0, Millis(0));
+    assert_eq!(links.room(link, 50_000_000, Millis(0)), None);
+}
+
+// The slots of this region are taken, those of the other are free, and the link
+// is full. The request is told when to come back; it does not cross.
+#[test]
+fn nothing_crosses_a_link_without_room() {
+    let instances = vec![instance("entry-1", "sofia-a")];
+    let mut snapshot = Snapshot::empty(std::sync::Arc::new(topology(8)));
+    let backends = vec![server("s1", "varna-a", 1)];
+    snapshot.set_list(InstanceList { instances, backends });
+    let mut node = Node::new("no_room", "entry-1", "sofia-a", &snapshot);
+    let slot = node.serve(&["varna-a"]);
+    let link = slot.booking.expect("it crosses a link").link;
+    node.dispatch.passed(link, 999_999, 0, node.now_ms);
+    let plan = [zone("varna-a")];
+    let ask = Ask { up_bytes: 2, ..node.ask(&plan) };
+    let step = node.dispatch.place(&ask, node.now_ms, &mut node.rng);
+    let Step::Refuse(refusal) = step else { panic!("{step:?}") };
+    assert_eq!(refusal.kind, ErrorKind::QueueFull);
+    node.now_ms = node.now_ms + SECOND_MS;
+    assert!(matches!(node.place(&["varna-a"]), Step::Serve(_)));
+}
--- /dev/null
+++ b/crates/azuregate-core/tests/routing/world.rs
@@ -0,0 +1,129 @@
+//! A small deployment as plain values.
+
+use std::sync::Arc;
+
+use azuregate_core::{
+    names::{BackendId, InstanceId, RegionName, ServiceName, StartNumber, ZoneName},
+    route::{
+        SlotTable,
+        dispatch::{Ask, Config, Dispatch, Grouping, HandOver, Slot, Step},
+        hash,
+    },
+    snapshot::{BackendServer, Instance, InstanceList, Liveness, Snapshot},
+    time::Millis,
+    topology::{Region, Topology},
+};
+
+pub(crate) const SERVICE: &str = "starter-desk";
+
+/// A generator whose seed follows from the test's name.
+pub(crate) fn rng(test: &str) -> fastrand::Rng {
+    fastrand::Rng::with_seed(hash::score(&[test]))
+}
+
+pub(crate) fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name)
+}
+
+/// Two regions with two availability zones each.
+pub(crate) fn topology(link_mbit_per_s: u64) -> Topology {
+    let region = |name: &str| Region {
+        name: RegionName::new(name),
+        zones: ["a", "b"].map(|part| zone(&format!("{name}-{part}"))).to_vec(),
+    };
+    Topology {
+        regions: vec![region("sofia"), region("varna")],
+        zone_delay_ms: 4,
+        region_delay_ms: 20,
+        link_mbit_per_s,
+    }
+}
+
+pub(crate) fn server(id: &str, zone_name: &str, start: u64) -> BackendServer {
+    BackendServer {
+        id: BackendId::new(id),
+        service: ServiceName::new(SERVICE),
+        zone: zone(zone_name),
+        addr: "127.0.0.1:9000".parse().unwrap(),
+        start: StartNumber(start),
+        slots: 3,
+        liveness: Liveness::Live,
+    }
+}
+
+pub(crate) fn instance(id: &str, zone_name: &str) -> Instance {
+    Instance {
+        id: InstanceId::new(id),
+        zone: zone(zone_name),
+        ip: "127.0.0.1".parse().unwrap(),
+        traffic_port: 8080,
+        peer_port: 8081,
+        liveness: Liveness::Live,
+    }
+}
+
+pub(crate) fn snapshot(instances: &[Instance], backends: &[BackendServer]) -> Snapshot {
+    let mut snapshot = Snapshot::empty(Arc::new(topology(4_000)));
+    let (instances, backends) = (instances.to_vec(), backends.to_vec());
+    snapshot.set_list(InstanceList { instances, backends });
+    snapshot
+}
+
+/// The dispatch of one instance, its clock and its randomness.
+pub(crate) struct Node {
+    pub(crate) dispatch: Dispatch,
+    pub(crate) now_ms: Millis,
+    pub(crate) rng: fastrand::Rng,
+    ticket: u64,
+}
+
+impl Node {
+    pub(crate) fn new(test: &str, me: &str, zone_name: &str, snapshot: &Snapshot) -> Node {
+        let mut dispatch = Dispatch::new(Config {
+            service: ServiceName::new(SERVICE),
+            me: InstanceId::new(me),
+            zone: zone(zone_name),
+            start: StartNumber(1),
+            grouping: Grouping::Zones,
+            make_router: Box::new(|| Box::new(SlotTable::default())),
+        });
+        dispatch.set_snapshot(snapshot);
+        Node { dispatch, now_ms: Millis(1_000), rng: rng(test), ticket: 0 }
+    }
+
+    pub(crate) fn ask<'a>(&mut self, plan: &'a [ZoneName]) -> Ask<'a> {
+        self.ticket += 1;
+        Ask { ticket: self.ticket, plan, wait_ms: 200, left_ms: 10_000, up_bytes: 0 }
+    }
+
+    pub(crate) fn place(&mut self, zones: &[&str]) -> Step {
+        let plan: Vec<_> = zones.iter().map(|name| zone(name)).collect();
+        let ask = self.ask(&plan);
+        self.dispatch.place(&ask, self.now_ms, &mut self.rng)
+    }
+
+    pub(crate) fn serve(&mut self, zones: &[&str]) -> Slot {
+        match self.place(zones) {
+            Step::Serve(slot) => slot,
+            step => panic!("not served here: {step:?}"),
+        }
+    }
+
+    pub(crate) fn hand_over(&mut self, zones: &[&str]) -> HandOver {
+        match self.place(zones) {
+            Step::HandOver(hand_over) => hand_over,
+            step => panic!("not handed over: {step:?}"),
+        }
+    }
+
+    /// Takes slots until none is free.
+    pub(crate) fn fill(&mut self, zones: &[&str]) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        while let Step::Serve(slot) = self.place(zones) {
+            slots.push(slot);
+        }
+        // The last one found none; it does not wait.
+        self.dispatch.give_up(self.ticket);
+        slots
+    }
+}
