Tell outcomes apart on the way to a backend server; claim keys in two forms

Cause: the thin path buffered no body (a refused order could not go elsewhere), kept a cancelled connection's task alive, let an answer stall for ever, pooled a connection whose request was still being sent, and answered not-run to a keyed request whose earlier sending nobody had looked up.

Change: small bodies are held for another attempt, large ones stream; the body on its way out is watched; dropping a connection closes it; answers obey the deadline; a read on a silent pooled connection is tried again on a new one, within a budget. Claims settle as answer, not kept or unknown; a claim given up is deleted in the background; a key may belong to one start of one instance (Azuregate-Home), with no write to the platform.

Ruled out by reading hyper 1.12: try_send_request hands the message back only while it is still queued (client/dispatch.rs, Envelope::drop and h1 Client::recv_msg), so 'not sent' holds.

--- a/crates/azuregate-core/src/entries.rs
+++ b/crates/azuregate-core/src/entries.rs
@@ -30,6 +30,10 @@
     pub addr: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// What to send as `Azuregate-Home` with an idempotency key, in the first
+    /// request and in each repeat; absent while its start is not known here.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub home: Option<String>,
 }
 
 /// The entry instances that take new work, nearest to `zone` first.
@@ -54,6 +58,7 @@
             id: instance.id.clone(),
             addr: instance.traffic_addr(),
             zone: instance.zone.clone(),
+            home: None,
         })
         .collect();
     Entries { service: service.clone(), entries }
--- a/crates/azuregate-core/src/error.rs
+++ b/crates/azuregate-core/src/error.rs
@@ -118,18 +118,37 @@
     DeadlineAfterSend => 504, Unknown, None, Never, "deadline-after-send";
     /// The connection broke after bytes had left, before an answer.
     BackendLost => 502, Unknown, None, IfIdempotent, "backend-lost";
-    /// The caller's own body ended early.
+    /// The backend server answered with something that is not HTTP.
+    BackendInvalid => 502, Unknown, None, IfIdempotent, "backend-invalid";
+    /// The answer broke off or stalled. Its head is with the caller already, so
+    /// the caller sees its connection cut.
+    AnswerCut => 502, Unknown, None, Never, "answer-cut";
+    /// The caller's body ended early or stalled before any byte left for a
+    /// backend server.
+    BodyIncomplete => 400, NotRun, None, Never, "body-incomplete";
+    /// The caller's body ended early after bytes had left for a backend server.
     CallerLost => 400, Unknown, None, Never, "caller-lost";
     /// The claim could not be made, and was certainly not made.
     ClaimNotMade => 503, NotRun, Some(1), Never, "claim-not-made";
+    /// It is not known whether the claim was made; nothing was sent.
+    ClaimUnknown => 503, NotRun, Some(1), Never, "claim-unknown";
+    /// No room for another claim until older ones pass their retention.
+    ClaimsFull => 503, NotRun, Some(1), Never, "claims-full";
     /// The claim belongs to a request that is in progress.
     ClaimInProgress => 409, Unknown, Some(1), Never, "claim-in-progress";
-    /// The claim's owner is gone, and nobody knows whether the request ran.
+    /// The claim's owner is gone or never learnt what became of the request.
     ClaimOrphaned => 409, Unknown, None, Never, "claim-orphaned";
+    /// The request ran, but its answer was too large to keep or is kept no
+    /// longer.
+    AnswerNotKept => 409, Unknown, None, Never, "answer-not-kept";
     /// The key was used before for a different request.
     ClaimMismatch => 422, NotRun, None, Never, "claim-mismatch";
-    /// It is not known whether the claim was made.
-    ClaimUnknown => 503, NotRun, Some(1), Never, "claim-unknown";
+    /// The home of the key is gone, and with it what it knew of the key.
+    HomeGone => 409, Unknown, None, Never, "home-gone";
+    /// The home of the key cannot be reached, or did not answer.
+    HomeUnreachable => 503, Unknown, Some(1), Never, "home-unreachable";
+    /// The home was named too long ago for the key to be known still.
+    HomeExpired => 409, Unknown, None, Never, "home-expired";
     /// A defect in azuregate.
     Internal => 500, Unknown, None, Never, "internal";
 }
@@ -146,12 +165,13 @@
     kind: ErrorKind,
     detail: String,
     retry_after_ms: Option<u64>,
+    earlier_unknown: bool,
 }
 
 impl Error {
     /// Makes an error; `detail` says what happened and where.
     pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Error {
-        Error { kind, detail: detail.into(), retry_after_ms: None }
+        Error { kind, detail: detail.into(), retry_after_ms: None, earlier_unknown: false }
     }
 
     /// Sets a better time to come back than the table's, in milliseconds.
@@ -160,6 +180,23 @@
         self
     }
 
+    /// Marks the error of a request whose idempotency key may have been used
+    /// before, which nobody could look up.
+    ///
+    /// The failure: a caller lost the answer to an order that ran, sends it
+    /// again, and is refused before its claim was read. `not-run` would be true
+    /// of the second sending alone; the caller would order anew under another
+    /// key. Hence such a refusal says `unknown`, and the same key stays safe.
+    pub fn with_earlier_unknown(mut self) -> Error {
+        self.earlier_unknown = true;
+        self
+    }
+
+    /// What the caller may conclude.
+    pub fn outcome(&self) -> Outcome {
+        if self.earlier_unknown { Outcome::Unknown } else { self.kind.answer().outcome }
+    }
+
     /// The row of the table that applies.
     pub fn kind(&self) -> ErrorKind {
         self.kind
--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -22,15 +22,19 @@
 * [`route`] chooses a backend server for one request.
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
+* [`home`] decides the same for keys that belong to one start of an instance.
 * [`entries`] answers which entry instances a caller should use.
+* [`retry`] bounds retries and knows the usual time of an answer.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
 pub mod claim;
 pub mod entries;
 pub mod error;
+pub mod home;
 pub mod names;
 pub mod policy;
+pub mod retry;
 pub mod route;
 pub mod snapshot;
 pub mod steer;
--- a/crates/azuregate/src/backend/http.rs
+++ b/crates/azuregate/src/backend/http.rs
@@ -9,10 +9,10 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpSocket;
+use tokio::{net::TcpSocket, task::AbortHandle};
 
 use crate::{
-    backend::{BackendConn, BackendDialer, SendError},
+    backend::{BackendConn, BackendDialer, SendCause, SendError},
     body::Body,
 };
 
@@ -32,33 +32,40 @@
         stream.set_nodelay(true)?;
         let (sender, conn) =
             http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        // The task owns the socket; it ends when the sender is dropped and the
-        // exchange is over, or when the backend server closes.
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!(addr:% = addr, error:% = e; "backend connection ended");
             }
         });
-        Ok(Box::new(HttpConn { sender }))
+        Ok(Box::new(HttpConn { sender, task: task.abort_handle() }))
     }
 }
 
 struct HttpConn {
     sender: http1::SendRequest<Body>,
+    /// The task that owns the socket.
+    task: AbortHandle,
 }
 
 #[async_trait]
 impl BackendConn for HttpConn {
     async fn send(&mut self, request: Request<Body>) -> Result<Response<Body>, SendError> {
         if let Err(e) = self.sender.ready().await {
-            return Err(SendError { sent: false, detail: e.to_string() });
+            return Err(SendError { cause: SendCause::NotSent, detail: e.to_string() });
         }
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response.map(|body| body.map_err(Into::into).boxed_unsync())),
             Err(mut e) => {
-                // hyper hands the request back only if it did not start on it.
-                let sent = e.take_message().is_none();
-                Err(SendError { sent, detail: e.into_error().to_string() })
+                // hyper hands the request back only while it is still queued. Once
+                // its task took it, even before the first write, it does not.
+                let queued = e.take_message().is_some();
+                let e = e.into_error();
+                let cause = match () {
+                    () if queued => SendCause::NotSent,
+                    () if e.is_parse() => SendCause::Invalid,
+                    () => SendCause::Lost,
+                };
+                Err(SendError { cause, detail: e.to_string() })
             }
         }
     }
@@ -67,3 +74,15 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 }
+
+impl Drop for HttpConn {
+    /// Closes the socket at once.
+    ///
+    /// The failure: a caller left or a deadline passed, and the backend server
+    /// works on for nobody, since hyper's task would go on sending the body and
+    /// waiting. The closed connection is the only cancellation that a backend
+    /// server sees. A connection whose exchange is over loses nothing.
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/crates/azuregate/src/backend/mod.rs
+++ b/crates/azuregate/src/backend/mod.rs
@@ -48,8 +48,19 @@
 /// A request that got no answer on its connection.
 #[derive(Debug)]
 pub struct SendError {
-    /// Whether any byte of the request may have left for the backend server.
-    pub sent: bool,
+    /// What is known of the request.
+    pub cause: SendCause,
     /// What happened.
     pub detail: String,
 }
+
+/// What is known of a request that got no answer.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum SendCause {
+    /// No byte of it left for the backend server.
+    NotSent,
+    /// Bytes of it may have left, and then the connection broke.
+    Lost,
+    /// Bytes of it may have left, and what came back is not HTTP.
+    Invalid,
+}
--- a/crates/azuregate/src/body.rs
+++ b/crates/azuregate/src/body.rs
@@ -1,7 +1,18 @@
 //! The body type that all parts of the request path share.
 
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    task::{Context, Poll},
+};
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use tokio::time::{self, Instant, Sleep};
 
 /// What can go wrong while a body streams.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -37,3 +48,104 @@
     }
     Ok(collected.freeze())
 }
+
+/// How far a body has got on its way out; shared with the one who sent it.
+#[derive(Clone, Debug)]
+pub struct Progress(Arc<AtomicU8>);
+
+const OPEN: u8 = 0;
+const ENDED: u8 = 1;
+const BROKEN: u8 = 2;
+
+impl Progress {
+    /// Whether the whole body was taken.
+    pub fn is_ended(&self) -> bool {
+        self.0.load(Ordering::Acquire) == ENDED
+    }
+
+    /// Whether the body itself failed: its sender is at fault, and not the
+    /// receiver.
+    pub fn is_broken(&self) -> bool {
+        self.0.load(Ordering::Acquire) == BROKEN
+    }
+}
+
+/// Watches how far `inner` gets.
+pub fn watched(inner: Body) -> (Body, Progress) {
+    let state = if inner.is_end_stream() { ENDED } else { OPEN };
+    let progress = Progress(Arc::new(AtomicU8::new(state)));
+    (Watched { inner, progress: progress.clone() }.boxed_unsync(), progress)
+}
+
+struct Watched {
+    inner: Body,
+    progress: Progress,
+}
+
+impl HttpBody for Watched {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        let state = match &polled {
+            Poll::Pending => OPEN,
+            Poll::Ready(Some(Err(_))) => BROKEN,
+            Poll::Ready(Some(Ok(_))) if !self.inner.is_end_stream() => OPEN,
+            Poll::Ready(Some(Ok(_)) | None) => ENDED,
+        };
+        if state != OPEN {
+            self.progress.0.store(state, Ordering::Release);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Ends `inner` with an error if it is not whole by `deadline`.
+///
+/// The failure: a sender stalls in the middle of its body, and whoever reads it
+/// holds a slot, a connection and a caller for good.
+pub fn with_deadline(inner: Body, deadline: Instant) -> Body {
+    let expiry = Box::pin(time::sleep_until(deadline));
+    Timed { inner, expiry }.boxed_unsync()
+}
+
+struct Timed {
+    inner: Body,
+    expiry: Pin<Box<Sleep>>,
+}
+
+impl HttpBody for Timed {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        if polled.is_pending() && self.expiry.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err("the body was not whole by the deadline".into())));
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/claims/rows.rs
@@ -0,0 +1,206 @@
+//! Claims as rows of the platform.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use azuregate_core::{
+    claim::{self, AttemptId, Claim, KeptBody, Settled, Verdict},
+    error::{Error, ErrorKind},
+    names::{InstanceId, StartNumber},
+    time::Millis,
+};
+use bytes::Bytes;
+use tokio::time;
+
+use crate::{
+    claims::{
+        Wanted, until,
+        upkeep::{Upkeep, Work},
+    },
+    clock::SharedClock,
+    config::Snapshots,
+    platform::{Commit, Effect, Expect, PlatformError, SharedPlatform, Table, Write},
+};
+
+/// The largest answer body that is kept in the row itself, in bytes.
+const INLINE_LIMIT_BYTES: usize = 4 << 10;
+/// How often a claim with an unknown effect is tried again.
+const CLAIM_ATTEMPTS: usize = 3;
+/// How long past its deadline an owner may still write the answer.
+const SETTLE_GRACE_MS: u64 = 10_000;
+
+/// Who makes claims.
+#[derive(Clone, Debug)]
+pub(crate) struct Owner {
+    pub(crate) instance: InstanceId,
+    pub(crate) start: StartNumber,
+}
+
+/// Makes and settles claim rows.
+pub(crate) struct Rows {
+    platform: SharedPlatform,
+    clock: SharedClock,
+    snapshots: Snapshots,
+    owner: Owner,
+    sequence: AtomicU64,
+    upkeep: Upkeep,
+}
+
+/// A row that a request holds while it runs.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldRow {
+    pub(crate) key: String,
+    pub(crate) row_version: u64,
+    pub(crate) claim: Claim,
+}
+
+impl Rows {
+    /// Starts the task that catches up on writes that failed.
+    pub(crate) fn start(
+        platform: SharedPlatform,
+        clock: SharedClock,
+        snapshots: Snapshots,
+        owner: Owner,
+    ) -> Rows {
+        let upkeep = Upkeep::start(Arc::clone(&platform), clock.clone());
+        Rows { platform, clock, snapshots, owner, sequence: AtomicU64::new(0), upkeep }
+    }
+
+    /// Inserts the claim of a request, or judges the one that is there.
+    pub(crate) async fn claim(&self, wanted: Wanted<'_>) -> Result<(Verdict, HeldRow), Error> {
+        let attempt = AttemptId {
+            instance: self.owner.instance.clone(),
+            start: self.owner.start,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+        };
+        let made_at_ms = self.clock.epoch();
+        let until_ms = until(made_at_ms, wanted.remaining_ms + SETTLE_GRACE_MS);
+        let fingerprint = wanted.fingerprint;
+        let claim = Claim { attempt, fingerprint, made_at_ms, until_ms, settled: None };
+        let key = format!("{}/{}", wanted.service, wanted.key);
+        let held = HeldRow { key, row_version: 1, claim };
+        let limit = Duration::from_millis(wanted.remaining_ms);
+        let inserted = time::timeout(limit, self.insert(held.clone())).await;
+        inserted.unwrap_or_else(|_| {
+            self.upkeep.add(Work::Release(held));
+            Err(unsure(ErrorKind::ClaimUnknown, "no time left to claim the key"))
+        })
+    }
+
+    /// Inserting again is safe: the row tells by its attempt whether an insert
+    /// whose answer was lost had taken effect.
+    async fn insert(&self, mut held: HeldRow) -> Result<(Verdict, HeldRow), Error> {
+        let write = held.write(Expect::Absent)?;
+        let mut may_be_there = false;
+        let mut detail = "the claim changed hands".to_owned();
+        for _ in 0..CLAIM_ATTEMPTS {
+            match self.platform.transact(std::slice::from_ref(&write)).await {
+                Ok(Commit::Done(versions)) => {
+                    held.row_version = versions.first().copied().unwrap_or(1);
+                    return Ok((Verdict::Run, held));
+                }
+                Ok(Commit::Conflict { row: Some(row), .. }) => {
+                    let there: Claim = serde_json::from_value(row.value).map_err(internal)?;
+                    held.row_version = row.version;
+                    let live = self.may_run_still(&there);
+                    let mine = &held.claim;
+                    let verdict = claim::judge(&there, &mine.attempt, mine.fingerprint, live);
+                    return Ok((verdict, held));
+                }
+                Ok(Commit::Conflict { row: None, .. }) => {}
+                Err(e) => {
+                    may_be_there |= e.effect() == Effect::Unknown;
+                    detail = e.to_string();
+                }
+            }
+        }
+        if !may_be_there {
+            return Err(unsure(ErrorKind::ClaimNotMade, detail));
+        }
+        // Nothing was sent under this claim, so it must not stand in the way of
+        // the repeat.
+        self.upkeep.add(Work::Release(held));
+        Err(unsure(ErrorKind::ClaimUnknown, detail))
+    }
+
+    /// Whether the owner of a claim may still be at work on it. The answer never
+    /// lets anyone else run the request; it only words the refusal.
+    fn may_run_still(&self, claim: &Claim) -> bool {
+        let owner = &claim.attempt;
+        let other_start = owner.instance == self.owner.instance && owner.start != self.owner.start;
+        let snapshot = self.snapshots.current();
+        let listed = snapshot.instances.iter().any(|instance| instance.id == owner.instance);
+        listed && !other_start && self.clock.epoch() <= claim.until_ms
+    }
+
+    /// Keeps how a request ended, later if the platform cannot take it now.
+    pub(crate) async fn settle(
+        &self,
+        mut held: HeldRow,
+        mut settled: Settled,
+        body: Option<Bytes>,
+    ) {
+        let mut object = None;
+        if let Settled::Answer(kept) = &mut settled
+            && let Some(bytes) = body.filter(|bytes| bytes.len() > INLINE_LIMIT_BYTES)
+        {
+            // The name holds the attempt, so that no two requests share one.
+            let name = format!("answer/{}/{}", held.key, held.claim.attempt);
+            kept.body = KeptBody::Object(name.clone());
+            object = Some((name, bytes));
+        }
+        held.claim.settled = Some(settled);
+        let work = Work::Settle { held, object };
+        if let Err(e) = work.run(self.platform.as_ref()).await {
+            // The request ran, and its caller gets the answer. Until the write
+            // is caught up with, a repeat is told that it is in progress.
+            log::warn!(error:% = e; "answer not kept yet");
+            self.upkeep.add(work);
+        }
+    }
+
+    /// Gives up a claim whose request certainly did not run, without keeping its
+    /// caller waiting.
+    pub(crate) fn release(&self, held: HeldRow) {
+        self.upkeep.add(Work::Release(held));
+    }
+}
+
+impl HeldRow {
+    /// The write that makes the row say what this claim says.
+    pub(crate) fn write(&self, expect: Expect) -> Result<Write, Error> {
+        let value = serde_json::to_value(&self.claim).map_err(internal)?;
+        Ok(Write { table: Table::Claim, key: self.key.clone(), expect, value: Some(value) })
+    }
+
+    /// The write that takes the row away.
+    pub(crate) fn delete(&self, row_version: u64) -> Write {
+        let expect = Expect::Version(row_version);
+        Write { table: Table::Claim, key: self.key.clone(), expect, value: None }
+    }
+
+    /// Until when a write that failed is tried again.
+    pub(crate) fn give_up_at_ms(&self, patience_ms: u64) -> Millis {
+        self.claim.made_at_ms + Millis(patience_ms)
+    }
+}
+
+/// An error before the claim was read: an earlier request may have used the key.
+fn unsure(kind: ErrorKind, detail: impl Into<String>) -> Error {
+    Error::new(kind, detail).with_earlier_unknown()
+}
+
+fn internal(e: impl ToString) -> Error {
+    Error::new(ErrorKind::Internal, e.to_string())
+}
+
+impl From<PlatformError> for Error {
+    fn from(e: PlatformError) -> Error {
+        internal(e)
+    }
+}
--- a/crates/azuregate/src/gateway/answer.rs
+++ b/crates/azuregate/src/gateway/answer.rs
@@ -15,7 +15,7 @@
     let mut builder = Response::builder()
         .status(row.status)
         .header(header::CONTENT_TYPE, "text/plain; charset=utf-8")
-        .header(OUTCOME, row.outcome.as_str());
+        .header(OUTCOME, error.outcome().as_str());
     if let Some(after_s) = error.retry_after_s() {
         builder = builder.header(header::RETRY_AFTER, after_s);
     }
--- /dev/null
+++ b/crates/azuregate/src/gateway/keyed.rs
@@ -0,0 +1,148 @@
+//! Requests with an idempotency key.
+
+use std::{sync::Arc, time::Duration};
+
+use azuregate_core::{
+    error::{Error, ErrorKind},
+    home::HomeToken,
+};
+use http_body_util::BodyExt;
+use hyper::{Request, Response, header::HeaderValue, http::request};
+use tokio::time;
+
+use crate::{
+    backend::BackendConn,
+    body::{self, Body},
+    claims::{Claimed, Wanted},
+    gateway::{
+        Parts,
+        forward::Forward,
+        headers,
+        payload::Payload,
+        request::{HOME, HOME_HOP, TIMEOUT_MS},
+    },
+};
+
+/// A request with its key and, if the caller named one, the home of the key.
+pub(crate) struct Keyed {
+    pub(crate) forward: Forward,
+    pub(crate) key: String,
+    pub(crate) home: Option<HomeToken>,
+    pub(crate) remaining_ms: u64,
+}
+
+impl Keyed {
+    /// Runs the request at most once.
+    ///
+    /// It runs on when its caller leaves: a caller whose connection broke sends
+    /// the same key again, and finds the answer that was kept meanwhile. A
+    /// cancelled request would leave it with `unknown` for good.
+    pub(crate) async fn run(
+        self,
+        head: request::Parts,
+        payload: Payload,
+    ) -> Result<Response<Body>, Error> {
+        let running = tokio::spawn(async move {
+            match &self.home {
+                Some(home) if !self.forward.parts.claims.is_here(home) => {
+                    pass_on(&self.forward.parts, home, head, payload, self.remaining_ms).await
+                }
+                _ => self.run_here(head, payload).await,
+            }
+        });
+        let lost = |e: tokio::task::JoinError| Error::new(ErrorKind::Internal, e.to_string());
+        running.await.map_err(lost)?
+    }
+
+    async fn run_here(
+        self,
+        head: request::Parts,
+        payload: Payload,
+    ) -> Result<Response<Body>, Error> {
+        let attributes = &self.forward.attributes;
+        let wanted = Wanted {
+            service: &attributes.service,
+            key: &self.key,
+            fingerprint: payload.fingerprint(attributes.fingerprint),
+            remaining_ms: self.remaining_ms,
+        };
+        let claims = &self.forward.parts.claims;
+        match claims.claim(wanted, self.home.as_ref()).await? {
+            Claimed::Run(held) => {
+                let result = self.forward.run(&head, payload).await;
+                claims.settle(held, result).await
+            }
+            Claimed::Repeat(kept) => claims.replay(kept).await,
+        }
+    }
+}
+
+/// Passes a request on to the home of its key.
+///
+/// The home runs it at most once whatever happens here, so a failure is safe to
+/// repeat, but says nothing of what ran.
+async fn pass_on(
+    parts: &Arc<Parts>,
+    home: &HomeToken,
+    head: request::Parts,
+    payload: Payload,
+    remaining_ms: u64,
+) -> Result<Response<Body>, Error> {
+    if head.headers.contains_key(HOME_HOP) {
+        let detail = format!("{home} was sought here by another instance");
+        return Err(Error::new(ErrorKind::HomeGone, detail));
+    }
+    let snapshot = parts.snapshots.current();
+    let listed = snapshot.instances.iter().find(|instance| instance.id == home.instance);
+    let Some(instance) = listed else {
+        return Err(Error::new(ErrorKind::HomeGone, format!("{} is not listed", home.instance)));
+    };
+    let addr = instance.traffic_addr();
+    let deadline = time::Instant::now() + Duration::from_millis(remaining_ms);
+    let request = hop(&head, payload, home, remaining_ms);
+    let failed = |detail: String| {
+        Error::new(ErrorKind::HomeUnreachable, format!("{home} at {addr}: {detail}"))
+    };
+    let exchange = async {
+        let mut conn = parts.dialer.dial(addr).await.map_err(|e| failed(e.to_string()))?;
+        let response = conn.send(request).await.map_err(|e| failed(e.detail))?;
+        Ok(relay(response, conn, deadline))
+    };
+    let exchanged = time::timeout_at(deadline, exchange).await;
+    exchanged.unwrap_or_else(|_| Err(failed("no answer in time".to_owned())))
+}
+
+/// The home's answer as it is, its outcome included: it is one of our own.
+fn relay(
+    response: Response<Body>,
+    conn: Box<dyn BackendConn>,
+    deadline: time::Instant,
+) -> Response<Body> {
+    let (mut head, body) = response.into_parts();
+    head.headers = headers::without_hop_by_hop(&head.headers);
+    // The connection closes when it is dropped, so it lives as long as the body.
+    let body = body.map_frame(move |frame| {
+        let _ = &conn;
+        frame
+    });
+    Response::from_parts(head, body::with_deadline(body.boxed_unsync(), deadline))
+}
+
+fn hop(
+    head: &request::Parts,
+    payload: Payload,
+    home: &HomeToken,
+    remaining_ms: u64,
+) -> Request<Body> {
+    let mut request = Request::new(payload.send().0);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = head.uri.clone();
+    *request.headers_mut() = headers::without_hop_by_hop(&head.headers);
+    let headers = request.headers_mut();
+    headers.insert(TIMEOUT_MS, HeaderValue::from(remaining_ms));
+    headers.insert(HOME_HOP, HeaderValue::from_static("1"));
+    if let Ok(value) = HeaderValue::from_str(&home.to_string()) {
+        headers.insert(HOME, value);
+    }
+    request
+}
--- a/crates/azuregate/src/gateway/lease_body.rs
+++ b/crates/azuregate/src/gateway/lease_body.rs
@@ -5,7 +5,10 @@
     task::{Context, Poll},
 };
 
-use azuregate_core::route::Ending;
+use azuregate_core::{
+    error::{Error, ErrorKind},
+    route::Ending,
+};
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
@@ -57,10 +60,17 @@
         }
     }
 
-    fn fail(&mut self) {
+    /// Ends the answer with an error. Dropping the connection closes it.
+    fn cut(&mut self, detail: &str) -> Error {
+        let error = Error::new(ErrorKind::AnswerCut, detail);
         if let Some(mut held) = self.held.take() {
             held.lease.set_ending(Ending::Failed);
+            log::info!(
+                backend:% = held.lease.backend, code = error.kind().code(), detail = detail;
+                "answer cut"
+            );
         }
+        error
     }
 }
 
@@ -72,16 +82,23 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        match &polled {
-            Poll::Pending => {}
-            Poll::Ready(Some(Ok(_))) => self.finish_if_ended(),
-            // An answer cut short ends the caller's answer with an error, never
-            // with a clean end: the caller would take the part for the whole.
-            Poll::Ready(Some(Err(_))) => self.fail(),
-            Poll::Ready(None) => self.finish(),
+        // An answer cut short ends the caller's answer with an error, never with
+        // a clean end: the caller would take the part for the whole.
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(frame))) => {
+                self.finish_if_ended();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(e))) => {
+                let error = self.cut(&e.to_string());
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
         }
-        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -4,20 +4,26 @@
 
 mod answer;
 mod forward;
+mod headers;
+mod keyed;
 mod lease_body;
+mod payload;
 mod request;
+mod retries;
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use azuregate_core::{
-    claim::Verdict,
     entries::{self, MAX_AGE_S},
     error::{Error, ErrorKind},
     names::{InstanceId, ServiceName, ZoneName},
     route::Nearest,
     snapshot::Snapshot,
 };
-use hyper::{Method, Request, Response, header};
+use hyper::{
+    Method, Request, Response,
+    header::{self, HeaderValue},
+};
 use tokio::sync::Mutex;
 
 use crate::{
@@ -30,6 +36,8 @@
     selector::Selector,
 };
 
+use self::{keyed::Keyed, payload::Payload, retries::AllRetries};
+
 pub use request::Attributes;
 
 /// The path that answers which entry instances to use.
@@ -59,14 +67,19 @@
 
 /// Serves callers; shared between their connections.
 pub struct Gateway {
-    parts: Parts,
+    parts: Arc<Parts>,
+    retries: AllRetries,
     selectors: Mutex<HashMap<ServiceName, Selector>>,
 }
 
 impl Gateway {
     /// Makes a gateway.
     pub fn new(parts: Parts) -> Gateway {
-        Gateway { parts, selectors: Mutex::new(HashMap::new()) }
+        Gateway {
+            parts: Arc::new(parts),
+            retries: AllRetries::default(),
+            selectors: Mutex::new(HashMap::new()),
+        }
     }
 
     /// Answers one request of the caller at `caller`.
@@ -84,14 +97,18 @@
         let taken_ms = self.parts.clock.now().since(started_ms).0;
         let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| "answered");
         self.parts.recorder.request(&attributes.service, attributes.class, code, taken_ms);
-        result.unwrap_or_else(|e| {
+        let mut response = result.unwrap_or_else(|e| {
             log::info!(
                 request:% = attributes.request_id, service:% = attributes.service,
                 code = code, detail = e.detail(), taken_ms = taken_ms;
                 "request refused"
             );
             answer::error(&e)
-        })
+        });
+        if let Ok(id) = HeaderValue::from_str(&attributes.request_id) {
+            response.headers_mut().insert(request::REQUEST_ID, id);
+        }
+        response
     }
 
     fn entries(
@@ -106,7 +123,11 @@
             return Err(Error::new(ErrorKind::UnknownService, detail));
         }
         let salt = caller.ip().to_string();
-        let entries = entries::entries(snapshot, &service, &self.parts.zone, &salt);
+        let mut entries = entries::entries(snapshot, &service, &self.parts.zone, &salt);
+        for entry in &mut entries.entries {
+            let home = self.parts.claims.home_token(&entry.id, snapshot);
+            entry.home = home.map(|home| home.to_string());
+        }
         let json = serde_json::to_vec(&entries)
             .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
         Response::builder()
@@ -122,37 +143,36 @@
         attributes: &Attributes,
         snapshot: &Snapshot,
     ) -> Result<Response<Body>, Error> {
+        // A request with a key is refused before its claim was read.
+        let refuse = |error: Error| {
+            if attributes.idempotency_key.is_some() { error.with_earlier_unknown() } else { error }
+        };
         if !snapshot.ready {
-            return Err(Error::new(ErrorKind::NotReady, "no configuration in force yet"));
+            let error = Error::new(ErrorKind::NotReady, "no configuration in force yet");
+            return Err(refuse(error));
         }
         let Some(policy) = snapshot.policies.get(&attributes.service) else {
             let detail = format!("no policy names {}", attributes.service);
-            return Err(Error::new(ErrorKind::UnknownService, detail));
+            return Err(refuse(Error::new(ErrorKind::UnknownService, detail)));
         };
         let timeout_ms = attributes.timeout_ms.unwrap_or(policy.timeout_ms);
         let deadline_ms = self.parts.clock.now().0 + timeout_ms;
-        let selector = self.selector(&attributes.service).await;
         let forward = forward::Forward {
-            parts: &self.parts,
-            selector: &selector,
-            attributes,
+            parts: Arc::clone(&self.parts),
+            selector: self.selector(&attributes.service).await,
+            retries: self.retries.of(&attributes.service),
+            attributes: attributes.clone(),
             deadline_ms,
             queue_ms: policy.queue_ms,
         };
-        let Some(key) = &attributes.idempotency_key else {
-            return forward.run(request).await;
+        let (head, body) = request.into_parts();
+        let payload = Payload::read(body, timeout_ms).await.map_err(refuse)?;
+        let Some(key) = attributes.idempotency_key.clone() else {
+            return forward.run(&head, payload).await;
         };
-        let claims = &self.parts.claims;
-        match claims.claim(&attributes.service, key, attributes.fingerprint).await? {
-            (Verdict::Run, held) => {
-                let result = forward.run(request).await;
-                claims.settle(held, result).await
-            }
-            (Verdict::Repeat(kept), _) => claims.replay(kept).await,
-            (Verdict::Refuse(kind), _) => {
-                Err(Error::new(kind, format!("the idempotency key {key:?} was used before")))
-            }
-        }
+        let home = attributes.home.clone();
+        let remaining_ms = deadline_ms.saturating_sub(self.parts.clock.now().0);
+        Keyed { forward, key, home, remaining_ms }.run(head, payload).await
     }
 
     async fn selector(&self, service: &ServiceName) -> Selector {
--- a/crates/azuregate/src/gateway/request.rs
+++ b/crates/azuregate/src/gateway/request.rs
@@ -4,6 +4,7 @@
 
 use azuregate_core::{
     error::{Error, ErrorKind},
+    home::HomeToken,
     names::ServiceName,
     route::hash,
 };
@@ -17,6 +18,10 @@
 pub(crate) const TIMEOUT_MS: &str = "azuregate-timeout-ms";
 /// Names the request in logs here and at the backend server.
 pub(crate) const REQUEST_ID: &str = "azuregate-request-id";
+/// Names the instance and start that alone may run the request of the key.
+pub(crate) const HOME: &str = "azuregate-home";
+/// Set by an instance that passes a request to the home of its key.
+pub(crate) const HOME_HOP: &str = "azuregate-home-hop";
 
 /// The longest idempotency key that is taken, in bytes.
 const KEY_LIMIT_BYTES: usize = 255;
@@ -30,11 +35,13 @@
     pub service: ServiceName,
     /// The caller's key, if it set one.
     pub idempotency_key: Option<String>,
+    /// The home of the key, if the caller named one.
+    pub home: Option<HomeToken>,
     /// The caller's time limit, if it set one.
     pub timeout_ms: Option<u64>,
     /// Names the request in logs.
     pub request_id: String,
-    /// Hash of service, method and path: one key names one request.
+    /// Hash of service, method and path; the body joins it later.
     pub fingerprint: u64,
     /// Which histogram it counts in.
     pub class: Class,
@@ -52,6 +59,7 @@
         let headers = request.headers();
         let service = service_of_host(request)?;
         let idempotency_key = idempotency_key(headers)?;
+        let home = home(headers)?;
         let timeout_ms = timeout_ms(headers)?;
         let method = request.method();
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -62,6 +70,7 @@
         Ok(Attributes {
             service,
             idempotency_key,
+            home,
             timeout_ms,
             request_id,
             fingerprint,
@@ -103,6 +112,14 @@
     Ok(Some(key.to_owned()))
 }
 
+fn home(headers: &HeaderMap) -> Result<Option<HomeToken>, Error> {
+    let Some(value) = text(headers, HOME)? else {
+        return Ok(None);
+    };
+    let parsed = value.parse();
+    parsed.map(Some).map_err(|_| bad(format!("Azuregate-Home names no home: {value:?}")))
+}
+
 fn timeout_ms(headers: &HeaderMap) -> Result<Option<u64>, Error> {
     let Some(value) = text(headers, TIMEOUT_MS)? else {
         return Ok(None);
--- /dev/null
+++ b/crates/azuregate/src/gateway/retries.rs
@@ -0,0 +1,63 @@
+//! What the requests of one service share about retries.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use azuregate_core::{
+    names::ServiceName,
+    retry::{RetryBudget, UsualTime},
+};
+
+/// The retries of one service; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Retries {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    budget: RetryBudget,
+    usual: UsualTime,
+}
+
+impl Retries {
+    /// Counts one request.
+    pub(crate) fn deposit(&self) {
+        self.with(|state| state.budget.deposit());
+    }
+
+    /// Takes one retry, if the budget has one.
+    pub(crate) fn try_take(&self) -> bool {
+        self.with(|state| state.budget.try_take())
+    }
+
+    /// Takes in how long the head of an answer took.
+    pub(crate) fn record(&self, taken_ms: u64) {
+        self.with(|state| state.usual.record(taken_ms));
+    }
+
+    /// After how many milliseconds the head of an answer is late.
+    pub(crate) fn late_after_ms(&self) -> Option<u64> {
+        self.with(|state| state.usual.late_after_ms())
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+        f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// The retries of all services.
+#[derive(Debug, Default)]
+pub(crate) struct AllRetries {
+    services: Mutex<HashMap<ServiceName, Retries>>,
+}
+
+impl AllRetries {
+    /// The retries of one service.
+    pub(crate) fn of(&self, service: &ServiceName) -> Retries {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        services.entry(service.clone()).or_default().clone()
+    }
+}
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -97,12 +97,12 @@
     let gateway = Arc::new(Gateway::new(Parts {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
-        snapshots,
+        snapshots: snapshots.clone(),
         config,
         clock: Arc::clone(&clock),
         dialer: Arc::new(HttpDialer { ip: settings.ip }),
         pool: Pool::start(Arc::clone(&clock)),
-        claims: Claims::new(platform, clock, &settings.instance, start),
+        claims: Claims::new(platform, clock, snapshots, &settings.instance, start),
         recorder,
     }));
     log::info!(instance:% = settings.instance, start:% = start; "entry instance started");
