--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -20,22 +20,28 @@
 * [`policy`] and [`snapshot`] hold what operators decided and what the platform
   listed; a snapshot is immutable and is replaced as a whole.
 * [`route`] chooses a backend server for one request.
+* [`shift`] works out how far a shift has come, and bounds what moves.
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`home`] decides the same for keys that belong to one start of an instance.
+* [`blocks`] finds the site of a client from its address.
 * [`entries`] answers which entry instances a caller should use.
-* [`retry`] bounds retries and knows the usual time of an answer.
+* [`retry`] bounds retries to a share of recent requests.
+* [`late`] knows the usual time of an answer.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
+pub mod blocks;
 pub mod claim;
 pub mod entries;
 pub mod error;
 pub mod home;
+pub mod late;
 pub mod names;
 pub mod policy;
 pub mod retry;
 pub mod route;
+pub mod shift;
 pub mod snapshot;
 pub mod steer;
 pub mod time;
--- a/crates/azuregate-core/src/retry.rs
+++ b/crates/azuregate-core/src/retry.rs
@@ -1,84 +1,55 @@
-//! How much is tried again, and when an answer is late.
-
-/// One whole token of the budget, in its internal unit.
-const TOKEN_PPM: u64 = 1_000_000;
+//! How many retries a service may make.
+//!
+//! ```
+//! use azuregate_core::retry::RetryBudget;
+//!
+//! let budget = RetryBudget::default();
+//! for _ in 0..10 {
+//!     budget.deposit();
+//! }
+//! assert!(budget.try_take());
+//! ```
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What one retry costs, in thousandths of a retry.
+const RETRY_MILLI: u64 = 1_000;
+/// What each new request adds, in thousandths of a retry: one in ten.
+const DEPOSIT_MILLI: u64 = 100;
+/// What is kept at the most, in thousandths of a retry.
+///
+/// It also bounds how far back "recent" goes: only the last 200 requests count.
+const LIMIT_MILLI: u64 = 20_000;
 
-/// Lets retries be at most a share of recent requests.
+/// Lets retries be a share of recent requests.
 ///
-/// The failure: servers slow down, every request is tried again, and the load
-/// doubles at the worst moment. With a budget, retries die out under load: each
-/// request deposits a fraction of a token, and each retry takes a whole one.
-#[derive(Clone, Debug)]
+/// Without it, each failure under load makes up to two more requests, the load
+/// that made the first fail. A share of recent requests bounds that to a tenth
+/// more, however many fail, and retries die out.
+///
+/// It is shared between requests without a lock.
+#[derive(Debug)]
 pub struct RetryBudget {
-    share_ppm: u64,
-    limit_ppm: u64,
-    held_ppm: u64,
-}
-
-impl RetryBudget {
-    /// A full budget: retries may be `share_ppm` of requests, and `burst` of
-    /// them may come at once.
-    pub fn new(share_ppm: u32, burst: u32) -> RetryBudget {
-        let limit_ppm = u64::from(burst) * TOKEN_PPM;
-        RetryBudget { share_ppm: u64::from(share_ppm), limit_ppm, held_ppm: limit_ppm }
-    }
-
-    /// Counts one request.
-    pub fn deposit(&mut self) {
-        self.held_ppm = (self.held_ppm + self.share_ppm).min(self.limit_ppm);
-    }
-
-    /// Takes one retry, if there is one.
-    pub fn try_take(&mut self) -> bool {
-        let Some(left_ppm) = self.held_ppm.checked_sub(TOKEN_PPM) else {
-            return false;
-        };
-        self.held_ppm = left_ppm;
-        true
-    }
+    milli: AtomicU64,
 }
 
 impl Default for RetryBudget {
-    /// One retry for five requests, ten at once.
+    /// A full budget: the first requests of a process may be retried too.
     fn default() -> RetryBudget {
-        RetryBudget::new(200_000, 10)
+        RetryBudget { milli: AtomicU64::new(LIMIT_MILLI) }
     }
 }
 
-/// The time within which the first byte of an answer usually comes.
-///
-/// Smoothed mean and deviation as in RFC 6298, which needs two numbers and no
-/// window of samples.
-#[derive(Clone, Debug, Default)]
-pub struct UsualTime {
-    mean_us: u64,
-    deviation_us: u64,
-}
-
-impl UsualTime {
-    /// Below this, what looks late is noise of the scheduler.
-    const FLOOR_MS: u64 = 50;
-
-    /// Takes in the time that one answer took, in milliseconds.
-    pub fn record(&mut self, taken_ms: u64) {
-        let taken_us = taken_ms.saturating_mul(1_000);
-        if self.mean_us == 0 {
-            self.mean_us = taken_us.max(1);
-            self.deviation_us = taken_us / 2;
-            return;
-        }
-        let off_us = taken_us.abs_diff(self.mean_us);
-        self.deviation_us = (3 * self.deviation_us + off_us) / 4;
-        self.mean_us = (7 * self.mean_us + taken_us) / 8;
+impl RetryBudget {
+    /// Counts a new request; a retry is no new request.
+    pub fn deposit(&self) {
+        let add = |milli: u64| Some((milli + DEPOSIT_MILLI).min(LIMIT_MILLI));
+        let _ = self.milli.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
-    /// After how many milliseconds an answer is late; `None` before the first
-    /// answer, since nothing is usual yet.
-    pub fn late_after_ms(&self) -> Option<u64> {
-        if self.mean_us == 0 {
-            return None;
-        }
-        let late_us = self.mean_us + 4 * self.deviation_us;
-        Some((late_us / 1_000).max(UsualTime::FLOOR_MS))
+    /// Takes one retry, or says that there is none.
+    pub fn try_take(&self) -> bool {
+        let take = |milli: u64| milli.checked_sub(RETRY_MILLI);
+        self.milli.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
     }
 }
