Test outcomes by fault, method and key at the border to backend servers

One table, given by the real adapter and by a fake alike: what the caller sees, what it may conclude, how often the request ran and was tried, and what a second sending of a key gets. Beside it tables of what the platform loses, of bodies and of silent connections, and a model of the home form.

Found by the table and mended: a keyed PUT was tried again after its connection broke, since its method is idempotent, and so could run twice under its key; an owner paused past its deadline in the queue was told too-late or deadline-before-send as chance had it, and is now always told the latter.

--- a/crates/azuregate-core/src/error.rs
+++ b/crates/azuregate-core/src/error.rs
@@ -120,8 +120,8 @@
     BackendLost => 502, Unknown, None, IfIdempotent, "backend-lost";
     /// The backend server answered with something that is not HTTP.
     BackendInvalid => 502, Unknown, None, IfIdempotent, "backend-invalid";
-    /// The answer broke off or stalled. Its head is with the caller already, so
-    /// the caller sees its connection cut.
+    /// The answer broke off or stalled. Where its head is with the caller
+    /// already, the caller sees its connection cut instead.
     AnswerCut => 502, Unknown, None, Never, "answer-cut";
     /// The caller's body ended early or stalled before any byte left for a
     /// backend server.
--- /dev/null
+++ b/crates/azuregate-core/tests/home.rs
@@ -0,0 +1,122 @@
+//! Keys that belong to one start of an instance, against a model.
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+use std::collections::{HashMap, HashSet};
+
+use azuregate_core::{
+    claim::{KeptAnswer, KeptBody, Settled, Verdict},
+    error::ErrorKind,
+    home::{Config, HomeTable, HomeToken},
+    names::{InstanceId, StartNumber},
+    time::Millis,
+};
+use proptest::prelude::*;
+
+const SMALL: Config = Config { validity_ms: 100, skew_ms: 10, limit_keys: 5, limit_bytes: 50 };
+
+fn answer(bytes: usize) -> Settled {
+    let body = KeptBody::Inline(vec![0; bytes]);
+    Settled::Answer(KeptAnswer { status: 200, headers: Vec::new(), body })
+}
+
+/// One step of a caller, or of time.
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    /// A new key, with a token of a clock that is off by so much.
+    New {
+        off_ms: i64,
+    },
+    /// An earlier key again, with its token.
+    Again(usize),
+    Settle(usize, usize),
+    Release(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0_u64..90).prop_map(Step::Wait),
+        (-200_i64..40).prop_map(|off_ms| Step::New { off_ms }),
+        (0_usize..100).prop_map(Step::Again),
+        (0_usize..100, 0_usize..40).prop_map(|(key, bytes)| Step::Settle(key, bytes)),
+        (0_usize..100).prop_map(Step::Release),
+    ]
+}
+
+proptest! {
+    // Callers repeat keys for as long as they like, with clocks that are off,
+    // while keys and answers are forgotten for want of room. A key runs again
+    // only after it was given up.
+    #[test]
+    fn no_key_runs_twice(steps in prop::collection::vec(step(), 1..200)) {
+        let mut table = HomeTable::new(SMALL);
+        let mut now_ms = Millis(1_000);
+        let mut tokens = Vec::new();
+        let mut running: HashMap<usize, u64> = HashMap::new();
+        let mut ran: HashSet<usize> = HashSet::new();
+        for step in steps {
+            let key = match step {
+                Step::Wait(ms) => { now_ms = now_ms + Millis(ms); continue }
+                Step::New { off_ms } => {
+                    tokens.push(Millis(now_ms.0.saturating_add_signed(off_ms)));
+                    tokens.len() - 1
+                }
+                Step::Again(key) if key < tokens.len() => key,
+                Step::Settle(key, bytes) => {
+                    if let Some(sequence) = running.remove(&key) {
+                        table.settle(&key.to_string(), sequence, answer(bytes));
+                    }
+                    continue
+                }
+                Step::Release(key) => {
+                    if let Some(sequence) = running.remove(&key) {
+                        table.release(&key.to_string(), sequence);
+                        ran.remove(&key);
+                    }
+                    continue
+                }
+                Step::Again(_) => continue,
+            };
+            let (verdict, sequence) = table.claim(&key.to_string(), 7, tokens[key], now_ms);
+            if verdict == Verdict::Run {
+                prop_assert!(ran.insert(key), "key {key} ran twice");
+                running.insert(key, sequence);
+            }
+            prop_assert!(table.len() <= SMALL.limit_keys);
+            prop_assert!(table.answer_bytes() <= SMALL.limit_bytes);
+        }
+    }
+
+    #[test]
+    fn a_token_is_read_as_it_was_written(name in "[a-z][a-z0-9.-]{0,20}", start: u64, issued: u64) {
+        let (instance, start) = (InstanceId::new(&name), StartNumber(start));
+        let token = HomeToken { instance, start, issued_at_ms: Millis(issued) };
+        prop_assert_eq!(token.to_string().parse(), Ok(token));
+    }
+}
+
+#[test]
+fn texts_that_name_no_home_are_refused() {
+    for text in ["", "entry-1", "entry-1.1", ".1.2", "entry-1.x.2", "entry-1.1.", "e.1.-2"] {
+        assert!(text.parse::<HomeToken>().is_err(), "{text:?}");
+    }
+}
+
+#[test]
+fn a_full_home_refuses_new_keys_and_drops_old_answers() {
+    let mut table = HomeTable::new(SMALL);
+    let now_ms = Millis(1_000);
+    for key in 0..5 {
+        let (verdict, sequence) = table.claim(&key.to_string(), 7, now_ms, now_ms);
+        assert_eq!(verdict, Verdict::Run);
+        table.settle(&key.to_string(), sequence, answer(20));
+    }
+    let full = table.claim("5", 7, now_ms, now_ms).0;
+    assert_eq!(full, Verdict::Refuse(ErrorKind::ClaimsFull));
+    let oldest = table.claim("0", 7, now_ms, now_ms).0;
+    assert_eq!(oldest, Verdict::Refuse(ErrorKind::AnswerNotKept));
+    assert!(matches!(table.claim("4", 7, now_ms, now_ms).0, Verdict::Repeat(_)));
+    let other = table.claim("4", 8, now_ms, now_ms).0;
+    assert_eq!(other, Verdict::Refuse(ErrorKind::ClaimMismatch));
+}
--- a/crates/azuregate/src/claims/answer.rs
+++ b/crates/azuregate/src/claims/answer.rs
@@ -56,7 +56,7 @@
     let mut frames = Vec::new();
     let mut length = 0;
     while let Some(frame) = rest.frame().await {
-        let frame = frame.map_err(|e| Error::new(ErrorKind::BackendLost, e.to_string()))?;
+        let frame = frame.map_err(|e| Error::new(ErrorKind::AnswerCut, e.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
         length += data.len();
         frames.push(data);
--- a/crates/azuregate/src/gateway/forward.rs
+++ b/crates/azuregate/src/gateway/forward.rs
@@ -120,21 +120,10 @@
         payload: Payload,
         attempt: usize,
     ) -> Result<Response<Body>, Failed> {
-        let wait_ms = self.queue_ms.min(self.remaining_ms());
-        let mut lease = match self.selector.acquire(wait_ms).await {
-            Ok(lease) => lease,
-            Err(error) => return Err(Failed { error, payload: Some(payload), paid: false }),
-        };
-        let link = match self.connect(&mut lease, attempt).await {
-            Ok(link) => link,
+        let (lease, link) = match self.reach(attempt).await {
+            Ok(reached) => reached,
             Err(error) => return Err(Failed { error, payload: Some(payload), paid: false }),
         };
-        // The process may have been paused while it waited, for minutes as well.
-        // The caller was promised that nothing is sent past the deadline.
-        if self.remaining_ms() == 0 {
-            let error = Error::new(ErrorKind::DeadlineBeforeSend, "no time left to send");
-            return Err(Failed { error, payload: Some(payload), paid: false });
-        }
         let (body, again) = payload.send();
         let late_ms = self.late_after_ms(&link, again.is_some());
         self.send(lease, link, self.outgoing(head, body), late_ms)
@@ -142,6 +131,28 @@
             .map_err(|(error, paid)| Failed { error, payload: again, paid })
     }
 
+    /// Takes a slot of a backend server and a connection to it.
+    async fn reach(&self, attempt: usize) -> Result<(Lease, Link), Error> {
+        self.check_deadline()?;
+        let wait_ms = self.queue_ms.min(self.remaining_ms());
+        let mut lease = self.selector.acquire(wait_ms).await?;
+        let link = self.connect(&mut lease, attempt).await?;
+        self.check_deadline()?;
+        Ok((lease, link))
+    }
+
+    /// Compares the clock before each effect and after each wait.
+    ///
+    /// The failure: the process is paused while it waits, for minutes as well,
+    /// and sends on waking a request that its caller has long given up. Nothing
+    /// is sent past the deadline, so a caller that waits that long knows.
+    fn check_deadline(&self) -> Result<(), Error> {
+        if self.remaining_ms() == 0 {
+            return Err(Error::new(ErrorKind::DeadlineBeforeSend, "no time left to send"));
+        }
+        Ok(())
+    }
+
     /// A pooled connection for the first attempt, a new one for the others: what
     /// made one connection to a server useless may have hit all of them.
     async fn connect(&self, lease: &mut Lease, attempt: usize) -> Result<Link, Error> {
--- a/crates/azuregate/src/gateway/request.rs
+++ b/crates/azuregate/src/gateway/request.rs
@@ -45,7 +45,8 @@
     pub fingerprint: u64,
     /// Which histogram it counts in.
     pub class: Class,
-    /// Whether its method is idempotent.
+    /// Whether it may run twice: its method is idempotent, and it has no key. A
+    /// key promises at most once, whatever the method.
     pub idempotent: bool,
 }
 
@@ -64,7 +65,7 @@
         let method = request.method();
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         let fingerprint = hash::score(&[service.as_str(), method.as_str(), path]);
-        let idempotent = method.is_idempotent();
+        let idempotent = method.is_idempotent() && idempotency_key.is_none();
         let class = class(method, idempotency_key.is_some());
         let request_id = request_id(headers)?;
         Ok(Attributes {
--- /dev/null
+++ b/crates/azuregate/tests/outcomes/answers.rs
@@ -0,0 +1,38 @@
+//! The table from error kind to answer.
+
+use std::fmt::Write;
+
+use azuregate_core::error::{Error, ErrorKind, Outcome, Retry};
+
+#[test]
+fn each_kind_has_one_answer() {
+    let mut table = String::new();
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        let after = answer.retry_after_s.map_or("-".to_owned(), |s| s.to_string());
+        let (code, outcome) = (kind.code(), answer.outcome.as_str());
+        let retry = answer.retry;
+        writeln!(table, "{code:22} {} {outcome:8} {after:2} {retry:?}", answer.status).unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn what_may_have_run_is_never_called_not_run_nor_always_tried_again() {
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        let told_unknown = answer.outcome == Outcome::Unknown;
+        assert!(!(told_unknown && answer.retry == Retry::Always), "{kind}");
+    }
+}
+
+// A caller lost the answer to an order that ran and sends it again. The second
+// sending is refused before its claim is read; "not-run" would make the caller
+// order anew under another key.
+#[test]
+fn a_refusal_before_the_claim_was_read_is_unknown() {
+    let error = Error::new(ErrorKind::ClaimNotMade, "down");
+    assert_eq!(error.outcome(), Outcome::NotRun);
+    let error = error.with_earlier_unknown();
+    assert_eq!((error.outcome(), error.retry_after_s()), (Outcome::Unknown, Some(1)));
+}
--- /dev/null
+++ b/crates/azuregate/tests/outcomes/bodies.rs
@@ -0,0 +1,171 @@
+//! Bodies that are small, large, cut short or given up, both ways.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use azuregate::body::{self, Body};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use tokio::time;
+
+use crate::{
+    script::{Script, Step},
+    world::{Border, World, eventually, get, order, post},
+};
+
+const FRAME_BYTES: usize = 64 << 10;
+const UPLOAD_FRAMES: usize = 800;
+
+/// A body of so many frames; counts the frames that were taken from it.
+fn upload(frames: usize, taken: &Arc<AtomicUsize>) -> Body {
+    let taken = Arc::clone(taken);
+    let frames = stream::iter(0..frames).map(move |_| {
+        taken.fetch_add(1, Ordering::SeqCst);
+        Ok(Frame::data(Bytes::from(vec![0; FRAME_BYTES])))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(frames))
+}
+
+fn cut_after(first: Body, frames: usize) -> Body {
+    let cut = stream::once(async { Err("the caller is gone".into()) });
+    let frames = http_body_util::BodyStream::new(first).take(frames).chain(cut);
+    BodyExt::boxed_unsync(StreamBody::new(frames))
+}
+
+fn put(length: usize, body: Body) -> hyper::Request<Body> {
+    let builder = post("/photos").header("content-length", length);
+    builder.header("azuregate-timeout-ms", "20000").body(body).unwrap()
+}
+
+#[tokio::test]
+async fn an_upload_of_50_mb_arrives_whole() {
+    let world = World::start(Border::Real, Script::new(&[])).await;
+    let taken = Arc::default();
+    let seen = world.send(put(UPLOAD_FRAMES * FRAME_BYTES, upload(UPLOAD_FRAMES, &taken))).await;
+    assert_eq!((seen.status, world.script.state().ran), (200, 1));
+    assert_eq!(taken.load(Ordering::SeqCst), UPLOAD_FRAMES);
+}
+
+// The backend server takes the head of an upload of 50 MB and reads no further.
+// The instance must stop taking the body from the caller; if it went on, it
+// would hold the whole of it. What fits the sockets' buffers may be taken.
+#[tokio::test]
+async fn an_upload_is_not_held_in_memory_while_the_backend_server_reads_nothing() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let world = World::start_at(Border::Real, listener.local_addr().unwrap()).await;
+    let taken = Arc::default();
+    let request = put(UPLOAD_FRAMES * FRAME_BYTES, upload(UPLOAD_FRAMES, &taken));
+    let sending = tokio::spawn(async move { world.send(request).await });
+    let (_stream, _) = listener.accept().await.unwrap();
+    eventually("the upload begins", || taken.load(Ordering::SeqCst) > 0).await;
+    time::sleep(Duration::from_millis(300)).await;
+    let taken = taken.load(Ordering::SeqCst);
+    assert!(taken < UPLOAD_FRAMES / 4, "{taken} frames of {UPLOAD_FRAMES} were taken");
+    sending.abort();
+}
+
+// The caller's connection breaks in its body. A small body never left for a
+// backend server, and that is said; a large one had left in part.
+#[tokio::test]
+async fn a_body_that_ends_early_is_told_apart_by_what_had_left() {
+    let world = World::start(Border::Real, Script::new(&[])).await;
+    let taken = Arc::default();
+    let seen = world.send(put(3 * 1_000, cut_after(body::full(vec![0; 1_000]), 1))).await;
+    assert_eq!((seen.status, seen.code.as_str()), (400, "caller-lost"));
+    let small = cut_after(body::full(vec![0; 1_000]), 1);
+    let small = http_body_util::Limited::new(small, 3_000);
+    let sized = Sized { inner: small.boxed_unsync(), length: 3_000 };
+    let seen = world.send(put(3_000, sized.boxed_unsync())).await;
+    assert_eq!((seen.code.as_str(), seen.outcome.as_str()), ("body-incomplete", "not-run"));
+    let large = cut_after(upload(4, &taken), 3);
+    let seen = world.send(put(4 * FRAME_BYTES, large)).await;
+    assert_eq!((seen.code.as_str(), seen.outcome.as_str()), ("caller-lost", "unknown"));
+    assert_eq!(world.script.state().ran, 0);
+}
+
+/// A body that tells its length, as one from a connection does.
+struct Sized {
+    inner: Body,
+    length: u64,
+}
+
+impl hyper::body::Body for Sized {
+    type Data = Bytes;
+    type Error = body::BodyError;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, body::BodyError>>> {
+        std::pin::Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        hyper::body::SizeHint::with_exact(self.length)
+    }
+}
+
+// A busy server refuses a write as not run. A small body is at hand and goes
+// elsewhere; an upload has gone by, and its caller is told to come back.
+#[tokio::test]
+async fn a_refused_write_goes_elsewhere_if_its_body_is_at_hand() {
+    let world = World::start(Border::Real, Script::new(&[Step::Refused])).await;
+    let seen = world.send(put(64 << 10, body::full(vec![0; 64 << 10]))).await;
+    assert_eq!((seen.status, world.script.state().tried), (200, 2));
+    let world = World::start(Border::Real, Script::new(&[Step::Refused])).await;
+    let seen = world.send(put(4 * FRAME_BYTES, upload(4, &Arc::default()))).await;
+    assert_eq!((seen.code.as_str(), seen.outcome.as_str()), ("backend-refused", "not-run"));
+    assert_eq!((seen.retry_after.as_str(), world.script.state().ran), ("1", 0));
+}
+
+// The caller leaves while the backend server works. The only cancellation that
+// a backend server sees is its connection closing.
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_the_work() {
+    for border in [Border::Real, Border::Fake] {
+        let world = World::start(border, Script::new(&[Step::Silent])).await;
+        let request = get("/list").header("azuregate-timeout-ms", "20000");
+        let request = request.body(body::empty()).unwrap();
+        let leaving = time::timeout(Duration::from_millis(50), world.send(request)).await;
+        assert!(leaving.is_err());
+        let script = world.script.clone();
+        eventually("cancelled", || script.state().cancelled == 1).await;
+    }
+}
+
+// The same while the answer streams: its rest is unread, and the next request on
+// the connection would take it for its own answer.
+#[tokio::test]
+async fn a_caller_that_leaves_in_the_answer_cancels_the_rest() {
+    let world = World::start(Border::Real, Script::new(&[Step::StallInAnswer])).await;
+    let request = get("/list").body(body::empty()).unwrap();
+    let answer = world.gateway.handle(request, world.addr).await;
+    drop(answer);
+    let script = world.script.clone();
+    eventually("cancelled", || script.state().cancelled == 1).await;
+    let seen = world.send(get("/list").body(body::empty()).unwrap()).await;
+    assert_eq!(seen.body.as_deref(), Some(&b"xxxxx"[..]));
+    assert_eq!(world.script.state().opened, 2);
+}
+
+// The caller of an order loses its connection while the order runs, and sends it
+// again. The order must have run on, so that the repeat finds its answer.
+#[tokio::test]
+async fn an_order_runs_on_when_its_caller_leaves() {
+    for home in [false, true] {
+        let world = World::start(Border::Real, Script::new(&[Step::Slow])).await;
+        let home = home.then(|| world.home());
+        let first = world.send(order("k", home.as_ref()));
+        assert!(time::timeout(Duration::from_millis(10), first).await.is_err());
+        time::sleep(Duration::from_millis(100)).await;
+        let seen = world.send(order("k", home.as_ref())).await;
+        assert_eq!((seen.status, world.script.state().ran), (200, 1), "{seen:?}");
+    }
+}
--- /dev/null
+++ b/crates/azuregate/tests/outcomes/claims.rs
@@ -0,0 +1,258 @@
+//! Orders with a key whose claim is a row of the platform.
+
+use std::time::Duration;
+
+use azuregate::body;
+use tokio::time;
+
+use crate::{
+    fake_platform::{FakePlatform, Fault},
+    script::{Script, Step},
+    world::{Border, Seen, World, eventually, order, post},
+};
+
+/// One row: what the platform and the backend server do to the first sending,
+/// and what the first and, some time later, the second sending get.
+struct Case {
+    name: &'static str,
+    faults: &'static [Fault],
+    steps: &'static [Step],
+    first: (u16, &'static str, &'static str),
+    then: (u16, &'static str, &'static str),
+    ran: usize,
+}
+
+const ANSWERED: (u16, &str, &str) = (200, "-", "-");
+
+const CASES: &[Case] = &[
+    Case {
+        name: "the platform is well",
+        faults: &[],
+        steps: &[],
+        first: ANSWERED,
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the claim's answer is lost after its effect",
+        faults: &[Fault::AnswerLost],
+        steps: &[],
+        first: ANSWERED,
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the claim's request is lost",
+        faults: &[Fault::RequestLost],
+        steps: &[],
+        first: ANSWERED,
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the claim's answer is lost each time",
+        faults: &[Fault::AnswerLost, Fault::AnswerLost, Fault::AnswerLost],
+        steps: &[],
+        first: (503, "unknown", "claim-unknown"),
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the platform is down when the claim is made",
+        faults: &[Fault::Refused, Fault::Refused, Fault::Refused],
+        steps: &[],
+        first: (503, "unknown", "claim-not-made"),
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the platform is slower than the deadline",
+        faults: &[Fault::Slow(400)],
+        steps: &[],
+        first: (503, "unknown", "claim-unknown"),
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the owner is paused past its deadline once it has claimed",
+        faults: &[Fault::Paused(60_000)],
+        steps: &[],
+        first: (504, "not-run", "deadline-before-send"),
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the answer cannot be kept at first",
+        faults: &[Fault::Ok, Fault::Refused, Fault::Refused],
+        steps: &[],
+        first: ANSWERED,
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the answer is kept, and that is not heard",
+        faults: &[Fault::Ok, Fault::AnswerLost],
+        steps: &[],
+        first: ANSWERED,
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the claim cannot be given up at first",
+        faults: &[Fault::Ok, Fault::Refused, Fault::AnswerLost],
+        steps: &[Step::Refused, Step::Refused, Step::Refused],
+        first: (503, "not-run", "backend-refused"),
+        then: ANSWERED,
+        ran: 1,
+    },
+    Case {
+        name: "the backend server is lost, and that cannot be kept at first",
+        faults: &[Fault::Ok, Fault::Refused],
+        steps: &[Step::CutBeforeAnswer],
+        first: (502, "unknown", "backend-lost"),
+        then: (409, "unknown", "claim-orphaned"),
+        ran: 1,
+    },
+];
+
+fn told(seen: &Seen) -> (u16, &str, &str) {
+    (seen.status, &seen.outcome, &seen.code)
+}
+
+// The caller sends an order, and again later with the same key. Whatever the
+// platform loses on the way, the order runs at most once, and what is told to be
+// "not-run" did not run.
+#[tokio::test]
+async fn an_order_runs_at_most_once_whatever_the_platform_loses() {
+    for case in CASES {
+        let world = World::start(Border::Real, Script::new(case.steps)).await;
+        world.platform.state().faults.extend(case.faults);
+        let first = world.send(order("k", None)).await;
+        let ran = world.script.state().ran;
+        assert_eq!(told(&first), case.first, "{}", case.name);
+        assert!(first.outcome != "not-run" || ran == 0, "{}", case.name);
+        time::sleep(Duration::from_millis(1_200)).await;
+        let then = world.send(order("k", None)).await;
+        assert_eq!(told(&then), case.then, "{}", case.name);
+        assert_eq!(world.script.state().ran, case.ran, "{}", case.name);
+    }
+}
+
+// While the platform is down for long, each sending is refused at once and
+// nothing runs. Once it is back, the same key works.
+#[tokio::test]
+async fn a_platform_that_is_down_lets_no_order_run() {
+    let world = World::start(Border::Real, Script::new(&[])).await;
+    world.platform.state().down = true;
+    for _ in 0..3 {
+        let seen = world.send(order("k", None)).await;
+        assert_eq!(told(&seen), (503, "unknown", "claim-not-made"));
+        assert_eq!(seen.retry_after, "1");
+    }
+    assert_eq!(world.script.state().ran, 0);
+    world.platform.state().down = false;
+    assert_eq!(world.send(order("k", None)).await.status, 200);
+}
+
+// A caller gives up waiting and sends the same order to a second instance while
+// the first still works on it; many times over.
+#[tokio::test]
+async fn the_same_key_at_once_on_two_instances_runs_once() {
+    let platform = FakePlatform::default();
+    let script = Script::new(&[Step::Slow]);
+    let start = |name| World::start_with(Border::Real, script.clone(), platform.clone(), name);
+    let worlds = [start("entry-1").await, start("entry-2").await];
+    let sends = (0..20).map(|i| worlds[i % 2].send(order("k", None)));
+    let seen = futures_util::future::join_all(sends).await;
+    assert_eq!(script.state().ran, 1);
+    assert_eq!(seen.iter().filter(|seen| seen.status == 200).count(), 1);
+    let others = seen.iter().filter(|seen| seen.status != 200);
+    assert!(others.into_iter().all(|seen| told(seen) == (409, "unknown", "claim-in-progress")));
+    for world in &worlds {
+        assert_eq!(world.send(order("k", None)).await.status, 200);
+    }
+    assert_eq!(script.state().ran, 1);
+}
+
+// The owner is killed after its claim: the row stands without an answer. Its
+// next start, and any other instance, know that nobody can tell.
+#[tokio::test]
+async fn a_claim_whose_owner_is_gone_is_never_run_again() {
+    let platform = FakePlatform::default();
+    let script = Script::new(&[Step::Silent]);
+    let start = |name| World::start_with(Border::Real, script.clone(), platform.clone(), name);
+    let owner = start("entry-1").await;
+    let killed = owner.send(order("k", None));
+    assert!(time::timeout(Duration::from_millis(30), killed).await.is_err());
+    let rows = platform.state().rows.clone();
+    let row = rows.values().next().unwrap();
+    assert!(row.value["settled"].is_null());
+    time::sleep(Duration::from_millis(2)).await;
+    for (name, code) in [("entry-1", "claim-orphaned"), ("entry-2", "claim-in-progress")] {
+        let seen = start(name).await.send(order("k", None)).await;
+        assert_eq!(told(&seen), (409, "unknown", code), "{name}");
+    }
+    let later = start("entry-2").await;
+    later.clock.jump(60_000);
+    let seen = later.send(order("k", None)).await;
+    assert_eq!(told(&seen), (409, "unknown", "claim-orphaned"));
+    assert_eq!(script.state().ran, 1);
+}
+
+#[tokio::test]
+async fn a_key_names_one_request() {
+    let world = World::start(Border::Real, Script::new(&[])).await;
+    world.send(order("k", None)).await;
+    let others = [("/orders", "two starters"), ("/holds", "one starter")];
+    for (path, body) in others {
+        let other = post(path).header("idempotency-key", "k").body(body::full(body)).unwrap();
+        let seen = world.send(other).await;
+        assert_eq!(told(&seen), (422, "not-run", "claim-mismatch"), "{path} {body}");
+    }
+    assert_eq!(world.script.state().ran, 1);
+}
+
+// A small answer is kept in its row, a larger one as an object. One that is too
+// large to keep streams, and a repeat is told that the order ran.
+#[tokio::test]
+async fn answers_are_kept_by_size() {
+    let cases = [(5, 0, 200, "-"), (100_000, 1, 200, "-"), (2 << 20, 0, 409, "answer-not-kept")];
+    for (answer_bytes, objects, status, code) in cases {
+        let world = World::start(Border::Real, Script::new(&[])).await;
+        world.script.state().answer_bytes = answer_bytes;
+        let first = world.send(order("k", None)).await;
+        assert_eq!(first.body.as_ref().map(Vec::len), Some(answer_bytes));
+        let then = world.send(order("k", None)).await;
+        assert_eq!((then.status, then.code.as_str()), (status, code), "{answer_bytes}");
+        assert!(status != 200 || first.body == then.body);
+        assert_eq!(world.platform.state().objects.len(), objects);
+        assert_eq!(world.script.state().ran, 1);
+    }
+}
+
+// The instance is paused while it opens a connection, and wakes past the
+// deadline. Its caller has given up, so nothing may be sent any more.
+#[tokio::test]
+async fn an_owner_that_wakes_past_its_deadline_sends_nothing() {
+    for home in [false, true] {
+        let world = World::start(Border::Fake, Script::new(&[])).await;
+        let clock = std::sync::Arc::clone(&world.clock);
+        world.script.state().in_dial = Some(Box::new(move || clock.jump(60_000)));
+        let home = home.then(|| world.home());
+        let seen = world.send(order("k", home.as_ref())).await;
+        assert_eq!(told(&seen), (504, "not-run", "deadline-before-send"));
+        assert_eq!(world.script.state().tried, 0);
+    }
+}
+
+// Nothing ran, so the row must go, or the repeat could never run.
+#[tokio::test]
+async fn a_claim_is_given_up_when_nothing_ran() {
+    let script = Script::new(&[]);
+    script.state().down = true;
+    let world = World::start(Border::Real, script).await;
+    let seen = world.send(order("k", None)).await;
+    assert_eq!(told(&seen), (503, "not-run", "connect-failed"));
+    let platform = world.platform.clone();
+    eventually("the claim is gone", || platform.state().rows.is_empty()).await;
+}
--- /dev/null
+++ b/crates/azuregate/tests/outcomes/fake_platform.rs
@@ -0,0 +1,141 @@
+//! A platform in memory that fails as it is told.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use azuregate::platform::{
+    Changes, Commit, Effect, Expect, Platform, PlatformError, Result, Row, Table, Write,
+};
+use azuregate_core::snapshot::InstanceList;
+use bytes::Bytes;
+use tokio::time;
+
+use crate::world::JumpClock;
+
+/// What happens to one write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fault {
+    /// None.
+    Ok,
+    /// It is refused, without effect.
+    Refused,
+    /// It takes effect, and its answer is lost.
+    AnswerLost,
+    /// It never arrives, which its sender cannot tell from a lost answer.
+    RequestLost,
+    /// It takes effect, and its answer comes after this many milliseconds.
+    Slow(u64),
+    /// It takes effect, and its sender is paused for so long before it goes on.
+    Paused(u64),
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FakePlatform(Arc<Mutex<State>>);
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) faults: VecDeque<Fault>,
+    /// Refuses everything once the faults have been gone through.
+    pub(crate) down: bool,
+    pub(crate) rows: BTreeMap<String, Row>,
+    pub(crate) objects: BTreeMap<String, Bytes>,
+    pub(crate) writes: usize,
+    pub(crate) clock: Option<Arc<JumpClock>>,
+}
+
+impl FakePlatform {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap()
+    }
+
+    fn fault(&self) -> Fault {
+        let mut state = self.state();
+        let down = if state.down { Fault::Refused } else { Fault::Ok };
+        state.faults.pop_front().unwrap_or(down)
+    }
+
+    async fn write<T>(&self, effect: impl FnOnce(&mut State) -> T + Send) -> Result<T> {
+        let fault = self.fault();
+        if fault == Fault::Refused {
+            return Err(PlatformError::new(Effect::None, "down"));
+        }
+        let lost = PlatformError::new(Effect::Unknown, "no answer");
+        if fault == Fault::RequestLost {
+            return Err(lost);
+        }
+        let done = {
+            let mut state = self.state();
+            state.writes += 1;
+            effect(&mut state)
+        };
+        match fault {
+            Fault::AnswerLost => return Err(lost),
+            Fault::Slow(ms) => time::sleep(Duration::from_millis(ms)).await,
+            Fault::Paused(ms) => self.state().clock.as_ref().unwrap().jump(ms),
+            _ => {}
+        }
+        Ok(done)
+    }
+}
+
+impl State {
+    fn commit(&mut self, writes: &[Write]) -> Commit {
+        for (index, write) in writes.iter().enumerate() {
+            let row = self.rows.get(&write.key).cloned();
+            let met = match write.expect {
+                Expect::Absent => row.is_none(),
+                Expect::Version(version) => row.as_ref().is_some_and(|r| r.version == version),
+            };
+            if !met {
+                return Commit::Conflict { index, row };
+            }
+        }
+        Commit::Done(writes.iter().map(|write| self.apply(write)).collect())
+    }
+
+    fn apply(&mut self, write: &Write) -> u64 {
+        let Some(value) = write.value.clone() else {
+            self.rows.remove(&write.key);
+            return 0;
+        };
+        let version = self.rows.get(&write.key).map_or(1, |row| row.version + 1);
+        self.rows.insert(write.key.clone(), Row { key: write.key.clone(), version, value });
+        version
+    }
+}
+
+#[async_trait]
+impl Platform for FakePlatform {
+    async fn read(&self, _table: Table, key: &str) -> Result<Option<Row>> {
+        if self.state().down {
+            return Err(PlatformError::new(Effect::None, "down"));
+        }
+        Ok(self.state().rows.get(key).cloned())
+    }
+
+    async fn changes(&self, _table: Table, _since_sequence: u64) -> Result<Changes> {
+        Ok(Changes::default())
+    }
+
+    async fn transact(&self, writes: &[Write]) -> Result<Commit> {
+        let writes = writes.to_vec();
+        self.write(move |state| state.commit(&writes)).await
+    }
+
+    async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
+        let name = name.to_owned();
+        self.write(move |state| drop(state.objects.insert(name, bytes))).await
+    }
+
+    async fn get_object(&self, name: &str) -> Result<Option<Bytes>> {
+        Ok(self.state().objects.get(name).cloned())
+    }
+
+    async fn instances(&self) -> Result<InstanceList> {
+        Ok(InstanceList::default())
+    }
+}
--- /dev/null
+++ b/crates/azuregate/tests/outcomes/pool.rs
@@ -0,0 +1,92 @@
+//! Which connections carry a request, and what happens when one has gone silent.
+
+use std::sync::Arc;
+
+use azuregate::{
+    backend::{BackendDialer, Pool},
+    body,
+};
+
+use crate::{
+    fake_dialer::FakeDialer,
+    script::{Script, Step},
+    world::{Border, JumpClock, World, get, post},
+};
+
+// A pooled connection has gone silent for good while new ones work. A read on it
+// sees nothing by the usual time and is sent again on a new connection.
+#[tokio::test]
+async fn a_read_on_a_silent_connection_is_tried_again_on_a_new_one() {
+    let world = World::start(Border::Real, Script::new(&[Step::Silent])).await;
+    world.warm_up().await;
+    let seen = world.send(get("/list").body(body::empty()).unwrap()).await;
+    assert_eq!((seen.status, seen.body.as_deref()), (200, Some(&b"xxxxx"[..])));
+    let state = world.script.state();
+    assert_eq!((state.tried, state.opened), (2, 1), "one attempt on each connection");
+}
+
+// The same with a write, which may have run: it waits for its deadline, and its
+// caller is told that nobody knows.
+#[tokio::test]
+async fn a_write_on_a_silent_connection_is_never_tried_again() {
+    let world = World::start(Border::Real, Script::new(&[Step::Silent])).await;
+    world.warm_up().await;
+    let seen = world.send(post("/orders").body(body::full("one")).unwrap()).await;
+    assert_eq!((seen.code.as_str(), seen.outcome.as_str()), ("deadline-after-send", "unknown"));
+    assert_eq!(world.script.state().tried, 1);
+}
+
+// A server answers before it has read the body, as one that refuses an upload
+// does. The rest of the body is still to come on that connection.
+#[tokio::test]
+async fn a_connection_answered_before_its_request_was_sent_is_not_used_again() {
+    for border in [Border::Real, Border::Fake] {
+        let world = World::start(border, Script::new(&[Step::Early])).await;
+        let large = futures_util::stream::unfold(0, |sent| async move {
+            if sent == 8 {
+                return None;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            let frame = hyper::body::Frame::data(bytes::Bytes::from(vec![0; 64 << 10]));
+            Some((Ok(frame), sent + 1))
+        });
+        let large = http_body_util::StreamBody::new(large);
+        let large = http_body_util::BodyExt::boxed_unsync(large);
+        let request = post("/photos").header("content-length", 8 * (64 << 10));
+        let seen = world.send(request.body(large).unwrap()).await;
+        assert_eq!(seen.body.as_deref(), Some(&b"early"[..]));
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+        let seen = world.send(get("/list").body(body::empty()).unwrap()).await;
+        assert_eq!(seen.body.as_deref(), Some(&b"xxxxx"[..]), "{border:?}");
+        assert_eq!(world.script.state().opened, 2, "{border:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_connection_is_used_again_after_a_refusal() {
+    let world = World::start(Border::Real, Script::new(&[Step::Refused])).await;
+    world.warm_up().await;
+    let seen = world.send(post("/orders").body(body::full("one")).unwrap()).await;
+    assert_eq!(seen.status, 200);
+    // The second attempt always has a new connection; the first went back.
+    assert_eq!(world.script.state().opened, 1);
+    world.send(post("/orders").body(body::full("one")).unwrap()).await;
+    assert_eq!(world.script.state().opened, 1);
+}
+
+// A connection answered 1.1 s ago, or before a pause of the process, may have
+// gone silent meanwhile; a write on it would be lost for its whole deadline.
+#[tokio::test]
+async fn only_a_connection_that_answered_within_the_last_second_is_taken() {
+    for (age_ms, taken) in [(0, true), (900, true), (1_100, false), (600_000, false)] {
+        let clock = Arc::new(JumpClock::default());
+        let pool = Pool::start(clock.clone());
+        let addr = ([127, 0, 0, 1], 1).into();
+        let conn = FakeDialer(Script::new(&[])).dial(addr).await.unwrap();
+        pool.put(addr, conn);
+        // The task has taken the connection in once it answers.
+        assert!(pool.take(([127, 0, 0, 1], 2).into()).await.is_none());
+        clock.jump(age_ms);
+        assert_eq!(pool.take(addr).await.is_some(), taken, "after {age_ms} ms");
+    }
+}
--- /dev/null
+++ b/crates/azuregate/tests/outcomes/world.rs
@@ -0,0 +1,243 @@
+//! A gateway with one backend server, and callers that it is called by directly.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use azuregate::{
+    backend::{HttpDialer, Pool, SharedDialer},
+    body::{self, Body},
+    claims::Claims,
+    clock::{Clock, SharedClock, SystemClock},
+    config::{Change, Config, Source},
+    dispatch::Rule,
+    gateway::{Gateway, Parts},
+    metrics::{NullSink, Recorder},
+};
+use azuregate_core::{
+    home::HomeToken,
+    names::{InstanceId, StartNumber, ZoneName},
+    snapshot::Snapshot,
+    time::Millis,
+};
+use http_body_util::BodyExt;
+use hyper::{Method, Request, Response};
+use serde_json::json;
+use tokio::time;
+
+use crate::{fake_dialer::FakeDialer, fake_platform::FakePlatform, script::Script, server};
+
+/// Which side of the border to backend servers is tested.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Border {
+    Real,
+    Fake,
+}
+
+/// The clocks of the system, which a test can set forward.
+#[derive(Debug, Default)]
+pub(crate) struct JumpClock {
+    system: SystemClock,
+    ahead_ms: AtomicU64,
+}
+
+impl JumpClock {
+    /// As if the process had been paused for so long.
+    pub(crate) fn jump(&self, ms: u64) {
+        self.ahead_ms.fetch_add(ms, Ordering::SeqCst);
+    }
+
+    fn ahead(&self) -> Millis {
+        Millis(self.ahead_ms.load(Ordering::SeqCst))
+    }
+}
+
+impl Clock for JumpClock {
+    fn now(&self) -> Millis {
+        self.system.now() + self.ahead()
+    }
+
+    fn epoch(&self) -> Millis {
+        self.system.epoch() + self.ahead()
+    }
+}
+
+/// An entry instance.
+pub(crate) struct World {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) script: Script,
+    pub(crate) platform: FakePlatform,
+    pub(crate) start: StartNumber,
+    pub(crate) clock: Arc<JumpClock>,
+    pub(crate) addr: SocketAddr,
+}
+
+/// What the caller saw.
+#[derive(Debug)]
+pub(crate) struct Seen {
+    pub(crate) status: u16,
+    pub(crate) outcome: String,
+    pub(crate) retry_after: String,
+    pub(crate) code: String,
+    /// The whole body, unless it was cut.
+    pub(crate) body: Option<Vec<u8>>,
+}
+
+impl World {
+    pub(crate) async fn start(border: Border, script: Script) -> World {
+        let platform = FakePlatform::default();
+        World::start_with(border, script, platform, "entry-1").await
+    }
+
+    /// An instance of its own, which may share its platform with others.
+    pub(crate) async fn start_with(
+        border: Border,
+        script: Script,
+        platform: FakePlatform,
+        name: &str,
+    ) -> World {
+        let addr = server::start(script.clone()).await;
+        World::build(border, script, platform, name, addr).await
+    }
+
+    /// An instance whose backend server is at `addr`.
+    pub(crate) async fn start_at(border: Border, addr: SocketAddr) -> World {
+        World::build(border, Script::new(&[]), FakePlatform::default(), "entry-1", addr).await
+    }
+
+    async fn build(
+        border: Border,
+        script: Script,
+        platform: FakePlatform,
+        name: &str,
+        addr: SocketAddr,
+    ) -> World {
+        let jump_clock = Arc::new(JumpClock::default());
+        platform.state().clock.get_or_insert_with(|| Arc::clone(&jump_clock));
+        let clock: SharedClock = jump_clock.clone();
+        let dialer: SharedDialer = match border {
+            Border::Real => Arc::new(HttpDialer { ip: [127, 0, 0, 1].into() }),
+            Border::Fake => Arc::new(FakeDialer(script.clone())),
+        };
+        let topology = json!({
+            "regions": [{ "name": "r", "zones": ["r-a"] }],
+            "zone_delay_ms": 1, "region_delay_ms": 1, "link_mbit_per_s": 4000,
+        });
+        let topology = Arc::new(serde_json::from_value(topology).unwrap());
+        let (config, snapshots) = Config::start(Snapshot::empty(topology));
+        configure(&config, addr);
+        let mut watch = snapshots.watch();
+        watch.wait_for(|snapshot| snapshot.ready).await.unwrap();
+        let instance = InstanceId::new(name);
+        let start = StartNumber(clock.epoch().0 - clock.now().0);
+        let gateway = Gateway::new(Parts {
+            instance: instance.clone(),
+            zone: ZoneName::new("r-a"),
+            snapshots: snapshots.clone(),
+            config,
+            clock: Arc::clone(&clock),
+            dialer,
+            pool: Pool::start(Arc::clone(&clock)),
+            claims: Claims::new(
+                Arc::new(platform.clone()),
+                Arc::clone(&clock),
+                snapshots,
+                &instance,
+                start,
+            ),
+            rule: Rule::nearest(),
+            recorder: Recorder::start(Arc::new(NullSink)),
+        });
+        World { gateway: Arc::new(gateway), script, platform, start, clock: jump_clock, addr }
+    }
+
+    /// The home of keys here, as a caller learns it.
+    pub(crate) fn home(&self) -> HomeToken {
+        HomeToken {
+            instance: InstanceId::new("entry-1"),
+            start: self.start,
+            issued_at_ms: self.clock.epoch(),
+        }
+    }
+
+    pub(crate) async fn send(&self, request: Request<Body>) -> Seen {
+        see(self.gateway.handle(request, self.addr).await).await
+    }
+
+    /// Sends a request on a connection that was used a moment before.
+    pub(crate) async fn warm_up(&self) {
+        let steps = std::mem::take(&mut self.script.state().steps);
+        self.send(get("/warm").body(body::empty()).unwrap()).await;
+        // The pool is a task of its own.
+        time::sleep(Duration::from_millis(5)).await;
+        let mut state = self.script.state();
+        state.steps = steps;
+        (state.tried, state.ran, state.opened) = (0, 0, 0);
+    }
+}
+
+/// Reads an answer as a caller does.
+pub(crate) async fn see(response: Response<Body>) -> Seen {
+    let (head, body) = response.into_parts();
+    let header = |name: &str| {
+        let value = head.headers.get(name).map(|value| value.to_str().unwrap().to_owned());
+        value.unwrap_or_else(|| "-".to_owned())
+    };
+    let body = body.collect().await.ok().map(|body| body.to_bytes().to_vec());
+    let text = String::from_utf8(body.clone().unwrap_or_default()).unwrap();
+    let (outcome, retry_after) = (header("azuregate-outcome"), header("retry-after"));
+    let code = match outcome.as_str() {
+        "-" => "-".to_owned(),
+        _ => text.split(':').next().unwrap().to_owned(),
+    };
+    Seen { status: head.status.as_u16(), outcome, retry_after, code, body }
+}
+
+pub(crate) fn get(path: &str) -> hyper::http::request::Builder {
+    Request::builder().uri(path).header("host", "svc").header("azuregate-timeout-ms", "250")
+}
+
+pub(crate) fn post(path: &str) -> hyper::http::request::Builder {
+    get(path).method(Method::POST)
+}
+
+/// An order with a key and, for the other form, the home of the key.
+pub(crate) fn order(key: &str, home: Option<&HomeToken>) -> Request<Body> {
+    let mut builder = post("/orders").header("idempotency-key", key);
+    if let Some(home) = home {
+        builder = builder.header("azuregate-home", home.to_string());
+    }
+    builder.body(body::full("one starter")).unwrap()
+}
+
+/// Waits until something holds; gives up after some seconds.
+pub(crate) async fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..500 {
+        if holds() {
+            return;
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("never: {what}");
+}
+
+fn configure(config: &Config, addr: SocketAddr) {
+    let policy = json!({
+        "service": "svc", "version": 1, "operation_id": "o", "zone_share_ppm": {},
+        "cap": { "share_ppm": 100_000, "window_ms": 1_000 },
+        "timeout_ms": 5_000, "queue_ms": 200,
+    });
+    let entry = |id: &str| json!({ "id": id, "zone": "r-a", "ip": "127.0.0.1", "traffic_port": 1, "peer_port": 2 });
+    let list = json!({
+        "instances": [entry("entry-1"), entry("entry-2")],
+        "backends": [{ "id": "b1", "service": "svc", "zone": "r-a", "addr": addr, "slots": 3 }],
+    });
+    config.change(Change::List(serde_json::from_value(list).unwrap()));
+    config.change(Change::Policy(serde_json::from_value(policy).unwrap(), Source::Platform));
+    config.change(Change::Confirmed);
+}
