Test keyed orders with real processes that are killed and paused

An owner killed while its order runs, one paused past its deadline while the platform takes its claim, a platform that loses its answers, and the home form with the platform down and then the home killed. Each bounds the runs at the backend servers.

--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -4,4 +4,5 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 mod deployment;
+mod outcomes;
 mod path;
