--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -25,6 +25,8 @@
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`home`] decides the same for keys that belong to one start of an instance.
 * [`blocks`] finds the site of a client from its address.
+* [`membership`] tells which instances take new work, [`neighbours`] which keep
+  links to each other.
 * [`entries`] answers which entry instances a caller should use.
 * [`retry`] bounds retries to a share of recent requests.
 * [`late`] knows the usual time of an answer.
@@ -37,7 +39,9 @@
 pub mod error;
 pub mod home;
 pub mod late;
+pub mod membership;
 pub mod names;
+pub mod neighbours;
 pub mod policy;
 pub mod retry;
 pub mod route;
--- a/crates/azuregate-lab/tests/processes/outcomes.rs
+++ b/crates/azuregate-lab/tests/processes/outcomes.rs
@@ -6,7 +6,7 @@
 };
 
 use azuregate_core::entries::Entries;
-use azuregate_lab::{client, load};
+use azuregate_lab::client;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -77,8 +77,9 @@
 
 /// The home that an entry instance names for itself.
 async fn home_of(deployment: &Deployment, index: usize) -> String {
-    let service = &deployment.example.services[0].name;
-    let entries: Entries = load::entries(deployment.traffic(index), service).await.unwrap();
+    let path = format!("/v1/entries?service={}", deployment.example.services[0].name);
+    let answer = client::get(deployment.traffic(index), &path).await.unwrap();
+    let entries: Entries = serde_json::from_slice(answer.body()).unwrap();
     let id = &deployment.example.entries[index].id;
     let entry = entries.entries.into_iter().find(|entry| entry.id == *id).unwrap();
     entry.home.unwrap()
--- a/crates/azuregate/src/gateway/keyed.rs
+++ b/crates/azuregate/src/gateway/keyed.rs
@@ -28,7 +28,6 @@
     pub(crate) forward: Forward,
     pub(crate) key: String,
     pub(crate) home: Option<HomeToken>,
-    pub(crate) remaining_ms: u64,
 }
 
 impl Keyed {
@@ -45,7 +44,8 @@
         let running = tokio::spawn(async move {
             match &self.home {
                 Some(home) if !self.forward.parts.claims.is_here(home) => {
-                    pass_on(&self.forward.parts, home, head, payload, self.remaining_ms).await
+                    pass_on(&self.forward.parts, home, head, payload, self.forward.remaining_ms())
+                        .await
                 }
                 _ => self.run_here(head, payload).await,
             }
@@ -64,7 +64,7 @@
             service: &attributes.service,
             key: &self.key,
             fingerprint: payload.fingerprint(attributes.fingerprint),
-            remaining_ms: self.remaining_ms,
+            remaining_ms: self.forward.remaining_ms(),
         };
         let claims = &self.forward.parts.claims;
         match claims.claim(wanted, self.home.as_ref()).await? {
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -4,26 +4,28 @@
 
 mod answer;
 mod forward;
+mod handover;
 mod headers;
 mod keyed;
 mod lease_body;
+mod metered;
 mod payload;
 mod request;
 mod retries;
+mod send;
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use azuregate_core::{
     entries::{self, MAX_AGE_S},
     error::{Error, ErrorKind},
-    names::{InstanceId, ServiceName, ZoneName},
+    names::{InstanceId, ZoneName},
     snapshot::Snapshot,
 };
 use hyper::{
     Method, Request, Response,
     header::{self, HeaderValue},
 };
-use tokio::sync::Mutex;
 
 use crate::{
     backend::{Pool, SharedDialer},
@@ -31,9 +33,8 @@
     claims::Claims,
     clock::SharedClock,
     config::{Config, Snapshots},
-    dispatch::Rule,
-    metrics::Recorder,
-    selector::Selector,
+    metrics::{ANSWERED, Recorder, Sample},
+    selector::{Handed, Selectors},
 };
 
 use self::{keyed::Keyed, payload::Payload, retries::AllRetries};
@@ -61,8 +62,8 @@
     pub pool: Pool,
     /// Lets keyed requests run at most once.
     pub claims: Claims,
-    /// How backend servers are chosen.
-    pub rule: Rule,
+    /// Choose backend servers.
+    pub selectors: Selectors,
     /// Takes in latencies and outcomes.
     pub recorder: Recorder,
 }
@@ -71,34 +72,39 @@
 pub struct Gateway {
     parts: Arc<Parts>,
     retries: AllRetries,
-    selectors: Mutex<HashMap<ServiceName, Selector>>,
 }
 
 impl Gateway {
     /// Makes a gateway.
     pub fn new(parts: Parts) -> Gateway {
-        Gateway {
-            parts: Arc::new(parts),
-            retries: AllRetries::default(),
-            selectors: Mutex::new(HashMap::new()),
-        }
+        Gateway { parts: Arc::new(parts), retries: AllRetries::default() }
     }
 
     /// Answers one request of the caller at `caller`.
-    pub async fn handle(&self, request: Request<Body>, caller: SocketAddr) -> Response<Body> {
+    pub async fn handle(&self, mut request: Request<Body>, caller: SocketAddr) -> Response<Body> {
         let started_ms = self.parts.clock.now();
         let snapshot = self.parts.snapshots.current();
         if request.uri().path() == ENTRIES_PATH && request.method() == Method::GET {
             return self.entries(&request, &snapshot, caller).unwrap_or_else(|e| answer::error(&e));
         }
+        let handed = match handover::read(request.headers_mut(), caller, &snapshot) {
+            Ok(handed) => handed,
+            Err(e) => return answer::error(&e),
+        };
         let attributes = match Attributes::read(&request) {
             Ok(attributes) => attributes,
             Err(e) => return answer::error(&e),
         };
-        let result = self.serve(request, &attributes, &snapshot).await;
+        let result = self.serve(request, &attributes, &snapshot, handed.clone()).await;
         let taken_ms = self.parts.clock.now().since(started_ms).0;
-        let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| "answered");
-        self.parts.recorder.request(&attributes.service, attributes.class, code, taken_ms);
+        let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| ANSWERED);
+        self.parts.recorder.record(Sample {
+            service: attributes.service.clone(),
+            tenant: attributes.tenant.clone(),
+            class: attributes.class,
+            code,
+            taken_ms,
+        });
         let mut response = result.unwrap_or_else(|e| {
             log::info!(
                 request:% = attributes.request_id, service:% = attributes.service,
@@ -110,6 +116,10 @@
         if let Ok(id) = HeaderValue::from_str(&attributes.request_id) {
             response.headers_mut().insert(request::REQUEST_ID, id);
         }
+        if let Some(handed) = handed {
+            let selector = self.parts.selectors.get(&attributes.service);
+            handover::set_load(response.headers_mut(), selector.word_for(&handed).await);
+        }
         response
     }
 
@@ -144,11 +154,14 @@
         request: Request<Body>,
         attributes: &Attributes,
         snapshot: &Snapshot,
+        handed: Option<Handed>,
     ) -> Result<Response<Body>, Error> {
-        // A request with a key is refused before its claim was read.
-        let refuse = |error: Error| {
-            if attributes.idempotency_key.is_some() { error.with_earlier_unknown() } else { error }
-        };
+        // The claim of a request that was handed over was made by the instance
+        // that its caller chose.
+        let key = attributes.idempotency_key.clone().filter(|_| handed.is_none());
+        let keyed = key.is_some();
+        // A request with a key is refused here before its claim was read.
+        let refuse = |e: Error| if keyed { e.with_earlier_unknown() } else { e };
         if !snapshot.ready {
             let error = Error::new(ErrorKind::NotReady, "no configuration in force yet");
             return Err(refuse(error));
@@ -158,39 +171,21 @@
             return Err(refuse(Error::new(ErrorKind::UnknownService, detail)));
         };
         let timeout_ms = attributes.timeout_ms.unwrap_or(policy.timeout_ms);
-        let deadline_ms = self.parts.clock.now().0 + timeout_ms;
         let forward = forward::Forward {
             parts: Arc::clone(&self.parts),
-            selector: self.selector(&attributes.service).await,
+            selector: self.parts.selectors.get(&attributes.service),
             retries: self.retries.of(&attributes.service),
             attributes: attributes.clone(),
-            deadline_ms,
+            deadline_ms: self.parts.clock.now().0 + timeout_ms,
             queue_ms: policy.queue_ms,
+            handed,
         };
         let (head, body) = request.into_parts();
         let payload = Payload::read(body, timeout_ms).await.map_err(refuse)?;
-        let Some(key) = attributes.idempotency_key.clone() else {
+        let Some(key) = key else {
             return forward.run(&head, payload).await;
         };
         let home = attributes.home.clone();
-        let remaining_ms = deadline_ms.saturating_sub(self.parts.clock.now().0);
-        Keyed { forward, key, home, remaining_ms }.run(head, payload).await
-    }
-
-    async fn selector(&self, service: &ServiceName) -> Selector {
-        let mut selectors = self.selectors.lock().await;
-        if let Some(selector) = selectors.get(service) {
-            return selector.clone();
-        }
-        let Rule::Alone(make_router) = &self.parts.rule;
-        let selector = Selector::start(
-            service,
-            &self.parts.zone,
-            Arc::clone(&self.parts.clock),
-            make_router(),
-            self.parts.snapshots.clone(),
-        );
-        selectors.insert(service.clone(), selector.clone());
-        selector
+        Keyed { forward, key, home }.run(head, payload).await
     }
 }
--- a/crates/azuregate/src/gateway/payload.rs
+++ b/crates/azuregate/src/gateway/payload.rs
@@ -49,6 +49,17 @@
         }
     }
 
+    /// Its length in bytes, as far as that is known.
+    pub(crate) fn up_bytes(&self) -> u64 {
+        match self {
+            Payload::Buffered(bytes) => bytes.len() as u64,
+            Payload::Streaming(body) => {
+                let size = body.size_hint();
+                size.upper().unwrap_or(size.lower())
+            }
+        }
+    }
+
     /// The body to send, and what is left for another attempt.
     pub(crate) fn send(self) -> (Body, Option<Payload>) {
         match self {
--- a/crates/azuregate/src/gateway/request.rs
+++ b/crates/azuregate/src/gateway/request.rs
@@ -5,7 +5,7 @@
 use azuregate_core::{
     error::{Error, ErrorKind},
     home::HomeToken,
-    names::ServiceName,
+    names::{ServiceName, TenantName},
     route::hash,
 };
 use hyper::{HeaderMap, Method, Request, header};
@@ -23,6 +23,11 @@
 /// Set by an instance that passes a request to the home of its key.
 pub(crate) const HOME_HOP: &str = "azuregate-home-hop";
 
+/// Names the tenant, for the histograms.
+pub(crate) const TENANT: &str = "azuregate-tenant";
+
+/// The longest name of a tenant, in bytes.
+const TENANT_LIMIT_BYTES: usize = 63;
 /// The longest idempotency key that is taken, in bytes.
 const KEY_LIMIT_BYTES: usize = 255;
 /// The longest time that a caller may ask for, in milliseconds.
@@ -39,6 +44,8 @@
     pub home: Option<HomeToken>,
     /// The caller's time limit, if it set one.
     pub timeout_ms: Option<u64>,
+    /// On whose behalf the request is, if the caller says so.
+    pub tenant: Option<TenantName>,
     /// Names the request in logs.
     pub request_id: String,
     /// Hash of service, method and path; the body joins it later.
@@ -67,12 +74,14 @@
         let fingerprint = hash::score(&[service.as_str(), method.as_str(), path]);
         let idempotent = method.is_idempotent() && idempotency_key.is_none();
         let class = class(method, idempotency_key.is_some());
+        let tenant = tenant(headers)?;
         let request_id = request_id(headers)?;
         Ok(Attributes {
             service,
             idempotency_key,
             home,
             timeout_ms,
+            tenant,
             request_id,
             fingerprint,
             class,
@@ -136,6 +145,21 @@
     Ok(Some(ms))
 }
 
+fn tenant(headers: &HeaderMap) -> Result<Option<TenantName>, Error> {
+    let Some(tenant) = text(headers, TENANT)? else {
+        return Ok(None);
+    };
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !(1..=TENANT_LIMIT_BYTES).contains(&tenant.len()) || !tenant.chars().all(is_allowed) {
+        let detail = format!(
+            "Azuregate-Tenant must be 1 to {TENANT_LIMIT_BYTES} letters, digits, dots, \
+             hyphens or underscores"
+        );
+        return Err(bad(detail));
+    }
+    Ok(Some(TenantName::new(tenant)))
+}
+
 fn request_id(headers: &HeaderMap) -> Result<String, Error> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     if let Some(id) = text(headers, REQUEST_ID)? {
--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod gateway;
+pub mod jsonc;
 pub mod logs;
 pub mod metrics;
 pub mod operators;
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -24,9 +24,10 @@
     dispatch::{Exchange, Rule},
     gateway::{Gateway, Parts},
     metrics::{MetricSink, NullSink, Recorder, StatsdSink},
-    operators::OperatorsService,
+    operators::{self, OperatorsService},
     peer::Mesh,
     platform::{HttpPlatform, SharedPlatform, Table},
+    selector::{SelectorParts, Selectors},
     settings::Settings,
     status::{self, Status},
     stop::Stop,
@@ -94,14 +95,17 @@
         timer: timer.clone(),
     };
     let mesh = tokio::spawn(mesh.serve(peers));
-    let operators_service = OperatorsService {
+    let operators_service = OperatorsService::new(operators::Parts {
         instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
         start,
         config: config.clone(),
         snapshots: snapshots.clone(),
         platform: Arc::clone(&platform),
+        clock: Arc::clone(&clock),
+        recorder: recorder.clone(),
         stop: stop.clone(),
-    };
+    });
     let operators = tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(OperatorsServer::new(operators_service))
@@ -110,6 +114,16 @@
     let status =
         Status { snapshots: snapshots.clone(), recorder: recorder.clone(), stop: stop.clone() };
     let status = tokio::spawn(status::serve(status_listener, Arc::new(status)));
+    let selectors = Selectors::new(SelectorParts {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        start,
+        rule,
+        clock: Arc::clone(&clock),
+        snapshots: snapshots.clone(),
+        exchange,
+        timer: timer.clone(),
+    });
     let gateway = Arc::new(Gateway::new(Parts {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
@@ -118,8 +132,8 @@
         clock: Arc::clone(&clock),
         dialer: Arc::new(HttpDialer { ip: settings.ip }),
         pool: Pool::start(Arc::clone(&clock)),
-        claims: Claims::new(platform, clock, snapshots, &settings.instance, start),
-        rule,
+        claims: Claims::new(platform, Arc::clone(&clock), snapshots, &settings.instance, start),
+        selectors,
         recorder,
     }));
     log::info!(instance:% = settings.instance, start:% = start; "entry instance started");
@@ -154,9 +168,13 @@
 async fn poll(platform: SharedPlatform, config: Config, timer: Timer, every_ms: u64) {
     let mut ticks = timer.subscribe(every_ms);
     let mut since_sequence = 0;
+    let mut listed = false;
     loop {
         match platform.instances().await {
-            Ok(list) => config.change(Change::List(list)),
+            Ok(list) => {
+                config.change(Change::List(list));
+                listed = true;
+            }
             Err(e) => log::warn!(error:% = e; "instance list not read"),
         }
         match platform.changes(Table::Policy, since_sequence).await {
@@ -165,7 +183,11 @@
                 for row in changes.rows {
                     apply_row(&config, row);
                 }
-                config.change(Change::Confirmed);
+                // Without the list every request would be refused for want of a
+                // backend server, by an instance that says it is ready.
+                if listed {
+                    config.change(Change::Confirmed);
+                }
             }
             Err(e) => log::warn!(error:% = e; "policies not read"),
         }
--- a/crates/azuregate/tests/outcomes/world.rs
+++ b/crates/azuregate/tests/outcomes/world.rs
@@ -15,9 +15,11 @@
     claims::Claims,
     clock::{Clock, SharedClock, SystemClock},
     config::{Change, Config, Source},
-    dispatch::Rule,
+    dispatch::{Exchange, Rule},
     gateway::{Gateway, Parts},
     metrics::{NullSink, Recorder},
+    selector::{SelectorParts, Selectors},
+    timer::Timer,
 };
 use azuregate_core::{
     home::HomeToken,
@@ -135,6 +137,16 @@
         watch.wait_for(|snapshot| snapshot.ready).await.unwrap();
         let instance = InstanceId::new(name);
         let start = StartNumber(clock.epoch().0 - clock.now().0);
+        let selectors = Selectors::new(SelectorParts {
+            instance: instance.clone(),
+            zone: ZoneName::new("r-a"),
+            start,
+            rule: Rule::nearest(),
+            clock: Arc::clone(&clock),
+            snapshots: snapshots.clone(),
+            exchange: Exchange::default(),
+            timer: Timer::start(),
+        });
         let gateway = Gateway::new(Parts {
             instance: instance.clone(),
             zone: ZoneName::new("r-a"),
@@ -150,7 +162,7 @@
                 &instance,
                 start,
             ),
-            rule: Rule::nearest(),
+            selectors,
             recorder: Recorder::start(Arc::new(NullSink)),
         });
         World { gateway: Arc::new(gateway), script, platform, start, clock: jump_clock, addr }
