Leave the closing of a given-up connection to hyper

Cause: aborting the connection's task on drop was put in so that a caller's leaving reaches the backend server. The code goes, the tests stay.

--- a/crates/azuregate/src/backend/http.rs
+++ b/crates/azuregate/src/backend/http.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpSocket, task::AbortHandle};
+use tokio::net::TcpSocket;
 
 use crate::{
     backend::{BackendConn, BackendDialer, SendCause, SendError},
@@ -32,19 +32,20 @@
         stream.set_nodelay(true)?;
         let (sender, conn) =
             http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        let task = tokio::spawn(async move {
+        // The task owns the socket.
+        tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!(addr:% = addr, error:% = e; "backend connection ended");
             }
         });
-        Ok(Box::new(HttpConn { sender, task: task.abort_handle() }))
+        Ok(Box::new(HttpConn { sender }))
     }
 }
 
+/// Dropped, or with its exchange given up, it lets hyper's task close the socket:
+/// the only cancellation that a backend server sees.
 struct HttpConn {
     sender: http1::SendRequest<Body>,
-    /// The task that owns the socket.
-    task: AbortHandle,
 }
 
 #[async_trait]
@@ -74,15 +75,3 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 }
-
-impl Drop for HttpConn {
-    /// Closes the socket at once.
-    ///
-    /// The failure: a caller left or a deadline passed, and the backend server
-    /// works on for nobody, since hyper's task would go on sending the body and
-    /// waiting. The closed connection is the only cancellation that a backend
-    /// server sees. A connection whose exchange is over loses nothing.
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
--- a/crates/azuregate/tests/outcomes/bodies.rs
+++ b/crates/azuregate/tests/outcomes/bodies.rs
@@ -13,7 +13,7 @@
 use futures_util::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use tokio::time;
+use tokio::{io::AsyncReadExt, time};
 
 use crate::{
     script::{Script, Step},
@@ -55,7 +55,8 @@
 
 // The backend server takes the head of an upload of 50 MB and reads no further.
 // The instance must stop taking the body from the caller; if it went on, it
-// would hold the whole of it. What fits the sockets' buffers may be taken.
+// would hold the whole of it. What fits the sockets' buffers may be taken. Then
+// the caller leaves, and the backend server must see the end of it.
 #[tokio::test]
 async fn an_upload_is_not_held_in_memory_while_the_backend_server_reads_nothing() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -63,12 +64,21 @@
     let taken = Arc::default();
     let request = put(UPLOAD_FRAMES * FRAME_BYTES, upload(UPLOAD_FRAMES, &taken));
     let sending = tokio::spawn(async move { world.send(request).await });
-    let (_stream, _) = listener.accept().await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
     eventually("the upload begins", || taken.load(Ordering::SeqCst) > 0).await;
     time::sleep(Duration::from_millis(300)).await;
     let taken = taken.load(Ordering::SeqCst);
     assert!(taken < UPLOAD_FRAMES / 4, "{taken} frames of {UPLOAD_FRAMES} were taken");
     sending.abort();
+    let mut received = 0;
+    let rest = async {
+        let mut buffer = vec![0; 1 << 20];
+        while let Ok(read @ 1..) = stream.read(&mut buffer).await {
+            received += read;
+        }
+    };
+    time::timeout(Duration::from_secs(5), rest).await.expect("the connection never closed");
+    assert!(received < UPLOAD_FRAMES * FRAME_BYTES / 4, "{received} bytes arrived");
 }
 
 // The caller's connection breaks in its body. A small body never left for a
