Prove operators' changes against a platform that loses answers

A small fake platform in memory fails as a table tells it: refused, lost before or after the effect, late, followed or preceded by a rival's change, down, garbage. Each row says how a replacement and a drain end, and which version the platform holds afterwards. Two operators race for the same policy.

--- a/crates/azuregate/src/operators/mod.rs
+++ b/crates/azuregate/src/operators/mod.rs
@@ -24,7 +24,7 @@
 mod settle;
 mod validate;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use azuregate_core::{
     names::{InstanceId, ServiceName, StartNumber, ZoneName},
@@ -32,6 +32,7 @@
 };
 use azuregate_schema::v1;
 use futures_util::future;
+use tokio::time;
 use tonic::Status;
 
 pub use answer::FailureClass;
@@ -55,6 +56,9 @@
 /// How many versions a history holds at the most: each is a read.
 const HISTORY_LIMIT: u32 = 100;
 
+/// How long an answer waits for the change to be in force here.
+const APPLY_LIMIT_MS: u64 = 1_000;
+
 /// What the operators' service works with.
 pub struct Parts {
     /// The name of this instance.
@@ -121,7 +125,7 @@
         })?;
         let response = match settled {
             Settled::Accepted { before, policy, repeated } => {
-                self.apply(&policy);
+                self.apply(&policy).await;
                 log::info!(
                     service:% = wanted.service, operation:% = wanted.operation_id,
                     version = policy.version, repeated = repeated;
@@ -136,9 +140,16 @@
         Ok(response)
     }
 
-    /// The change is in force here before the operator has the answer.
-    fn apply(&self, policy: &Policy) {
+    /// Brings a policy into force here, before the operator has the answer: a
+    /// script that reads what it set would else see the version before.
+    async fn apply(&self, policy: &Policy) {
         self.parts.config.change(Change::Policy(Box::new(policy.clone()), Source::Platform));
+        let mut snapshots = self.parts.snapshots.watch();
+        let in_force = snapshots.wait_for(|snapshot| {
+            let version = snapshot.policies.get(&policy.service).map_or(0, |policy| policy.version);
+            version >= policy.version
+        });
+        let _ = time::timeout(Duration::from_millis(APPLY_LIMIT_MS), in_force).await;
     }
 
     fn compare(&self, before: Option<&Policy>, after: &Policy) -> v1::ChangeResponse {
@@ -162,7 +173,7 @@
         let Some(winner) = winner else {
             return v1::ChangeResponse { conflict: true, ..v1::ChangeResponse::default() };
         };
-        self.apply(&winner);
+        self.apply(&winner).await;
         let base = match (&wanted.edit, wanted.based_on_version) {
             (Edit::Set(policy), _) => Some(Policy::clone(policy)),
             // The differences are an extra; the conflict is told without them.
--- /dev/null
+++ b/crates/azuregate/tests/operators/faults.rs
@@ -0,0 +1,234 @@
+//! Changes while the platform fails and other operators change the same policy.
+
+use std::time::Duration;
+
+use azuregate::{operators::convert, platform::Table};
+use azuregate_schema::v1::{
+    ChangeResponse, DrainRequest, SetPolicyRequest, StartShiftRequest, StopShiftRequest,
+    operators_server::Operators,
+};
+use serde_json::json;
+use tonic::{Request, Response, Status};
+
+use crate::fake::{
+    Bench,
+    Fault::{self, *},
+    SERVICE, ending, first_policy,
+};
+
+type Answer = Result<Response<ChangeResponse>, Status>;
+
+async fn set(bench: &Bench, operation_id: &str, based_on_version: u64, queue_ms: u64) -> Answer {
+    let mut policy = first_policy();
+    policy.queue_ms = queue_ms;
+    let request = SetPolicyRequest {
+        policy: Some(convert::to_proto(&policy)),
+        based_on_version,
+        operation_id: operation_id.to_owned(),
+        dry_run: false,
+    };
+    bench.service.set_policy(Request::new(request)).await
+}
+
+async fn drain(bench: &Bench, operation_id: &str, backend: &str) -> Answer {
+    let request = DrainRequest {
+        service: SERVICE.to_owned(),
+        backends: vec![backend.to_owned()],
+        operation_id: operation_id.to_owned(),
+        ..DrainRequest::default()
+    };
+    bench.service.start_drain(Request::new(request)).await
+}
+
+async fn shift(bench: &Bench, operation_id: &str, zone: &str) -> Answer {
+    let request = StartShiftRequest {
+        service: SERVICE.to_owned(),
+        to_share_ppm: [(zone.to_owned(), 1_000_000)].into(),
+        operation_id: operation_id.to_owned(),
+        ..StartShiftRequest::default()
+    };
+    bench.service.start_shift(Request::new(request)).await
+}
+
+/// What goes wrong, then how a replacement and a drain end, each with the
+/// version that the platform holds afterwards.
+const FAULTS: &[(&[Fault], &str, u64, &str, u64)] = &[
+    (&[], "accepted 2", 2, "accepted 2", 2),
+    (&[Refused], "unreachable", 1, "unreachable", 1),
+    (&[LostAfter], "accepted 2", 2, "accepted 2", 2),
+    (&[LostBefore], "accepted 2", 2, "accepted 2", 2),
+    (&[LostAfterThenRival], "accepted 2", 3, "accepted 2", 3),
+    (&[LostBeforeThenRival], "conflict 2", 2, "accepted 3", 3),
+    (&[LostBefore, LostAfter], "accepted 2", 2, "accepted 2", 2),
+    (&[LostBefore, LostAfterThenRival], "accepted 2", 3, "accepted 2", 3),
+    (&[LostBefore, Refused], "accepted 2", 2, "accepted 2", 2),
+    (&[LostBefore, RivalFirst], "conflict 2", 2, "accepted 3", 3),
+    (&[Late], "accepted 2", 2, "accepted 2", 2),
+    (&[Late, LostBefore], "accepted 2", 2, "accepted 2", 2),
+    (&[RivalFirst], "conflict 2", 2, "accepted 3", 3),
+    (&[LostBefore, LostBefore, LostBefore, LostBefore], "unknown", 1, "unknown", 1),
+    (&[LostAfterThenDown], "unknown", 2, "unknown", 2),
+    (&[RivalFirst, RivalFirst, RivalFirst, RivalFirst], "conflict 2", 2, "refused", 5),
+    (&[LostBeforeThenRival, RivalFirst, RivalFirst, RivalFirst], "conflict 2", 2, "refused", 5),
+];
+
+// The operator sends one change. Its write, or the answer to it, is lost, comes
+// late, or meets a rival's. Whatever is told, "accepted" is told only of a change
+// that the platform holds, "conflict", "refused" and "unreachable" only of one
+// that it does not hold and never will.
+#[tokio::test(start_paused = true)]
+async fn one_change() {
+    for (faults, set_ending, set_version, drain_ending, drain_version) in FAULTS {
+        let bench = Bench::new().await;
+        bench.platform.script(faults);
+        let result = set(&bench, "op-1", 1, 300).await;
+        assert_eq!(ending(&result), *set_ending, "set: {faults:?}");
+        assert_eq!(bench.platform.policy().version, *set_version, "set: {faults:?}");
+
+        let bench = Bench::new().await;
+        bench.platform.script(faults);
+        let result = drain(&bench, "op-1", "starter-desk-01").await;
+        assert_eq!(ending(&result), *drain_ending, "drain: {faults:?}");
+        assert_eq!(bench.platform.policy().version, *drain_version, "drain: {faults:?}");
+    }
+}
+
+// The answer is lost and the platform goes down, so that the first call cannot
+// tell. A rival changes the policy. The operator repeats the call with the same
+// operation id: it is told of its own version, and nothing is made twice.
+#[tokio::test(start_paused = true)]
+async fn an_unknown_change_is_asked_after_later() {
+    let bench = Bench::new().await;
+    bench.platform.script(&[LostAfterThenDown]);
+    assert_eq!(ending(&set(&bench, "op-1", 1, 300).await), "unknown");
+    bench.platform.set_down(false);
+    assert_eq!(ending(&set(&bench, "op-2", 2, 400).await), "accepted 3");
+    assert_eq!(ending(&set(&bench, "op-1", 1, 300).await), "repeated 2");
+    assert_eq!(bench.platform.policy().version, 3);
+    assert_eq!(bench.platform.policy().queue_ms, 400);
+    assert_eq!(bench.version_in_force(), 3);
+}
+
+// The same operation id comes with another change, by a mistake in a script.
+// Taking it for a repeat would report a change that nobody made.
+#[tokio::test(start_paused = true)]
+async fn an_operation_id_names_one_change() {
+    let bench = Bench::new().await;
+    assert_eq!(ending(&set(&bench, "op-1", 1, 300).await), "accepted 2");
+    for other in [
+        set(&bench, "op-1", 1, 301).await,
+        set(&bench, "op-1", 2, 300).await,
+        drain(&bench, "op-1", "starter-desk-01").await,
+    ] {
+        assert_eq!(ending(&other), "refused");
+    }
+    assert_eq!(bench.platform.policy().version, 2);
+}
+
+// Two operators start from version 1 at the same moment, on two instances or
+// on one. One wins. The other is told who won and where the winner differs.
+#[tokio::test(start_paused = true)]
+async fn two_operators_replace_a_policy() {
+    let bench = Bench::new().await;
+    let results = tokio::join!(set(&bench, "op-1", 1, 300), set(&bench, "op-2", 1, 400));
+    let mut endings = [ending(&results.0), ending(&results.1)];
+    endings.sort();
+    assert_eq!(endings, ["accepted 2", "conflict 2"]);
+    let winner = bench.platform.policy();
+    let (lost, lost_queue_ms) =
+        if winner.queue_ms == 300 { (results.1, 400) } else { (results.0, 300) };
+    let lost = lost.unwrap().into_inner();
+    assert_eq!(lost.policy.unwrap().operation_id, winner.operation_id);
+    let [difference] = &lost.differences[..] else { panic!("{:?}", lost.differences) };
+    assert_eq!(difference.field, "queue_ms");
+    assert_eq!(difference.before, lost_queue_ms.to_string());
+    assert_eq!(difference.after, winner.queue_ms.to_string());
+}
+
+// Drains of different backend servers do not contradict each other, so that
+// neither operator has to start again. Shifts do: the second is not made on top
+// of one that its operator never saw.
+#[tokio::test(start_paused = true)]
+async fn two_operators_drain_and_shift() {
+    let bench = Bench::new().await;
+    let results = tokio::join!(
+        drain(&bench, "op-1", "starter-desk-01"),
+        drain(&bench, "op-2", "starter-desk-02")
+    );
+    let mut endings = [ending(&results.0), ending(&results.1)];
+    endings.sort();
+    assert_eq!(endings, ["accepted 2", "accepted 3"]);
+    assert_eq!(bench.platform.policy().drains.len(), 2);
+
+    let bench = Bench::new().await;
+    let results = tokio::join!(shift(&bench, "op-1", "sofia-a"), shift(&bench, "op-2", "varna-a"));
+    let mut endings = [ending(&results.0), ending(&results.1)];
+    endings.sort();
+    assert_eq!(endings, ["accepted 2", "conflict 2"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_shift_is_started_and_stopped() {
+    let bench = Bench::new().await;
+    assert_eq!(ending(&shift(&bench, "op-1", "varna-a").await), "accepted 2");
+    assert_eq!(ending(&shift(&bench, "op-2", "sofia-a").await), "refused");
+    let stop = |operation_id: &str| {
+        let request = StopShiftRequest {
+            service: SERVICE.to_owned(),
+            operation_id: operation_id.to_owned(),
+            ..StopShiftRequest::default()
+        };
+        bench.service.stop_shift(Request::new(request))
+    };
+    assert_eq!(ending(&stop("op-3").await), "accepted 3");
+    assert_eq!(ending(&stop("op-3").await), "repeated 3");
+    assert_eq!(ending(&stop("op-4").await), "refused");
+    assert_eq!(bench.platform.policy().shift, None);
+}
+
+// The operator's connection breaks while the platform is at work. The change
+// goes on, and is in force on this instance though nobody waits for the answer.
+#[tokio::test(start_paused = true)]
+async fn an_operator_who_goes_away_leaves_nothing_unsettled() {
+    let bench = Bench::new().await;
+    bench.platform.script(&[LostBefore]);
+    let call = set(&bench, "op-1", 1, 300);
+    // Let it start, and no more.
+    let gone = tokio::time::timeout(Duration::from_millis(1), call).await;
+    assert!(gone.is_err());
+    let mut snapshots = bench.snapshots.watch();
+    let in_force = snapshots.wait_for(|snapshot| snapshot.policies[SERVICE].version == 2);
+    let in_force = tokio::time::timeout(Duration::from_secs(5), in_force).await;
+    assert!(in_force.is_ok(), "the change never came into force");
+    assert_eq!(bench.platform.policy().queue_ms, 300);
+}
+
+// A script sets a policy and reads it back. Were the change only on its way to
+// the task that brings it into force, now and then it would read the old one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_is_in_force_here_when_it_is_answered() {
+    let bench = Bench::new().await;
+    for version in 2..200 {
+        let result = set(&bench, &format!("op-{version}"), version - 1, version).await;
+        assert_eq!(ending(&result), format!("accepted {version}"));
+        assert_eq!(bench.version_in_force(), version);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_platform_that_is_down_or_garbled_changes_nothing() {
+    let bench = Bench::new().await;
+    bench.platform.set_down(true);
+    assert_eq!(ending(&set(&bench, "op-1", 1, 300).await), "unreachable");
+
+    let bench = Bench::new().await;
+    bench.platform.put(Table::Policy, SERVICE, json!({ "service": 7 }));
+    assert_eq!(ending(&set(&bench, "op-1", 1, 300).await), "failed");
+    assert_eq!(ending(&drain(&bench, "op-1", "starter-desk-01").await), "failed");
+
+    let bench = Bench::new().await;
+    let operation = format!("{SERVICE}/operation/op-1");
+    bench.platform.put(Table::PolicyHistory, &operation, json!("garbage"));
+    assert_eq!(ending(&set(&bench, "op-1", 1, 300).await), "failed");
+    assert_eq!(bench.platform.policy().version, 1);
+}
--- /dev/null
+++ b/crates/azuregate/tests/operators/main.rs
@@ -0,0 +1,10 @@
+//! The operators' service against a small fake platform.
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+mod conversions;
+mod fake;
+mod faults;
+mod recorder;
+mod refusals;
+mod views;
--- /dev/null
+++ b/crates/azuregate/tests/operators/recorder.rs
@@ -0,0 +1,62 @@
+//! Histograms: what callers send must not decide what they cost.
+
+use azuregate::metrics::{ANSWERED, Class, Sample};
+use azuregate_core::names::{ServiceName, TenantName};
+use azuregate_schema::v1::{HistogramsRequest, operators_server::Operators};
+use tonic::Request;
+
+use crate::fake::{Bench, SERVICE};
+
+fn sample(service: &str, tenant: Option<&str>, code: &'static str, taken_ms: u64) -> Sample {
+    Sample {
+        service: ServiceName::new(service),
+        tenant: tenant.map(TenantName::new),
+        class: Class::Read,
+        code,
+        taken_ms,
+    }
+}
+
+#[tokio::test]
+async fn latencies_for_each_tenant() {
+    let bench = Bench::new().await;
+    for taken_ms in 1..=100 {
+        bench.recorder.record(sample(SERVICE, Some("bakers"), ANSWERED, taken_ms));
+    }
+    bench.recorder.record(sample(SERVICE, None, "queue-full", 1));
+    let request = HistogramsRequest { service: SERVICE.to_owned() };
+    let answer = bench.service.histograms(Request::new(request)).await.unwrap().into_inner();
+    let [none, bakers] = &answer.histograms[..] else { panic!("{answer:?}") };
+    assert_eq!((none.tenant.as_str(), none.count, none.errors), ("", 1, 1));
+    assert_eq!((bakers.tenant.as_str(), bakers.count, bakers.errors), ("bakers", 100, 0));
+    assert_eq!((bakers.p50_ms, bakers.p99_ms, bakers.max_ms), (50, 99, 100));
+}
+
+// Someone sends requests with a new Host and a new tenant each. A series for
+// each would fill the memory, here and at the metrics' receiver.
+#[tokio::test]
+async fn names_that_callers_make_up_go_together() {
+    let bench = Bench::new().await;
+    for index in 0..1_000 {
+        let name = format!("made-up-{index}");
+        bench.recorder.record(sample(&name, Some(&name), "unknown-service", 1));
+        bench.recorder.record(sample(SERVICE, Some(&name), ANSWERED, 1));
+        bench.recorder.record(sample(&name, None, ANSWERED, 1));
+    }
+    let histograms = bench.recorder.histograms().await.histograms;
+    assert!(histograms.len() <= 64 + 64 + 2, "{} series", histograms.len());
+    assert_eq!(histograms.iter().map(|histogram| histogram.count).sum::<u64>(), 3_000);
+}
+
+// The task cannot run while this one does not wait, as under overload: samples
+// beyond the bound are dropped and counted, and the request path goes on.
+#[tokio::test]
+async fn samples_beyond_the_bound_are_dropped_and_counted() {
+    let bench = Bench::new().await;
+    for _ in 0..20_000 {
+        bench.recorder.record(sample(SERVICE, None, ANSWERED, 1));
+    }
+    let histograms = bench.recorder.histograms().await;
+    assert_eq!(histograms.dropped, 20_000 - 16_384);
+    assert_eq!(histograms.histograms[0].count, 16_384);
+}
