Give the operators' client all commands, JSON, exit statuses and help

Each command takes several instances and tries them in turn. A change carries its operation id, so that it is safe to send it to the next one after an answer was lost; what that one refuses is then not taken for 'nothing was changed'.

--- a/crates/azuregate-schemagen/src/lib.rs
+++ b/crates/azuregate-schemagen/src/lib.rs
@@ -19,6 +19,11 @@
 /// When a `.proto` file does not compile or the folder cannot be written.
 pub fn generate(out_dir: &Path) -> Result<String, Box<dyn std::error::Error>> {
     let files = protox::compile(["azuregate/v1/operators.proto"], [PROTO_DIR])?;
-    tonic_prost_build::configure().btree_map(".").out_dir(out_dir).compile_fds(files)?;
+    tonic_prost_build::configure()
+        .btree_map(".")
+        // The command line prints messages as JSON, under the schema's names.
+        .message_attribute(".", "#[derive(serde::Serialize)]")
+        .out_dir(out_dir)
+        .compile_fds(files)?;
     Ok(fs::read_to_string(out_dir.join("azuregate.v1.rs"))?)
 }
--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -1,50 +1,29 @@
-//! The command line.
+/*!
+The command line.
 
+`args` holds the options, `operator` the commands that call an instance, `call`
+what such a call does when an instance does not answer.
+*/
+
+mod args;
+mod call;
+mod help;
 mod operator;
+mod policy_file;
+mod print;
+mod shares;
 
-use std::{fs, path::PathBuf, process::ExitCode};
+use std::{env, fs, path::Path, process::ExitCode};
 
 use error_stack::Report;
 use gumdrop::Options;
 
-use crate::{logs, run, settings::Settings, stop};
-
-/// The whole command line.
-#[derive(Debug, Options)]
-struct Args {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(command)]
-    command: Option<Command>,
-}
-
-#[derive(Debug, Options)]
-enum Command {
-    #[options(help = "run an entry instance")]
-    Run(RunArgs),
-    #[options(help = "check settings and do nothing else")]
-    Check(CheckArgs),
-    #[options(help = "show what an entry instance knows and does")]
-    Status(operator::StatusArgs),
-    #[options(help = "read and change policies")]
-    Policy(operator::PolicyArgs),
-}
-
-#[derive(Debug, Options)]
-struct RunArgs {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(required, help = "the settings file")]
-    settings: PathBuf,
-}
-
-#[derive(Debug, Options)]
-struct CheckArgs {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(required, help = "the settings file")]
-    settings: PathBuf,
-}
+use self::args::{Args, Command, SettingsArgs};
+use crate::{
+    logs, run,
+    settings::{Settings, SettingsError},
+    stop,
+};
 
 /// How a command ended, for scripts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,6 +44,21 @@
     Unknown = 6,
 }
 
+impl Exit {
+    /// The name of the class, as scripts read it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Exit::Done => "done",
+            Exit::Failed => "failed",
+            Exit::Usage => "usage",
+            Exit::Refused => "refused",
+            Exit::Conflict => "conflict",
+            Exit::Unreachable => "unreachable",
+            Exit::Unknown => "unknown",
+        }
+    }
+}
+
 impl From<Exit> for ExitCode {
     fn from(exit: Exit) -> ExitCode {
         ExitCode::from(exit as u8)
@@ -73,16 +67,26 @@
 
 /// Runs the command line of this process.
 pub fn main() -> ExitCode {
-    let args = Args::parse_args_default_or_exit();
-    let Some(command) = args.command else {
-        eprintln!("{}\n\nCommands:\n{}", Args::usage(), Args::command_list().unwrap_or_default());
-        return Exit::Usage.into();
+    let texts: Vec<String> = env::args().skip(1).collect();
+    let args = match Args::parse_args_default(&texts) {
+        Ok(args) => args,
+        Err(e) => {
+            eprintln!("azuregate: {e}; --help says more");
+            return Exit::Usage.into();
+        }
     };
-    match command {
-        Command::Run(args) => run_instance(&args),
-        Command::Check(args) => check(&args),
-        Command::Status(args) => block_on(operator::status(args)),
-        Command::Policy(args) => block_on(operator::policy(args)),
+    if args.help_requested() {
+        println!("{}", help::text(&args));
+        return Exit::Done.into();
+    }
+    match args.command {
+        Some(Command::Run(args)) => run_instance(&args),
+        Some(Command::Check(args)) => check(&args),
+        Some(command) => block_on(operator::run(command)),
+        None => {
+            eprintln!("{}", help::text(&args));
+            Exit::Usage
+        }
     }
     .into()
 }
@@ -97,7 +101,7 @@
     }
 }
 
-fn check(args: &CheckArgs) -> Exit {
+fn check(args: &SettingsArgs) -> Exit {
     match Settings::load(&args.settings) {
         Ok(_) => {
             println!("{}: the settings can be used", args.settings.display());
@@ -107,7 +111,7 @@
     }
 }
 
-fn usage(e: &Report<crate::settings::SettingsError>) -> Exit {
+fn usage(e: &Report<SettingsError>) -> Exit {
     // The causes are only there when the file could not be read.
     let causes: Vec<_> =
         e.frames().filter_map(|frame| frame.downcast_ref::<std::io::Error>()).collect();
@@ -118,7 +122,7 @@
     Exit::Usage
 }
 
-fn run_instance(args: &RunArgs) -> Exit {
+fn run_instance(args: &SettingsArgs) -> Exit {
     let settings = match Settings::load(&args.settings) {
         Ok(settings) => settings,
         Err(e) => return usage(&e),
@@ -169,9 +173,6 @@
 }
 
 /// Reads a file that a command names.
-fn read_file(path: &std::path::Path) -> Result<String, Exit> {
-    fs::read_to_string(path).map_err(|e| {
-        eprintln!("{}: {e}", path.display());
-        Exit::Usage
-    })
+fn read_file(path: &Path) -> Result<String, String> {
+    fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
 }
--- a/crates/azuregate/src/cli/operator.rs
+++ b/crates/azuregate/src/cli/operator.rs
@@ -1,174 +1,239 @@
 //! The operators' commands.
 
-use std::path::PathBuf;
-
-use azuregate_core::policy::Policy;
-use azuregate_schema::v1::{
-    GetPolicyRequest, ListPoliciesRequest, SetPolicyRequest, StatusRequest,
-    operators_client::OperatorsClient,
+use azuregate_schema::v1::{self, ChangeResponse};
+use serde::Serialize;
+
+use super::{
+    Exit,
+    args::{
+        BackendsArgs, CallArgs, Command, DrainCommand, EntriesArgs, HistoryArgs, Output,
+        PolicyCommand, ReadArgs, ServiceArgs, ServiceChangeArgs, ServiceReadArgs, SetArgs,
+        ShiftCommand, StartShiftArgs,
+    },
+    call::{Call, Failure, operation_id},
+    policy_file, print, read_file, shares,
 };
-use gumdrop::Options;
-use jsonc_parser::ParseOptions;
-use tonic::{Code, Status, transport::Channel};
+use crate::operators::convert;
+
+type Done = Result<(), Failure>;
+
+/// Runs a command that calls an instance.
+pub(super) async fn run(command: Command) -> Exit {
+    let output = output_of(&command);
+    let done = match command {
+        Command::Status(args) => status(args).await,
+        Command::Policy(args) => match args.command {
+            Some(PolicyCommand::Get(args)) => get_policy(args).await,
+            Some(PolicyCommand::List(args)) => list_policies(args).await,
+            Some(PolicyCommand::Set(args)) => set_policy(args).await,
+            Some(PolicyCommand::History(args)) => history(args).await,
+            None => Err(Failure::usage("say which: get, list, set or history")),
+        },
+        Command::Shift(args) => match args.command {
+            Some(ShiftCommand::Start(args)) => start_shift(args).await,
+            Some(ShiftCommand::Stop(args)) => stop_shift(args).await,
+            Some(ShiftCommand::Show(args)) => show_shift(args).await,
+            None => Err(Failure::usage("say which: start, stop or show")),
+        },
+        Command::Drain(args) => match args.command {
+            Some(DrainCommand::Start(args)) => start_drain(args).await,
+            Some(DrainCommand::Stop(args)) => stop_drain(args).await,
+            Some(DrainCommand::Show(args)) => show_drains(args).await,
+            None => Err(Failure::usage("say which: start, stop or show")),
+        },
+        Command::Entries(args) => entries(args).await,
+        Command::Histograms(args) => histograms(args).await,
+        Command::Run(_) | Command::Check(_) => Ok(()),
+    };
+    done.err().map_or(Exit::Done, |failure| failure.tell(output))
+}
 
-use crate::{
-    cli::{Exit, read_file},
-    operators::convert,
-};
+fn output_of(command: &Command) -> Output {
+    let call = match command {
+        Command::Status(args) => Some(args.call()),
+        Command::Policy(args) => args.command.as_ref().map(|command| match command {
+            PolicyCommand::Get(args) => args.call(),
+            PolicyCommand::List(args) => args.call(),
+            PolicyCommand::Set(args) => args.call(),
+            PolicyCommand::History(args) => args.call(),
+        }),
+        Command::Shift(args) => args.command.as_ref().map(|command| match command {
+            ShiftCommand::Start(args) => args.call(),
+            ShiftCommand::Stop(args) => args.call(),
+            ShiftCommand::Show(args) => args.call(),
+        }),
+        Command::Drain(args) => args.command.as_ref().map(|command| match command {
+            DrainCommand::Start(args) | DrainCommand::Stop(args) => args.call(),
+            DrainCommand::Show(args) => args.call(),
+        }),
+        Command::Entries(args) => Some(args.call()),
+        Command::Histograms(args) => Some(args.call()),
+        Command::Run(_) | Command::Check(_) => None,
+    };
+    call.map_or_else(Output::default, |call| call.output)
+}
+
+fn show<T: Serialize>(args: &CallArgs, answer: &T, human: fn(&T) -> String) -> Done {
+    print::answer(args.output, answer, human);
+    Ok(())
+}
+
+async fn status(args: ReadArgs) -> Done {
+    let args = args.call();
+    let request = v1::StatusRequest {};
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.status(q)) };
+    show(&args, &call.read().await?, print::status)
+}
 
-/// Arguments of `status`.
-#[derive(Debug, Options)]
-pub(crate) struct StatusArgs {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(required, help = "the operators' address of any entry instance")]
-    at: String,
-}
-
-/// Arguments of `policy`.
-#[derive(Debug, Options)]
-pub(crate) struct PolicyArgs {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(command, required)]
-    command: Option<PolicyCommand>,
-}
-
-#[derive(Debug, Options)]
-enum PolicyCommand {
-    #[options(help = "show one policy")]
-    Get(GetArgs),
-    #[options(help = "show all policies")]
-    List(ListArgs),
-    #[options(help = "replace a policy")]
-    Set(SetArgs),
-}
-
-#[derive(Debug, Options)]
-struct GetArgs {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(required, help = "the operators' address of any entry instance")]
-    at: String,
-    #[options(required, help = "the service")]
-    service: String,
-}
-
-#[derive(Debug, Options)]
-struct ListArgs {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(required, help = "the operators' address of any entry instance")]
-    at: String,
-}
-
-#[derive(Debug, Options)]
-struct SetArgs {
-    #[options(help = "print this text")]
-    help: bool,
-    #[options(required, help = "the operators' address of any entry instance")]
-    at: String,
-    #[options(required, help = "a file with the policy, in JSON with comments")]
-    file: PathBuf,
-    #[options(help = "the version that the change is based on; 0 creates the policy")]
-    based_on: u64,
-    #[options(help = "names the change, so that it can be repeated safely")]
-    operation_id: Option<String>,
-    #[options(help = "show what would be set, and change nothing")]
-    dry_run: bool,
-}
-
-async fn connect(at: &str) -> Result<OperatorsClient<Channel>, Exit> {
-    OperatorsClient::connect(format!("http://{at}")).await.map_err(|e| {
-        eprintln!("{at}: cannot be reached: {e}");
-        Exit::Unreachable
+async fn get_policy(args: ServiceArgs) -> Done {
+    let request = v1::GetPolicyRequest { service: args.service.clone() };
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.get_policy(q)) };
+    show(&args, &call.read().await?.policy.unwrap_or_default(), policy_text)
+}
+
+async fn list_policies(args: ReadArgs) -> Done {
+    let args = args.call();
+    let request = v1::ListPoliciesRequest {};
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.list_policies(q)) };
+    show(&args, &call.read().await?, |answer| {
+        answer.policies.iter().map(|policy| policy_text(policy) + "\n").collect()
     })
 }
 
-fn failed(status: &Status) -> Exit {
-    eprintln!("{}", status.message());
-    match status.code() {
-        Code::InvalidArgument => Exit::Usage,
-        Code::Unavailable => Exit::Unreachable,
-        Code::Unknown | Code::DeadlineExceeded | Code::Cancelled => Exit::Unknown,
-        _ => Exit::Refused,
+/// A policy as `policy set` takes it.
+fn policy_text(policy: &v1::Policy) -> String {
+    match convert::from_proto(policy.clone()) {
+        Ok(policy) => serde_json::to_string_pretty(&policy).unwrap_or_default(),
+        Err(e) => format!("// {e}"),
     }
 }
 
-fn print_policy(policy: Option<azuregate_schema::v1::Policy>) -> Result<(), Exit> {
-    let policy = convert::from_proto(policy.unwrap_or_default()).map_err(|e| {
-        eprintln!("the answer is not understood: {e}");
-        Exit::Failed
-    })?;
-    println!("{}", serde_json::to_string_pretty(&policy).unwrap_or_default());
-    Ok(())
+async fn history(args: HistoryArgs) -> Done {
+    let request = v1::PolicyHistoryRequest { service: args.service.clone(), limit: args.limit };
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.policy_history(q)) };
+    show(&args, &call.read().await?, print::history)
 }
 
-/// Runs `status`.
-pub(crate) async fn status(args: StatusArgs) -> Exit {
-    let result = async {
-        let mut client = connect(&args.at).await?;
-        let status = client.status(StatusRequest {}).await.map_err(|e| failed(&e))?.into_inner();
-        println!("instance  {}", status.instance);
-        println!("start     {}", status.start);
-        println!("ready     {}", status.ready);
-        println!("stopping  {}", status.stopping);
-        for (service, version) in status.policy_versions {
-            println!("policy    {service} version {version}");
-        }
-        Ok(())
+async fn set_policy(args: SetArgs) -> Done {
+    let text = read_file(&args.file).map_err(Failure::usage)?;
+    let policy = policy_file::parse(&args.file, &text).map_err(Failure::usage)?;
+    let args = args.change();
+    let based_on = args.based_on.or((policy.version > 0).then_some(policy.version));
+    let Some(based_on_version) = based_on else {
+        return Err(Failure::usage(
+            "the file has no version: say --based-on N, with 0 to create the policy",
+        ));
+    };
+    let request = v1::SetPolicyRequest {
+        policy: Some(convert::to_proto(&policy)),
+        based_on_version,
+        operation_id: operation_id(&args),
+        dry_run: args.dry_run,
     };
-    result.await.err().unwrap_or(Exit::Done)
+    let call = Call { args: &args.call, request, send: |c, q| Box::pin(c.set_policy(q)) };
+    changed(&args.call, call.change().await?)
 }
 
-/// Runs `policy`.
-pub(crate) async fn policy(args: PolicyArgs) -> Exit {
-    let result = match args.command {
-        Some(PolicyCommand::Get(args)) => get(args).await,
-        Some(PolicyCommand::List(args)) => list(args).await,
-        Some(PolicyCommand::Set(args)) => set(args).await,
-        None => Err(Exit::Usage),
+async fn start_shift(args: StartShiftArgs) -> Done {
+    let to_share_ppm = shares::parse(&args.to_share_ppm).map_err(Failure::usage)?;
+    let cap = match (args.cap_ppm, args.window_ms) {
+        (Some(share_ppm), Some(window_ms)) => Some(v1::Cap { share_ppm, window_ms }),
+        (None, None) => None,
+        _ => return Err(Failure::usage("--cap-ppm and --window-ms belong together")),
     };
-    result.err().unwrap_or(Exit::Done)
+    let service = args.service.clone();
+    let args = args.change();
+    let request = v1::StartShiftRequest {
+        service,
+        to_share_ppm,
+        cap,
+        based_on_version: args.based_on,
+        operation_id: operation_id(&args),
+        dry_run: args.dry_run,
+    };
+    let call = Call { args: &args.call, request, send: |c, q| Box::pin(c.start_shift(q)) };
+    changed(&args.call, call.change().await?)
 }
 
-async fn get(args: GetArgs) -> Result<(), Exit> {
-    let mut client = connect(&args.at).await?;
-    let request = GetPolicyRequest { service: args.service };
-    let answer = client.get_policy(request).await.map_err(|e| failed(&e))?;
-    print_policy(answer.into_inner().policy)
+async fn stop_shift(args: ServiceChangeArgs) -> Done {
+    let service = args.service.clone();
+    let args = args.change();
+    let request = v1::StopShiftRequest {
+        service,
+        based_on_version: args.based_on,
+        operation_id: operation_id(&args),
+        dry_run: args.dry_run,
+    };
+    let call = Call { args: &args.call, request, send: |c, q| Box::pin(c.stop_shift(q)) };
+    changed(&args.call, call.change().await?)
 }
 
-async fn list(args: ListArgs) -> Result<(), Exit> {
-    let mut client = connect(&args.at).await?;
-    let answer = client.list_policies(ListPoliciesRequest {}).await.map_err(|e| failed(&e))?;
-    for policy in answer.into_inner().policies {
-        print_policy(Some(policy))?;
+async fn show_shift(args: ServiceArgs) -> Done {
+    let request = v1::GetShiftRequest { service: args.service.clone() };
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.get_shift(q)) };
+    show(&args, &call.read().await?, print::shift)
+}
+
+fn drain_request(args: &BackendsArgs) -> v1::DrainRequest {
+    let change = args.change();
+    v1::DrainRequest {
+        service: args.service.clone(),
+        backends: args.backend.clone(),
+        based_on_version: change.based_on,
+        operation_id: operation_id(&change),
+        dry_run: change.dry_run,
     }
-    Ok(())
 }
 
-async fn set(args: SetArgs) -> Result<(), Exit> {
-    let text = read_file(&args.file)?;
-    let policy: Policy = jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
-        .map_err(|e| {
-            eprintln!("{}: {e}", args.file.display());
-            Exit::Usage
-        })?;
-    let operation_id = args.operation_id.unwrap_or_else(|| format!("{:016x}", fastrand::u64(..)));
-    println!("operation {operation_id}");
-    let mut client = connect(&args.at).await?;
-    let request = SetPolicyRequest {
-        policy: Some(convert::to_proto(&policy)),
-        based_on_version: args.based_on,
-        operation_id,
-        dry_run: args.dry_run,
-    };
-    let answer = client.set_policy(request).await.map_err(|e| failed(&e))?.into_inner();
-    print_policy(answer.policy)?;
-    if !answer.accepted && !args.dry_run {
-        eprintln!("another change came first; the policy above won");
-        return Err(Exit::Conflict);
+async fn start_drain(args: BackendsArgs) -> Done {
+    let request = drain_request(&args);
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.start_drain(q)) };
+    changed(&args, call.change().await?)
+}
+
+async fn stop_drain(args: BackendsArgs) -> Done {
+    let request = drain_request(&args);
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.stop_drain(q)) };
+    changed(&args, call.change().await?)
+}
+
+async fn show_drains(args: ServiceReadArgs) -> Done {
+    let request = v1::ListDrainsRequest { service: args.service.clone() };
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.list_drains(q)) };
+    show(&args, &call.read().await?, |answer| print::leaving(&answer.backends))
+}
+
+async fn entries(args: EntriesArgs) -> Done {
+    let request = v1::EntriesRequest { service: args.service.clone(), caller: args.caller.clone() };
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.entries(q)) };
+    show(&args, &call.read().await?, print::entries)
+}
+
+async fn histograms(args: ServiceReadArgs) -> Done {
+    let request = v1::HistogramsRequest { service: args.service.clone() };
+    let args = args.call();
+    let call = Call { args: &args, request, send: |c, q| Box::pin(c.histograms(q)) };
+    show(&args, &call.read().await?, |answer| {
+        let dropped = match answer.dropped {
+            0 => String::new(),
+            count => format!("{count} samples were dropped, because the recorder was behind\n"),
+        };
+        print::histograms(&answer.histograms) + &dropped
+    })
+}
+
+fn changed(args: &CallArgs, response: ChangeResponse) -> Done {
+    print::answer(args.output, &response, print::change);
+    if response.conflict {
+        let message = "another change came first; nothing was changed: read the policy again";
+        return Err(Failure::new(Exit::Conflict, message));
     }
     Ok(())
 }
--- a/crates/azuregate/src/operators/difference.rs
+++ b/crates/azuregate/src/operators/difference.rs
@@ -45,7 +45,8 @@
         fields.insert(path.to_owned(), value);
         return;
     };
-    for (key, value) in object {
+    // A field that is null is not there.
+    for (key, value) in object.into_iter().filter(|(_, value)| !value.is_null()) {
         let path = if path.is_empty() { key } else { format!("{path}.{key}") };
         flatten(&path, value, fields);
     }
--- a/crates/azuregate/src/operators/effect.rs
+++ b/crates/azuregate/src/operators/effect.rs
@@ -30,7 +30,7 @@
         let mut effect = v1::Effect {
             zones: self.zones(),
             moved_ppm: self.moved_ppm(),
-            start_at_ms: shift.map_or(0, |shift| shift.start_at_ms.0),
+            start_in_ms: shift.map_or(0, |shift| shift.start_at_ms.since(self.now_ms).0),
             duration_ms: shift.map_or(0, |shift| shift.end_at_ms().since(shift.start_at_ms).0),
             drained: names(&self.after.drains, drains_before),
             undrained: names(drains_before, &self.after.drains),
--- a/crates/azuregate/src/operators/mod.rs
+++ b/crates/azuregate/src/operators/mod.rs
@@ -124,15 +124,15 @@
             );
         })?;
         let response = match settled {
-            Settled::Accepted { before, policy, repeated } => {
-                self.apply(&policy).await;
-                log::info!(
-                    service:% = wanted.service, operation:% = wanted.operation_id,
-                    version = policy.version, repeated = repeated;
-                    "change accepted"
-                );
+            Settled::Accepted { before, policy } => {
+                self.accept(wanted, &policy).await;
                 let response = self.compare(before.as_ref(), &policy);
-                v1::ChangeResponse { accepted: true, repeated, ..response }
+                v1::ChangeResponse { accepted: true, ..response }
+            }
+            Settled::Applied { policy, repeated } => {
+                self.accept(wanted, &policy).await;
+                let policy = Some(convert::to_proto(&policy));
+                v1::ChangeResponse { accepted: true, policy, repeated, ..Default::default() }
             }
             Settled::Planned { before, policy } => self.compare(before.as_ref(), &policy),
             Settled::Conflict(winner) => self.conflict(wanted, winner).await,
@@ -140,6 +140,15 @@
         Ok(response)
     }
 
+    async fn accept(&self, wanted: &Wanted, policy: &Policy) {
+        self.apply(policy).await;
+        log::info!(
+            service:% = wanted.service, operation:% = wanted.operation_id,
+            version = policy.version;
+            "change accepted"
+        );
+    }
+
     /// Brings a policy into force here, before the operator has the answer: a
     /// script that reads what it set would else see the version before.
     async fn apply(&self, policy: &Policy) {
@@ -160,7 +169,7 @@
             policy: Some(convert::to_proto(after)),
             differences: difference::between(before, after),
             effect: Some(comparison.effect()),
-            ..v1::ChangeResponse::default()
+            ..Default::default()
         }
     }
 
@@ -171,7 +180,7 @@
             "change lost to another"
         );
         let Some(winner) = winner else {
-            return v1::ChangeResponse { conflict: true, ..v1::ChangeResponse::default() };
+            return v1::ChangeResponse { conflict: true, ..Default::default() };
         };
         self.apply(&winner).await;
         let base = match (&wanted.edit, wanted.based_on_version) {
@@ -186,7 +195,7 @@
             policy: Some(convert::to_proto(&winner)),
             conflict: true,
             differences,
-            ..v1::ChangeResponse::default()
+            ..Default::default()
         }
     }
 
--- a/crates/azuregate/src/operators/service.rs
+++ b/crates/azuregate/src/operators/service.rs
@@ -147,6 +147,7 @@
             share_ppm: convert::shares_to_proto(&shares),
             end_at_ms: shift.as_ref().map_or(0, |shift| shift.end_at_ms().0),
             version: policy.version,
+            now_ms: now_ms.0,
             shift: shift.as_ref().map(convert::shift_to_proto),
         }))
     }
--- a/crates/azuregate/src/operators/settle.rs
+++ b/crates/azuregate/src/operators/settle.rs
@@ -34,10 +34,14 @@
 pub(crate) enum Settled {
     /// The platform holds it.
     Accepted {
-        /// The policy before; `None` if there was none, or if an earlier call
-        /// made the change.
+        /// The policy before; `None` if there was none.
         before: Option<Policy>,
         policy: Policy,
+    },
+    /// The platform was found to hold it already.
+    Applied {
+        policy: Policy,
+        /// Whether an earlier call made the change, and not this one.
         repeated: bool,
     },
     /// Another change came first; `None` if the policy is not there at all.
@@ -143,7 +147,7 @@
         match self.settler.rows.commit(self.wanted, held.as_ref(), &next).await {
             Ok(Commit::Done(_)) => {
                 let before = held.map(|held| held.policy);
-                Some(Ok(Settled::Accepted { before, policy: next, repeated: false }))
+                Some(Ok(Settled::Accepted { before, policy: next }))
             }
             // The next look tells whether a rival or an own write came first.
             Ok(Commit::Conflict { .. }) => None,
@@ -168,7 +172,7 @@
         match self.settler.rows.version(&self.wanted.service, version).await {
             Ok(Some(policy)) => {
                 let repeated = self.pending.is_none();
-                Ok(Settled::Accepted { before: None, policy, repeated })
+                Ok(Settled::Applied { policy, repeated })
             }
             Ok(None) => {
                 Err(answer::failed(format!("the change led to version {version}, which is gone")))
--- /dev/null
+++ b/crates/azuregate/tests/cli/bad_input.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/azuregate/tests/cli/help.rs
@@ -0,0 +1,71 @@
+//! The help of each command.
+
+use std::fmt::Write;
+
+use crate::server::azuregate;
+
+const COMMANDS: [&str; 19] = [
+    "",
+    "run",
+    "check",
+    "status",
+    "policy",
+    "policy get",
+    "policy list",
+    "policy set",
+    "policy history",
+    "shift",
+    "shift start",
+    "shift stop",
+    "shift show",
+    "drain",
+    "drain start",
+    "drain stop",
+    "drain show",
+    "entries",
+    "histograms",
+];
+
+#[tokio::test]
+async fn every_command_has_help_with_an_example() {
+    let mut seen = String::new();
+    for command in COMMANDS {
+        let run = azuregate(&format!("{command} --help")).await;
+        assert_eq!(run.exit, 0, "{command}: {}", run.stderr);
+        let (own, shared) = run.stdout.split_once("\nExit status:").unwrap();
+        assert!(own.contains("\nExample:\n  azuregate "), "{command} has no example");
+        assert!(shared.contains("  6  unknown"), "{command}");
+        writeln!(seen, "$ azuregate {command} --help\n{own}").unwrap();
+    }
+    insta::assert_snapshot!(seen);
+}
+
+#[tokio::test]
+async fn wrong_command_lines_say_what_is_wrong() {
+    let lines = [
+        "",
+        "polish",
+        "policy",
+        "policy get",
+        "policy get --service",
+        "policy get --service s",
+        "policy get --service s --at localhost",
+        "status --at 127.0.0.1:1 --output yaml",
+        "status --at 127.0.0.1:1 --timeout-ms 0",
+        "status --at 127.0.0.1:1 --timeout-ms 1s",
+        "shift start --service s --at 127.0.0.1:1 --to-share-ppm sofia-a",
+        "shift start --service s --at 127.0.0.1:1 --to-share-ppm sofia-a=1,sofia-a=2",
+        "shift start --service s --at 127.0.0.1:1 --to-share-ppm sofia-a=1 --cap-ppm 1",
+        "policy set --at 127.0.0.1:1 --file no-such-file.jsonc",
+        "check --settings no-such-file.jsonc",
+    ];
+    let mut seen = String::new();
+    for line in lines {
+        let run = azuregate(line).await;
+        assert_eq!(run.exit, 2, "{line}: {}", run.stderr);
+        assert_eq!(run.stdout, "", "{line}");
+        let first = run.stderr.lines().next().unwrap();
+        writeln!(seen, "$ azuregate {line}\n{first}").unwrap();
+    }
+    insta::assert_snapshot!(seen);
+}
