Add measure: latency, drain, shift, config, recovery, overhead

Cause: the aims of the product are figures that users notice, and nothing in the repository measured them again.

Latency, drain and shift run in one process with the delays of the example; config, recovery and overhead start an 'azuregate run' for each entry instance and end it by its id. Backend servers can be killed as a crash does; callers use an entry that gave no answer last until their next list.

Ruled out: a bench that starts a new lab while the last one's ports were still open failed with 'Address already in use' (seen); stopping now waits until the ports are free.

--- a/crates/azuregate-lab/src/backends/server.rs
+++ b/crates/azuregate-lab/src/backends/server.rs
@@ -25,7 +25,7 @@
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Semaphore, watch},
     time,
 };
 
@@ -69,6 +69,7 @@
     /// Connections that were opened under a lower number are silent.
     silence: AtomicU64,
     warmth: Mutex<Warmth>,
+    dead: watch::Sender<bool>,
     counts: Mutex<Counts>,
 }
 
@@ -111,6 +112,7 @@
             rng: Mutex::new(fastrand::Rng::with_seed(seed)),
             silence: AtomicU64::new(0),
             warmth: Mutex::default(),
+            dead: watch::Sender::new(false),
             counts: Mutex::default(),
             server,
         }
@@ -142,6 +144,16 @@
         self.silence.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Ends it as a crash does: its port closes and all connections break.
+    pub fn kill(&self) {
+        self.dead.send_replace(true);
+    }
+
+    async fn died(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.dead.subscribe().wait_for(|&dead| dead).await;
+    }
+
     async fn answer(
         &self,
         request: Request<Incoming>,
@@ -206,6 +218,8 @@
                 time::sleep(limit).await;
                 false
             }
+            // A timer takes a millisecond even for nothing.
+            None if service.is_zero() => true,
             None => {
                 time::sleep(service).await;
                 true
@@ -282,7 +296,11 @@
             }
         };
         let service = service_fn(|request| self.answer(request, opened_under));
-        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            _ = serving => {}
+            () = self.died() => {}
+        }
     }
 }
 
@@ -332,10 +350,14 @@
     response
 }
 
-/// Serves one backend server until the task is aborted.
-pub async fn serve(listener: TcpListener, backend: Arc<Backend>) -> Infallible {
+/// Serves one backend server until it is killed or the task is aborted.
+pub async fn serve(listener: TcpListener, backend: Arc<Backend>) {
     loop {
-        let Ok((stream, caller)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = backend.died() => return,
+        };
+        let Ok((stream, caller)) = accepted else {
             continue;
         };
         let _ = stream.set_nodelay(true);
--- a/crates/azuregate-lab/src/cli/up.rs
+++ b/crates/azuregate-lab/src/cli/up.rs
@@ -134,7 +134,7 @@
 /// What share of the requests ran in each region.
 fn regions(lab: &Lab, service: &ServiceExample) -> String {
     let mut ran: BTreeMap<String, u64> = BTreeMap::new();
-    for backend in lab.backends.iter().filter(|b| b.server.service == service.name) {
+    for backend in lab.backends_of(&service.name) {
         let region = lab.example.topology.region_of(&backend.server.zone);
         let name = region.map_or_else(String::new, ToString::to_string);
         let buckets: u64 = backend.counts().buckets.values().map(|bucket| bucket.ran).sum();
--- a/crates/azuregate-lab/src/example.rs
+++ b/crates/azuregate-lab/src/example.rs
@@ -174,6 +174,11 @@
         SocketAddr::new(entry.ip, self.listed(self.ports.traffic))
     }
 
+    /// Where operators reach an entry instance.
+    pub fn operators_addr(&self, entry: &EntryExample) -> SocketAddr {
+        SocketAddr::new(entry.ip, self.ports.operators)
+    }
+
     /// The ports that a relay of an entry instance stands before, and its own.
     pub fn relayed_ports(&self) -> [(u16, u16); 2] {
         [self.ports.traffic, self.ports.peers].map(|port| (port, port + RELAY_PORTS))
--- a/crates/azuregate-lab/src/lib.rs
+++ b/crates/azuregate-lab/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod client;
 pub mod example;
 pub mod load;
+pub mod measure;
 pub mod network;
 pub mod platform;
 pub mod up;
--- a/crates/azuregate-lab/src/load/caller.rs
+++ b/crates/azuregate-lab/src/load/caller.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, header};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::{
     client::ClientError,
@@ -138,11 +138,9 @@
             Ok(request) => request,
             Err(e) => return (Ending::Failed(e.to_string()), None),
         };
-        let limit = Duration::from_millis(self.timeout_ms) + GRACE;
-        match time::timeout(limit, self.send(request)).await {
-            Ok(Ok(answer)) => (ending(job, &answer), come_back(&answer)),
-            Ok(Err(reason)) => (Ending::Failed(reason), None),
-            Err(_) => (Ending::Failed("no answer in time".to_owned()), None),
+        match self.send(request).await {
+            Ok(answer) => (ending(job, &answer), come_back(&answer)),
+            Err(reason) => (Ending::Failed(reason), None),
         }
     }
 
@@ -168,16 +166,30 @@
     /// Sends to the first entry instance that takes the connection.
     async fn send(&self, mut request: Request<Full<Bytes>>) -> Result<Response<Bytes>, String> {
         let known = lock(&self.known).clone();
+        let limit = Instant::now() + Duration::from_millis(self.timeout_ms) + GRACE;
         for addr in known {
-            match self.exchange(addr, request).await {
-                Ok(answer) => return Ok(answer),
-                Err(Lost::Sent(reason)) => return Err(reason),
-                Err(Lost::Unsent(unsent)) => request = *unsent,
+            match time::timeout_at(limit, self.exchange(addr, request)).await {
+                Ok(Ok(answer)) => return Ok(answer),
+                Ok(Err(Lost::Unsent(unsent))) => request = *unsent,
+                Ok(Err(Lost::Sent(reason))) => {
+                    self.put_last(addr);
+                    return Err(reason);
+                }
+                Err(_) => {
+                    self.put_last(addr);
+                    return Err("no answer in time".to_owned());
+                }
             }
         }
         Err("no entry instance can be reached".to_owned())
     }
 
+    /// Uses an entry instance that gave no answer after all others, until the
+    /// next list.
+    fn put_last(&self, addr: SocketAddr) {
+        lock(&self.known).sort_by_key(|known| *known == addr);
+    }
+
     async fn exchange(
         &self,
         addr: SocketAddr,
--- a/crates/azuregate-lab/src/load/mod.rs
+++ b/crates/azuregate-lab/src/load/mod.rs
@@ -26,6 +26,8 @@
 
 use crate::{client::ClientError, example::Example};
 
+pub(crate) use conn::{Conn, Lost};
+
 pub use audit::{Audit, audit, ran_at};
 pub use caller::Caller;
 pub use ended::{Class, Ended, Ending};
--- a/crates/azuregate-lab/src/up.rs
+++ b/crates/azuregate-lab/src/up.rs
@@ -1,12 +1,18 @@
 //! Runs all of an example in one process.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use azuregate::{
     dispatch::Rule,
     platform::{Commit, Expect, Table, Write},
     run, stop,
 };
+use azuregate_core::names::ServiceName;
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
 use crate::{
@@ -72,12 +78,9 @@
 ///
 /// When a port cannot be opened.
 pub async fn start_with(example: &Example, options: &Options) -> Result<Lab, ClientError> {
-    let example = &Example { relays: options.delays, ..example.clone() };
-    let mut lab = stand_ins_with(example, options).await?;
-    for entry in &example.entries {
-        lab.entries.push(start_entry(example, entry, options.rule.clone()));
-        lab.status_addrs.push(SocketAddr::new(entry.ip, example.ports.status));
-    }
+    let example = Example { relays: options.delays, ..example.clone() };
+    let mut lab = stand_ins_with(&example, options).await?;
+    lab.start_entries(&options.rule);
     Ok(lab)
 }
 
@@ -91,8 +94,8 @@
     stand_ins_with(example, &Options::default()).await
 }
 
-/// Starts the platform, the backend servers and, with delays, the relays of an
-/// example, without entry instances.
+/// Starts the platform, the backend servers and, where the example has them, the
+/// relays, without entry instances.
 ///
 /// # Errors
 ///
@@ -113,11 +116,11 @@
         }
         let listener = TcpListener::bind(backend.server.addr).await?;
         let backend = Arc::new(backend);
-        stand_ins.push(spawn(backends::serve(listener, Arc::clone(&backend))));
+        stand_ins.push(tokio::spawn(backends::serve(listener, Arc::clone(&backend))));
         backends.push(backend);
     }
-    if let Some(network) = &network {
-        start_relays(example, network, &mut stand_ins).await?;
+    if let Some(network) = network.filter(|_| example.relays) {
+        start_relays(example, &network, &mut stand_ins).await?;
     }
     Ok(Lab {
         platform: server,
@@ -199,6 +202,14 @@
 }
 
 impl Lab {
+    /// Starts the entry instances, in this process.
+    pub fn start_entries(&mut self, rule: &Rule) {
+        for entry in &self.example.entries {
+            self.entries.push(start_entry(&self.example, entry, rule.clone()));
+            self.status_addrs.push(SocketAddr::new(entry.ip, self.example.ports.status));
+        }
+    }
+
     /// Waits until every entry instance says that it is ready.
     ///
     /// # Errors
@@ -220,17 +231,43 @@
 
     /// Stops the entry instances as planned, then the stand-ins.
     pub async fn stop(self) {
+        self.stop_within(Duration::MAX).await;
+    }
+
+    /// As [`Lab::stop`], but ends what has not stopped after `patience`.
+    pub async fn stop_within(self, patience: Duration) {
         for entry in &self.entries {
             entry.stopper.stop();
         }
+        let start = Instant::now();
         for entry in self.entries {
-            let _ = entry.task.await;
+            let mut task = entry.task;
+            let left = patience.saturating_sub(start.elapsed());
+            if time::timeout(left, &mut task).await.is_err() {
+                task.abort();
+                let _ = task.await;
+            }
         }
-        for task in &self.stand_ins {
+        for task in self.stand_ins {
             task.abort();
+            let _ = task.await;
+        }
+        let ports = self.example.ports;
+        for entry in &self.example.entries {
+            for port in [ports.traffic, ports.peers, ports.operators, ports.status] {
+                wait_free(SocketAddr::new(entry.ip, port)).await;
+            }
         }
     }
 
+    /// The backend servers of one service.
+    pub fn backends_of<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Arc<Backend>> {
+        self.backends.iter().filter(move |backend| backend.server.service == *service)
+    }
+
     /// How often each request ran, over all backend servers.
     pub fn ran(&self) -> HashMap<String, u64> {
         let mut all = HashMap::new();
@@ -250,6 +287,17 @@
     }
 }
 
+/// Waits until a port can be opened again: the tasks of an instance end a
+/// moment after it has stopped.
+async fn wait_free(addr: SocketAddr) {
+    for _ in 0..200 {
+        if TcpListener::bind(addr).await.is_ok() {
+            return;
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 async fn is_ready(addr: SocketAddr) -> bool {
     client::get(addr, "/ready").await.is_ok_and(|answer| answer.status().is_success())
 }
