Spread heartbeats, stops and probe reports between instances; poll apart

Cause: each instance read the platform at its own pace, a policy of any version was taken from anyone who reached the peer port, an instance that missed a change or went silent stayed in the answers of the others until the list said so, and the larger name of two never dialled.

Change: poll.rs reads at a rate shared out among the instances, never takes an older sequence for a confirmation, and drops an answer that waited through a pause. Heartbeats carry a hash of the versions and the age of their confirmation; full digests go only when hashes differ twice. With the platform down, two agreeing peers make an instance ready, and it says so. Links come from listed IP numbers only; either side dials. Prober watches backend servers with one other instance. Callers runs the planned stop: tell, serve on, close, finish.

The stand-in of backend servers answers /health without a slot.

--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -26,6 +26,7 @@
 * [`blocks`] finds the site of a client from its address.
 * [`membership`] tells which instances take new work, [`neighbours`] which keep
   links to each other.
+* [`probe`] tells which backend servers do not answer.
 * [`entries`] answers which entry instances a caller should use.
 * [`retry`] bounds retries to a share of recent requests.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
@@ -39,6 +40,7 @@
 pub mod names;
 pub mod neighbours;
 pub mod policy;
+pub mod probe;
 pub mod retry;
 pub mod route;
 pub mod shift;
--- a/crates/azuregate-core/src/snapshot.rs
+++ b/crates/azuregate-core/src/snapshot/mod.rs
@@ -1,94 +1,28 @@
 //! The configuration in force and the list of live and leaving instances.
 
+mod listing;
+mod readiness;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fmt,
-    net::{IpAddr, SocketAddr},
     sync::Arc,
 };
 
-use serde::{Deserialize, Serialize};
-
 use crate::{
-    names::{BackendId, InstanceId, ServiceName, StartNumber, ZoneName},
-    policy::Policy,
+    entries,
+    names::{BackendId, InstanceId, ServiceName, StartNumber},
+    policy::{Policy, SHIFT_DELAY_MS},
+    probe::{self, ProbeReport},
     route::{RouteServer, hash},
     topology::Topology,
 };
 
-/// Whether an instance or backend server takes new work.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Liveness {
-    /// It takes new work.
-    #[default]
-    Live,
-    /// It finishes what it has.
-    Leaving,
-}
-
-/// An entry instance, as the platform lists it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Instance {
-    /// Its name.
-    pub id: InstanceId,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Its IP number.
-    pub ip: IpAddr,
-    /// Where callers reach it.
-    pub traffic_port: u16,
-    /// Where the other instances reach it.
-    pub peer_port: u16,
-    /// Whether it takes new work.
-    #[serde(default)]
-    pub liveness: Liveness,
-}
+pub use listing::{BackendServer, Instance, InstanceList, Liveness};
+pub use readiness::Readiness;
 
-impl Instance {
-    /// The address for callers.
-    pub fn traffic_addr(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, self.traffic_port)
-    }
-
-    /// The address for other instances.
-    pub fn peer_addr(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, self.peer_port)
-    }
-}
-
-/// A backend server, as the platform lists it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct BackendServer {
-    /// Its name.
-    pub id: BackendId,
-    /// The service that it serves.
-    pub service: ServiceName,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Where it takes requests.
-    pub addr: SocketAddr,
-    /// Tells this start of the server from the next one.
-    #[serde(default)]
-    pub start: StartNumber,
-    /// How many requests it takes at once.
-    pub slots: u32,
-    /// Whether it takes new work.
-    #[serde(default)]
-    pub liveness: Liveness,
-}
-
-/// The platform's list: it lags behind what is true.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct InstanceList {
-    /// The entry instances.
-    pub instances: Vec<Instance>,
-    /// The backend servers.
-    pub backends: Vec<BackendServer>,
-}
+/// Heartbeats and polls take their time: a shorter limit would send healthy
+/// instances away.
+const CONFIRM_AT_LEAST_MS: u64 = 3_000;
 
 /// Everything the request path reads; immutable, and replaced as a whole.
 #[derive(Clone, Debug)]
@@ -111,6 +45,8 @@
     /// Backend servers that are leaving by any sign but the list. Sticky: the
     /// same start of a server never takes new work again.
     pub leaving: BTreeSet<(BackendId, StartNumber)>,
+    /// What the watchers of backend servers say.
+    pub probes: BTreeMap<InstanceId, ProbeReport>,
     /// Backend servers that do not answer probes; they get work again when they
     /// answer.
     pub unreachable: BTreeSet<BackendId>,
@@ -120,39 +56,6 @@
     pub readiness: Readiness,
 }
 
-/// Why an instance serves or does not.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Readiness {
-    /// It has started and knows of no configuration.
-    #[default]
-    Starting,
-    /// It was paused and may have missed changes.
-    Woken,
-    /// It has what the platform holds.
-    Platform,
-    /// The platform is down; it has the highest versions of so many peers.
-    Peers(usize),
-}
-
-impl Readiness {
-    /// Whether an instance may serve.
-    pub fn is_ready(self) -> bool {
-        matches!(self, Readiness::Platform | Readiness::Peers(_))
-    }
-}
-
-impl fmt::Display for Readiness {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Readiness::Starting => f.write_str("no configuration in force yet"),
-            Readiness::Woken => f.write_str("paused before, and not confirmed since"),
-            Readiness::Platform => f.write_str("confirmed by the platform"),
-            Readiness::Peers(count) => write!(f, "confirmed by {count} peers, platform down"),
-        }
-    }
-}
-
 impl Snapshot {
     /// The snapshot of a process that knows nothing but its settings.
     pub fn empty(topology: Arc<Topology>) -> Snapshot {
@@ -165,6 +68,7 @@
             stopping: BTreeSet::new(),
             backends: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            probes: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             ready: false,
             readiness: Readiness::Starting,
@@ -244,12 +148,38 @@
         known && self.leaving.insert((id.clone(), start))
     }
 
+    /// Notes what a watcher says; returns whether it is news.
+    pub fn add_probes(&mut self, watcher: &InstanceId, report: ProbeReport) -> bool {
+        let listed = self.listed.iter().any(|instance| instance.id == *watcher);
+        let is_news = self.probes.get(watcher).is_none_or(|known| report.is_newer(known));
+        if !listed || !is_news {
+            return false;
+        }
+        self.probes.insert(watcher.clone(), report);
+        self.unreachable = probe::unreachable(self);
+        true
+    }
+
+    /// How long an instance may go without confirmation and still be named to
+    /// callers, in milliseconds.
+    ///
+    /// A shift may start so long after its commit that callers have forgotten
+    /// an instance that missed it.
+    pub fn confirm_limit_ms(&self) -> u64 {
+        let delays = self.policies.values().map(|policy| policy.shift_delay_ms);
+        let shortest = delays.min().unwrap_or(SHIFT_DELAY_MS);
+        shortest.saturating_sub(entries::MAX_AGE_S * 1_000 + 1_000).max(CONFIRM_AT_LEAST_MS)
+    }
+
     fn forget_old_starts(&mut self) {
         let mut leaving = std::mem::take(&mut self.leaving);
         leaving.retain(|(id, start)| self.backend(id).is_some_and(|s| s.start <= *start));
         self.leaving = leaving;
         let listed = |id: &InstanceId| self.listed.iter().any(|instance| instance.id == *id);
         self.stopping.retain(|(id, _)| listed(id));
+        let mut probes = std::mem::take(&mut self.probes);
+        probes.retain(|id, _| self.listed.iter().any(|instance| instance.id == *id));
+        self.probes = probes;
     }
 
     fn merge_away(&mut self) {
@@ -263,6 +193,7 @@
         // Callers are better off with an instance that may be gone than with
         // none.
         self.instances = if any_live { Arc::from(instances) } else { Arc::clone(&self.listed) };
+        self.unreachable = probe::unreachable(self);
     }
 
     /// The backend servers of a service, each with whether it may get new work.
--- a/crates/azuregate-lab/src/backends.rs
+++ b/crates/azuregate-lab/src/backends.rs
@@ -25,6 +25,9 @@
 /// The header that names a request.
 const REQUEST_ID: &str = "azuregate-request-id";
 
+/// The path of probes, which take no slot.
+const HEALTH_PATH: &str = "/health";
+
 /// How one backend server behaves.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -85,6 +88,9 @@
         if behaviour.silent {
             return std::future::pending().await;
         }
+        if request.uri().path() == HEALTH_PATH {
+            return Ok(status(StatusCode::OK, "alive\n".to_owned()));
+        }
         let slot = match self.slots.try_acquire() {
             Ok(slot) if !behaviour.shed => slot,
             Ok(_) | Err(TryAcquireError::NoPermits | TryAcquireError::Closed) => {
--- /dev/null
+++ b/crates/azuregate/src/callers.rs
@@ -0,0 +1,114 @@
+//! Serves the traffic port, and stops serving it without cutting anything off.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use azuregate_core::names::{InstanceId, StartNumber};
+use futures_util::{FutureExt, future::BoxFuture};
+use http_body_util::BodyExt;
+use hyper::{
+    Request, Response, body::Incoming, header, header::HeaderValue, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+use crate::{
+    body::Body,
+    config::{Change, Config},
+    gateway::Gateway,
+    stop::Stop,
+};
+
+/// What serves callers.
+pub struct Callers {
+    /// Answers requests.
+    pub gateway: Arc<Gateway>,
+    /// Spreads that the instance stops.
+    pub config: Config,
+    /// The name of this instance.
+    pub instance: InstanceId,
+    /// Its start number.
+    pub start: StartNumber,
+    /// Tells when to stop.
+    pub stop: Stop,
+}
+
+impl Callers {
+    /// Serves until the planned stop has ended.
+    ///
+    /// The order of a planned stop: the peers are told, so that no instance names
+    /// this one any more; callers that keep an older answer are served for
+    /// `stop_delay_ms`; only then does the port close, and what is in progress is
+    /// finished. Closing the port first would cut those callers off.
+    pub async fn serve(self, listener: TcpListener, stop_delay_ms: u64) {
+        let graceful = GracefulShutdown::new();
+        let stopped = self.wait_for_stop(stop_delay_ms);
+        tokio::pin!(stopped);
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, caller)) = accepted else { continue };
+                    self.spawn(&graceful, stream, caller);
+                }
+                () = &mut stopped => break,
+            }
+        }
+        // Connections that the system has accepted already belong to callers;
+        // dropping the listener would reset them.
+        while let Some(Ok((stream, caller))) = listener.accept().now_or_never() {
+            self.spawn(&graceful, stream, caller);
+        }
+        drop(listener);
+        log::info!(instance:% = self.instance, in_progress = graceful.count(); "port closed");
+        graceful.shutdown().await;
+    }
+
+    async fn wait_for_stop(&self, stop_delay_ms: u64) {
+        let mut stop = self.stop.clone();
+        stop.wait().await;
+        self.config.change(Change::Stopping(self.instance.clone(), self.start));
+        time::sleep(Duration::from_millis(stop_delay_ms)).await;
+    }
+
+    fn spawn(&self, graceful: &GracefulShutdown, stream: TcpStream, caller: SocketAddr) {
+        let _ = stream.set_nodelay(true);
+        let (gateway, stop) = (Arc::clone(&self.gateway), self.stop.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let request = request.map(|body| body.map_err(Into::into).boxed_unsync());
+            answer(Arc::clone(&gateway), stop.clone(), request, caller)
+        });
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        let conn = graceful.watch(conn);
+        tokio::spawn(async move {
+            if let Err(e) = conn.await {
+                log::debug!(caller:% = caller, error:% = e; "caller's connection ended");
+            }
+        });
+    }
+}
+
+fn answer(
+    gateway: Arc<Gateway>,
+    stop: Stop,
+    request: Request<Body>,
+    caller: SocketAddr,
+) -> BoxFuture<'static, Result<Response<Body>, Infallible>> {
+    Box::pin(async move {
+        let mut response = gateway.handle(request, caller).await;
+        if stop.is_stopping() {
+            // A connection that is kept would be closed later, perhaps just as
+            // the caller sends its next request.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        Ok(response)
+    })
+}
--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -27,12 +27,15 @@
 * [`dispatch`] shares the choice of backend servers among instances.
 * [`selector`] owns the slots of one service's backend servers.
 * [`claims`] lets a request with an idempotency key run at most once.
+* [`poll`] reads the platform, [`probe`] watches backend servers, [`membership`]
+  watches the other instances.
 * [`peer`] spreads accepted changes between instances.
 * [`operators`] serves the operators' remote procedure calls.
 */
 
 pub mod backend;
 pub mod body;
+pub mod callers;
 pub mod claims;
 pub mod cli;
 pub mod clock;
@@ -40,10 +43,13 @@
 pub mod dispatch;
 pub mod gateway;
 pub mod logs;
+pub mod membership;
 pub mod metrics;
 pub mod operators;
 pub mod peer;
 pub mod platform;
+pub mod poll;
+pub mod probe;
 pub mod run;
 pub mod selector;
 pub mod settings;
--- a/crates/azuregate/src/peer/mod.rs
+++ b/crates/azuregate/src/peer/mod.rs
@@ -10,9 +10,12 @@
 
 use async_trait::async_trait;
 use azuregate_core::{
+    membership::Heartbeat,
     names::{BackendId, InstanceId, ServiceName, StartNumber},
     policy::Policy,
+    probe::ProbeReport,
     route::group::{GroupId, GroupLoad},
+    snapshot::InstanceList,
 };
 use serde::{Deserialize, Serialize};
 
@@ -28,7 +31,11 @@
         instance: InstanceId,
         /// Its start number.
         start: StartNumber,
+        /// Whether it has the platform's list.
+        has_list: bool,
     },
+    /// Sent at rest.
+    Heartbeat(Heartbeat),
     /// The versions that the sender has in force.
     Digest {
         /// Version for each service.
@@ -36,6 +43,22 @@
     },
     /// An accepted policy.
     Policy(Box<Policy>),
+    /// The platform's list, for a neighbour that has none.
+    List(InstanceList),
+    /// An instance that has started a planned stop.
+    Stopping {
+        /// The instance.
+        instance: InstanceId,
+        /// Its start number.
+        start: StartNumber,
+    },
+    /// What a watcher of backend servers says.
+    Probes {
+        /// The watcher.
+        watcher: InstanceId,
+        /// What it says.
+        report: ProbeReport,
+    },
     /// A backend server that is leaving.
     Leaving {
         /// The server.
--- a/crates/azuregate/src/peer/ws.rs
+++ b/crates/azuregate/src/peer/ws.rs
@@ -1,9 +1,17 @@
 //! Links by web socket, with frames in CBOR.
 
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::TcpStream;
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time,
+};
 use tokio_tungstenite::{
     MaybeTlsStream, WebSocketStream,
     tungstenite::{Message, protocol::WebSocketConfig},
@@ -13,6 +21,8 @@
 
 /// The largest frame that is taken, in bytes.
 const FRAME_LIMIT_BYTES: usize = 1 << 20;
+/// How long the opening of a link may take, in milliseconds.
+const OPEN_MS: u64 = 2_000;
 
 /// A web socket to a neighbour.
 #[derive(Debug)]
@@ -27,17 +37,15 @@
 }
 
 impl WsLink {
-    /// Opens a link to the neighbour at `addr`.
+    /// Opens a link from `from` to the neighbour at `addr`, which takes links
+    /// only from the IP numbers of listed instances.
     ///
     /// # Errors
     ///
     /// When the neighbour does not answer as one.
-    pub async fn dial(addr: std::net::SocketAddr) -> Result<WsLink, LinkError> {
-        let url = format!("ws://{addr}/v1/peer");
-        let (socket, _) = tokio_tungstenite::connect_async_with_config(url, Some(config()), true)
-            .await
-            .map_err(broken)?;
-        Ok(WsLink { socket })
+    pub async fn dial(from: IpAddr, addr: SocketAddr) -> Result<WsLink, LinkError> {
+        let dialling = time::timeout(Duration::from_millis(OPEN_MS), open(from, addr));
+        dialling.await.unwrap_or_else(|_| Err(LinkError::new(format!("no answer from {addr}"))))
     }
 
     /// Takes a link that a neighbour opened.
@@ -47,13 +55,26 @@
     /// When the other side does not speak the protocol.
     pub async fn accept(stream: TcpStream) -> Result<WsLink, LinkError> {
         let stream = MaybeTlsStream::Plain(stream);
-        let socket = tokio_tungstenite::accept_async_with_config(stream, Some(config()))
-            .await
-            .map_err(broken)?;
+        let accepting = tokio_tungstenite::accept_async_with_config(stream, Some(config()));
+        let accepted = time::timeout(Duration::from_millis(OPEN_MS), accepting).await;
+        let socket = accepted.map_err(broken)?.map_err(broken)?;
         Ok(WsLink { socket })
     }
 }
 
+async fn open(from: IpAddr, addr: SocketAddr) -> Result<WsLink, LinkError> {
+    let tcp = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let tcp = tcp.map_err(broken)?;
+    tcp.bind(SocketAddr::new(from, 0)).map_err(broken)?;
+    let stream = tcp.connect(addr).await.map_err(broken)?;
+    stream.set_nodelay(true).map_err(broken)?;
+    let url = format!("ws://{addr}/v1/peer");
+    let stream = MaybeTlsStream::Plain(stream);
+    let opening = tokio_tungstenite::client_async_with_config(url, stream, Some(config()));
+    let (socket, _) = opening.await.map_err(broken)?;
+    Ok(WsLink { socket })
+}
+
 fn broken(e: impl std::fmt::Display) -> LinkError {
     LinkError::new(e.to_string())
 }
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -1,32 +1,28 @@
 //! Runs an entry instance: opens its ports and starts its tasks.
 
-use std::{convert::Infallible, fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc};
 
 use azuregate_core::{names::StartNumber, snapshot::Snapshot};
 use azuregate_schema::v1::operators_server::OperatorsServer;
 use error_stack::{Report, ResultExt};
-use futures_util::future::BoxFuture;
-use http_body_util::BodyExt;
-use hyper::{Request, Response, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
-use tokio::{net::TcpListener, time};
+use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::{
-    backend::{HttpDialer, Pool},
-    body::Body,
+    backend::{HttpDialer, Pool, SharedDialer},
+    callers::Callers,
     claims::Claims,
     clock::{SharedClock, SystemClock},
-    config::{Change, Config, Source},
+    config::Config,
     dispatch::{Exchange, Rule},
     gateway::{Gateway, Parts},
+    membership::{self, Members},
     metrics::{MetricSink, NullSink, Recorder, StatsdSink},
     operators::OperatorsService,
     peer::Mesh,
-    platform::{HttpPlatform, SharedPlatform, Table},
+    platform::{HttpPlatform, SharedPlatform},
+    poll::Poller,
+    probe::{self, Prober},
     settings::Settings,
     status::{self, Status},
     stop::Stop,
@@ -60,11 +56,7 @@
 /// # Errors
 ///
 /// When a port cannot be opened.
-pub async fn run_with(
-    settings: Settings,
-    mut stop: Stop,
-    rule: Rule,
-) -> Result<(), Report<RunError>> {
+pub async fn run_with(settings: Settings, stop: Stop, rule: Rule) -> Result<(), Report<RunError>> {
     let traffic = bind(&settings, settings.traffic_port).await?;
     let peers = bind(&settings, settings.peer_port).await?;
     let operators = bind(&settings, settings.operators_port).await?;
@@ -75,21 +67,48 @@
     let timer = Timer::start();
     let platform: SharedPlatform =
         Arc::new(HttpPlatform::new(settings.platform.addr, settings.platform.timeout_ms));
-    let (config, snapshots) = Config::start(Snapshot::empty(Arc::new(settings.topology.clone())));
+    let first = Snapshot::empty(Arc::new(settings.topology.clone()));
+    let (config, snapshots) = Config::start_with_clock(first, Arc::clone(&clock));
     let recorder = Recorder::start(metric_sink(&settings)?);
+    let dialer: SharedDialer = Arc::new(HttpDialer { ip: settings.ip });
+    let pool = Pool::start(Arc::clone(&clock));
 
-    let poller = tokio::spawn(poll(
-        Arc::clone(&platform),
-        config.clone(),
-        timer.clone(),
-        settings.platform.poll_ms,
-    ));
+    let members = Members::start(membership::Parts {
+        instance: settings.instance.clone(),
+        config: config.clone(),
+        snapshots: snapshots.clone(),
+        clock: Arc::clone(&clock),
+        timer: timer.clone(),
+    });
+    let poller = Poller {
+        platform: Arc::clone(&platform),
+        config: config.clone(),
+        snapshots: snapshots.clone(),
+        members: members.clone(),
+        clock: Arc::clone(&clock),
+        timer: timer.clone(),
+        every_ms: settings.platform.poll_ms,
+    };
+    let poller = tokio::spawn(poller.serve());
+    let prober = Prober {
+        instance: settings.instance.clone(),
+        start,
+        dialer: Arc::clone(&dialer),
+        config: config.clone(),
+        snapshots: snapshots.clone(),
+        timer: timer.clone(),
+    };
+    let prober = tokio::spawn(prober.serve());
+    let closer = tokio::spawn(probe::close_idle(pool.clone(), snapshots.clone()));
     let exchange = Exchange::default();
     let mesh = Mesh {
         instance: settings.instance.clone(),
         start,
+        ip: settings.ip,
         config: config.clone(),
         snapshots: snapshots.clone(),
+        members,
+        clock: Arc::clone(&clock),
         exchange: exchange.clone(),
         timer: timer.clone(),
     };
@@ -114,18 +133,19 @@
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
         snapshots,
-        config,
+        config: config.clone(),
         clock: Arc::clone(&clock),
-        dialer: Arc::new(HttpDialer { ip: settings.ip }),
-        pool: Pool::start(Arc::clone(&clock)),
+        dialer,
+        pool,
         claims: Claims::new(platform, clock, &settings.instance, start),
         rule,
         recorder,
     }));
     log::info!(instance:% = settings.instance, start:% = start; "entry instance started");
-    serve_callers(traffic, gateway, &mut stop, settings.stop_delay_ms).await;
+    let callers = Callers { gateway, config, instance: settings.instance.clone(), start, stop };
+    callers.serve(traffic, settings.stop_delay_ms).await;
     log::info!(instance:% = settings.instance; "entry instance stopped");
-    for task in [poller, mesh, status] {
+    for task in [poller, prober, closer, mesh, status] {
         task.abort();
     }
     operators.abort();
@@ -149,84 +169,3 @@
         Err(e) => Err(Report::new(RunError).attach(format!("cannot send metrics to {addr}: {e}"))),
     }
 }
-
-/// Reads policies and the instance list from the platform at each tick.
-async fn poll(platform: SharedPlatform, config: Config, timer: Timer, every_ms: u64) {
-    let mut ticks = timer.subscribe(every_ms);
-    let mut since_sequence = 0;
-    loop {
-        match platform.instances().await {
-            Ok(list) => config.change(Change::List(list)),
-            Err(e) => log::warn!(error:% = e; "instance list not read"),
-        }
-        match platform.changes(Table::Policy, since_sequence).await {
-            Ok(changes) => {
-                since_sequence = changes.sequence;
-                for row in changes.rows {
-                    apply_row(&config, row);
-                }
-                config.change(Change::Confirmed);
-            }
-            Err(e) => log::warn!(error:% = e; "policies not read"),
-        }
-        if ticks.recv().await.is_none() {
-            return;
-        }
-    }
-}
-
-fn apply_row(config: &Config, row: crate::platform::Row) {
-    match serde_json::from_value(row.value) {
-        Ok(policy) => config.change(Change::Policy(policy, Source::Platform)),
-        Err(e) => log::error!(key:% = row.key, error:% = e; "policy row not understood"),
-    }
-}
-
-async fn serve_callers(
-    listener: TcpListener,
-    gateway: Arc<Gateway>,
-    stop: &mut Stop,
-    stop_delay_ms: u64,
-) {
-    let graceful = GracefulShutdown::new();
-    let stopped = async {
-        stop.wait().await;
-        // Callers that cached this entry still come; closing the listener first
-        // would cut them off.
-        time::sleep(Duration::from_millis(stop_delay_ms)).await;
-    };
-    tokio::pin!(stopped);
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((stream, caller)) = accepted else { continue };
-                let _ = stream.set_nodelay(true);
-                let gateway = Arc::clone(&gateway);
-                let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-                    let request = request.map(|body| body.map_err(Into::into).boxed_unsync());
-                    answer(Arc::clone(&gateway), request, caller)
-                });
-                let conn = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .serve_connection(TokioIo::new(stream), service);
-                let conn = graceful.watch(conn);
-                tokio::spawn(async move {
-                    if let Err(e) = conn.await {
-                        log::debug!(caller:% = caller, error:% = e; "caller's connection ended");
-                    }
-                });
-            }
-            () = &mut stopped => break,
-        }
-    }
-    drop(listener);
-    graceful.shutdown().await;
-}
-
-fn answer(
-    gateway: Arc<Gateway>,
-    request: Request<Body>,
-    caller: SocketAddr,
-) -> BoxFuture<'static, Result<Response<Body>, Infallible>> {
-    Box::pin(async move { Ok(gateway.handle(request, caller).await) })
-}
--- a/crates/azuregate/src/status.rs
+++ b/crates/azuregate/src/status.rs
@@ -57,8 +57,9 @@
     if status.stop.is_stopping() {
         return (StatusCode::SERVICE_UNAVAILABLE, "stopping\n".to_owned());
     }
-    if !status.snapshots.current().ready {
-        return (StatusCode::SERVICE_UNAVAILABLE, "no configuration in force yet\n".to_owned());
+    let snapshot = status.snapshots.current();
+    if !snapshot.ready {
+        return (StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {}\n", snapshot.readiness));
     }
-    (StatusCode::OK, "ready\n".to_owned())
+    (StatusCode::OK, format!("ready: {}\n", snapshot.readiness))
 }
