--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod gateway;
+pub mod jsonc;
 pub mod logs;
 pub mod membership;
 pub mod metrics;
