--- a/crates/azuregate-core/src/membership.rs
+++ b/crates/azuregate-core/src/membership.rs
@@ -100,7 +100,10 @@
         let same = heartbeat.digest == digest;
         peer.start = start;
         peer.heard_at_ms = now_ms;
-        peer.confirmed_at_ms = heartbeat.confirmed_age_ms.map(|age_ms| now_ms - Millis(age_ms));
+        // What is older than this process counts as not confirmed: monotonic time
+        // cannot tell of it, and would make it look young.
+        let at_ms = heartbeat.confirmed_age_ms.and_then(|age_ms| now_ms.0.checked_sub(age_ms));
+        peer.confirmed_at_ms = at_ms.map(Millis);
         peer.agrees = heartbeat.ready && same;
         if same {
             self.confirmed_at_ms = self.confirmed_at_ms.max(peer.confirmed_at_ms);
@@ -163,7 +166,10 @@
         let is_old = |at_ms: Option<Millis>| {
             at_ms.is_none_or(|at_ms| now_ms.since(at_ms).0 > self.confirm_limit_ms)
         };
-        let peers = self.peers.iter().map(|(id, peer)| (id, peer.confirmed_at_ms));
+        // What a silent instance has confirmed is not known; silence is judged by
+        // itself.
+        let heard = self.peers.iter().filter(|(_, peer)| !is_silent(peer, now_ms));
+        let peers = heard.map(|(id, peer)| (id, peer.confirmed_at_ms));
         let all = peers.chain([(&self.me, self.confirmed_at_ms)]);
         let (old, fresh): (Vec<_>, Vec<_>) = all.partition(|(_, at_ms)| is_old(*at_ms));
         // With the platform down nobody can confirm, and no change can be made.
--- a/crates/azuregate-core/src/neighbours.rs
+++ b/crates/azuregate-core/src/neighbours.rs
@@ -24,23 +24,30 @@
 /// In how many other zones each picks one instance.
 const PICKS_AWAY: usize = 6;
 
-/// The neighbours of `me` among `instances`; the same relation on both sides.
+/// The links of a whole deployment: the neighbours of each instance.
+pub type Graph = BTreeMap<InstanceId, BTreeSet<InstanceId>>;
+
+/// The neighbours of `me` among `instances`.
 pub fn neighbours(me: &InstanceId, instances: &[Instance]) -> BTreeSet<InstanceId> {
-    let others = instances.iter().filter(|instance| instance.id != *me);
-    if instances.len() <= FULL_MESH {
-        return others.map(|instance| instance.id.clone()).collect();
-    }
+    graph(instances).remove(me).unwrap_or_default()
+}
+
+/// All links among `instances`; each stands at both of its ends.
+pub fn graph(instances: &[Instance]) -> Graph {
     let zones = by_zone(instances);
-    let Some(this) = instances.iter().find(|instance| instance.id == *me) else {
-        return BTreeSet::new();
-    };
-    let mut linked = picks(this, &zones);
-    for other in others {
-        if picks(other, &zones).contains(me) {
-            linked.insert(other.id.clone());
+    let mut graph: Graph =
+        instances.iter().map(|instance| (instance.id.clone(), BTreeSet::new())).collect();
+    for instance in instances {
+        for picked in picks(instance, instances, &zones) {
+            if let Some(linked) = graph.get_mut(picked) {
+                linked.insert(instance.id.clone());
+            }
+            if let Some(linked) = graph.get_mut(&instance.id) {
+                linked.insert(picked.clone());
+            }
         }
     }
-    linked
+    graph
 }
 
 type Zones<'a> = BTreeMap<&'a ZoneName, Vec<&'a InstanceId>>;
@@ -53,17 +60,24 @@
     zones
 }
 
-fn picks(this: &Instance, zones: &Zones<'_>) -> BTreeSet<InstanceId> {
-    let score = |name: &str| hash::score(&[this.id.as_str(), name]);
-    let mut others: Vec<_> = zones.keys().filter(|zone| ***zone != this.zone).collect();
-    others.sort_by_key(|zone| score(zone.as_str()));
-    let away = others.into_iter().take(PICKS_AWAY).map(|zone| (zone, 1));
-    let mut picked = BTreeSet::new();
-    for (zone, count) in away.chain([(&&this.zone, PICKS_AT_HOME)]) {
-        let mut members: Vec<_> = zones[*zone].iter().filter(|id| ***id != this.id).collect();
-        members.sort_by_key(|id| score(id.as_str()));
-        picked.extend(members.into_iter().take(count).map(|id| InstanceId::clone(id)));
+fn picks<'a>(this: &Instance, instances: &'a [Instance], zones: &Zones<'a>) -> Vec<&'a InstanceId> {
+    if instances.len() <= FULL_MESH {
+        let others = instances.iter().filter(|other| other.id != this.id);
+        return others.map(|other| &other.id).collect();
     }
+    let score = |name: &str| hash::score(&[this.id.as_str(), name]);
+    let mut away: Vec<_> = zones.keys().filter(|zone| ***zone != this.zone).collect();
+    away.sort_by_cached_key(|zone| score(zone.as_str()));
+    away.truncate(PICKS_AWAY);
+    let first = |zone: &&&ZoneName| {
+        let members = zones[**zone].iter().copied();
+        members.min_by_key(|id| score(id.as_str()))
+    };
+    let mut picked: Vec<_> = away.iter().filter_map(first).collect();
+    let mut home = zones[&this.zone].clone();
+    home.retain(|id| **id != this.id);
+    home.sort_by_cached_key(|id| score(id.as_str()));
+    picked.extend(home.into_iter().take(PICKS_AT_HOME));
     picked
 }
 
@@ -75,7 +89,7 @@
     count: usize,
 ) -> Vec<&'a InstanceId> {
     let mut scored: Vec<_> = instances.collect();
-    scored.sort_by_key(|id| hash::score(&[name, id.as_str()]));
+    scored.sort_by_cached_key(|id| hash::score(&[name, id.as_str()]));
     scored.truncate(count);
     scored
 }
