--- a/crates/azuregate-lab/src/backends/server.rs
+++ b/crates/azuregate-lab/src/backends/server.rs
@@ -34,6 +34,9 @@
     network::{self, Network},
 };
 
+/// The path of probes, which take no slot.
+const HEALTH_PATH: &str = "/health";
+
 /// The header that names a request; the answer carries it back.
 const REQUEST_ID: &str = "azuregate-request-id";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -166,6 +169,9 @@
         if behaviour.silent || opened_under < self.silence.load(Ordering::Relaxed) {
             return std::future::pending().await;
         }
+        if request.uri().path() == HEALTH_PATH {
+            return Ok(status(StatusCode::OK, "alive\n"));
+        }
         self.counts().arrived();
         let slot = if behaviour.shed { None } else { self.take_slot() };
         let Some((mut slot, in_use)) = slot else {
