Test hand-overs over a fake network, and steer by the capped shares

Cause and change: the selector asks steer::Capped for its plan; an empty plan is refused as cap-reached. A write handed to a frozen dispatcher as its probe waited for its deadline (seen: left 504, right 200 in a_frozen_dispatcher_holds_no_read_until_its_deadline); only idempotent requests probe now, and the silence of a probe is told too.

--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -27,7 +27,7 @@
 //! });
 //! // No server is listed yet.
 //! let plan = [ZoneName::new("sofia-a")];
-//! let ask = Ask { ticket: 1, plan: &plan, wait_ms: 100, left_ms: 1_000, up_bytes: 0 };
+//! let ask = Ask { ticket: 1, plan: &plan, wait_ms: 100, left_ms: 1_000, up_bytes: 0, idempotent: true };
 //! let step = dispatch.place(&ask, Millis(0), &mut fastrand::Rng::with_seed(1));
 //! assert!(matches!(step, Step::Refuse(_)));
 //! ```
@@ -94,6 +94,8 @@
     pub left_ms: u64,
     /// The length of its body, as far as it is known.
     pub up_bytes: u64,
+    /// Whether it may be sent twice.
+    pub idempotent: bool,
 }
 
 /// What becomes of a request.
--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -32,6 +32,11 @@
         Refusal { kind: ErrorKind::NoBackend, reason, retry_after_ms: 1_000 }
     }
 
+    fn cap_reached() -> Refusal {
+        let reason = "the cap of the policy leaves no room for this request";
+        Refusal { kind: ErrorKind::CapReached, reason, retry_after_ms: 1_000 }
+    }
+
     fn no_link() -> Refusal {
         let reason = "the links to the regions with free slots have no room";
         Refusal { kind: ErrorKind::QueueFull, reason, retry_after_ms: 1_000 }
@@ -59,7 +64,7 @@
             let count = self.by_zone.get(zone).map_or(0, Vec::len);
             for nth in 0..count {
                 let group = self.by_zone[zone][nth];
-                let Some(candidate) = self.candidate(group, ask.up_bytes, now_ms) else {
+                let Some(candidate) = self.candidate(group, ask, now_ms) else {
                     crowded = true;
                     continue;
                 };
@@ -79,6 +84,9 @@
         }
         match shortest {
             Some(candidate) => self.wait_at(candidate, ask, now_ms, rng),
+            None if ask.plan.is_empty() && !self.by_zone.is_empty() => {
+                Step::Refuse(Refusal::cap_reached())
+            }
             None if crowded => Step::Refuse(Refusal::no_link()),
             None => Step::Refuse(Refusal::no_backend()),
         }
@@ -162,21 +170,21 @@
     }
 
     /// Who dispatches for a group: the first in its order that answers.
-    fn dispatcher(&self, group: usize, now_ms: Millis) -> Who {
+    fn dispatcher(&self, group: usize, idempotent: bool, now_ms: Millis) -> Who {
         let usable = |who: &Who| match *who {
             Who::Me => true,
-            Who::Peer(peer) => self.peers.usable(peer, now_ms),
+            Who::Peer(peer) => self.peers.usable(peer, idempotent, now_ms),
         };
         self.groups[group].order.iter().copied().find(usable).unwrap_or(Who::Me)
     }
 
     /// `None` when the link to the group has no room.
-    fn candidate(&mut self, index: usize, up_bytes: u64, now_ms: Millis) -> Option<Candidate> {
+    fn candidate(&mut self, index: usize, ask: &Ask<'_>, now_ms: Millis) -> Option<Candidate> {
         let booking = match self.groups[index].link {
             None => None,
-            Some(link) => Some(self.links.room(link, up_bytes, now_ms)?),
+            Some(link) => Some(self.links.room(link, ask.up_bytes, now_ms)?),
         };
-        let who = self.dispatcher(index, now_ms);
+        let who = self.dispatcher(index, ask.idempotent, now_ms);
         let group = &mut self.groups[index];
         let (free, wait_ms, queued) = match who {
             Who::Me => (group.free(), group.wait_ms(), group.queue.len()),
--- a/crates/azuregate-core/src/route/known.rs
+++ b/crates/azuregate-core/src/route/known.rs
@@ -79,9 +79,11 @@
         ahead * u64::from(load.service_ms) / u64::from(load.slots.max(1))
     }
 
-    /// How many requests are likely to wait there.
-    pub fn queued(&self) -> usize {
-        self.word.map_or(0, |(load, _)| load.queued as usize + self.unseen(&load) as usize)
+    /// How many requests are likely to wait there; an old word says nothing of
+    /// that.
+    pub fn queued(&self, now_ms: Millis) -> usize {
+        let fresh = self.word.filter(|&(_, at_ms)| now_ms.since(at_ms) <= FRESH_MS);
+        fresh.map_or(0, |(load, _)| load.queued as usize + self.unseen(&load) as usize)
     }
 
     /// What the dispatcher had not seen when it spoke; all of it is in flight.
--- a/crates/azuregate-core/src/route/peers.rs
+++ b/crates/azuregate-core/src/route/peers.rs
@@ -31,6 +31,8 @@
     speaks: bool,
     /// Since when its silence counts.
     quiet_since_ms: Millis,
+    /// Whether its silence was not told yet.
+    watched: bool,
     passed_over_until_ms: Option<Millis>,
     pass_over_ms: Millis,
 }
@@ -46,6 +48,7 @@
             in_flight: 0,
             speaks: false,
             quiet_since_ms: Millis(0),
+            watched: false,
             passed_over_until_ms: None,
             pass_over_ms: PASS_OVER_MS,
         });
@@ -62,16 +65,22 @@
     }
 
     /// Whether a request may be handed over to it.
-    pub(super) fn usable(&self, peer: usize, now_ms: Millis) -> bool {
-        self.peers[peer].passed_over_until_ms.is_none_or(|until_ms| until_ms <= now_ms)
+    ///
+    /// One that may not be sent twice does not ask whether a frozen instance is
+    /// back: it would wait there for its whole deadline.
+    pub(super) fn usable(&self, peer: usize, idempotent: bool, now_ms: Millis) -> bool {
+        let extra_ms = if idempotent { Millis(0) } else { PASS_OVER_LIMIT_MS };
+        let until_ms = self.peers[peer].passed_over_until_ms;
+        until_ms.is_none_or(|until_ms| until_ms + extra_ms <= now_ms)
     }
 
     /// Counts a hand-over. One that was passed over gets a single request to
     /// show that it answers again.
     pub(super) fn send(&mut self, peer: usize, now_ms: Millis) {
         let peer = &mut self.peers[peer];
-        if peer.in_flight == 0 {
+        if peer.in_flight == 0 || !peer.watched {
             peer.quiet_since_ms = now_ms;
+            peer.watched = true;
         }
         peer.in_flight += 1;
         if peer.passed_over_until_ms.is_some() {
@@ -90,6 +99,7 @@
         let peer = &mut self.peers[peer];
         peer.speaks |= by_frame;
         peer.quiet_since_ms = now_ms;
+        peer.watched = true;
         peer.passed_over_until_ms = None;
         peer.pass_over_ms = PASS_OVER_MS;
     }
@@ -111,9 +121,12 @@
                 peer.quiet_since_ms = now_ms;
             }
             let quiet_ms = now_ms.since(peer.quiet_since_ms);
-            let usable = peer.passed_over_until_ms.is_none();
-            if usable && peer.speaks && peer.in_flight > 0 && quiet_ms > SILENT_MS {
-                peer.pass_over(now_ms);
+            let waits = peer.watched && peer.in_flight > 0;
+            if waits && peer.speaks && quiet_ms > SILENT_MS {
+                peer.watched = false;
+                if peer.passed_over_until_ms.is_none() {
+                    peer.pass_over(now_ms);
+                }
                 silent.push(index);
             }
         }
--- a/crates/azuregate-core/tests/routing/handing_over.rs
+++ b/crates/azuregate-core/tests/routing/handing_over.rs
@@ -6,7 +6,7 @@
     names::InstanceId,
     route::{
         Ending,
-        dispatch::{Slot, Step},
+        dispatch::{Ask, Slot, Step},
         group::GroupId,
     },
     snapshot::Snapshot,
@@ -76,13 +76,13 @@
     let mut first = Node::new("old_word", "entry-1", "sofia-a", &snapshot);
     let mut second = Node::new("old_word_2", "entry-2", "sofia-b", &snapshot);
     let probe = first.hand_over(&["sofia-b"]);
-    arrive("entry-1", &mut second, "sofia-b");
-    answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
+    let Step::Serve(slot) = arrive("entry-1", &mut second, "sofia-b") else { panic!("refused") };
     let ending = Ending::Answered { latency_ms: 20 };
+    second.dispatch.finish(&slot, ending, second.now_ms);
+    answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
     first.dispatch.finish_hand_over(&probe, ending, first.now_ms);
     first.now_ms = first.now_ms + Millis(1_000);
-    // Two of the three slots are an even share of two instances; the word says
-    // that two are free.
+    // The word says that all three are free; two are an even share.
     for _ in 0..2 {
         first.hand_over(&["sofia-b", "sofia-a"]);
     }
@@ -206,6 +206,25 @@
     first.serve(&["sofia-b", "sofia-a"]);
 }
 
+// The probe of a frozen dispatcher is lost as well: it is told after 500 ms, not
+// left to its deadline. A request that may not be sent twice does not ask.
+#[test]
+fn a_probe_of_a_frozen_dispatcher_is_told_of_its_silence() {
+    let snapshot = pair();
+    let mut first = Node::new("probe", "entry-1", "sofia-a", &snapshot);
+    pass(&mut first, 50);
+    first.hand_over(&["sofia-b"]);
+    first.dispatch.hear(&id("entry-2"), &group("sofia-b"), Default::default(), true, first.now_ms);
+    assert!(pass(&mut first, 600));
+    assert!(!pass(&mut first, 1_000), "it is told once");
+    let plan = [zone("sofia-b")];
+    let order = Ask { idempotent: false, ..first.ask(&plan) };
+    let step = first.dispatch.place(&order, first.now_ms, &mut first.rng);
+    assert!(matches!(step, Step::Serve(_)), "{step:?}");
+    first.hand_over(&["sofia-b"]);
+    assert!(pass(&mut first, 600));
+}
+
 /// A backend server of three slots that refuses what does not fit.
 #[derive(Default)]
 struct Backend {
--- a/crates/azuregate-core/tests/routing/world.rs
+++ b/crates/azuregate-core/tests/routing/world.rs
@@ -93,7 +93,14 @@
 
     pub(crate) fn ask<'a>(&mut self, plan: &'a [ZoneName]) -> Ask<'a> {
         self.ticket += 1;
-        Ask { ticket: self.ticket, plan, wait_ms: 200, left_ms: 10_000, up_bytes: 0 }
+        Ask {
+            ticket: self.ticket,
+            plan,
+            wait_ms: 200,
+            left_ms: 10_000,
+            up_bytes: 0,
+            idempotent: true,
+        }
     }
 
     pub(crate) fn place(&mut self, zones: &[&str]) -> Step {
--- a/crates/azuregate/src/gateway/forward.rs
+++ b/crates/azuregate/src/gateway/forward.rs
@@ -104,7 +104,8 @@
     fn want(&self, up_bytes: u64) -> Want {
         let left_ms = self.remaining_ms();
         let wait_ms = self.queue_ms.min(left_ms);
-        Want { wait_ms, left_ms, up_bytes, handed: self.handed.clone() }
+        let idempotent = self.attributes.idempotent;
+        Want { wait_ms, left_ms, up_bytes, idempotent, handed: self.handed.clone() }
     }
 
     async fn attempt(
--- a/crates/azuregate/src/selector/task.rs
+++ b/crates/azuregate/src/selector/task.rs
@@ -224,6 +224,7 @@
                     wait_ms,
                     left_ms: want.left_ms,
                     up_bytes: want.up_bytes,
+                    idempotent: want.idempotent,
                 };
                 let (from, group) = (&handed.from, &handed.group);
                 let now_ms = self.clock.now();
@@ -245,14 +246,14 @@
 
     fn place(&mut self, ticket: u64, want: &Want) -> Step {
         let now_ms = self.clock.now();
-        let Want { wait_ms, left_ms, up_bytes, .. } = *want;
+        let Want { wait_ms, left_ms, up_bytes, idempotent, .. } = *want;
         let Some(steer) = &mut self.steer else {
             let plan = std::slice::from_ref(&self.zone);
-            let ask = Ask { ticket, plan, wait_ms, left_ms, up_bytes };
+            let ask = Ask { ticket, plan, wait_ms, left_ms, up_bytes, idempotent };
             return self.dispatch.place(&ask, now_ms, &mut self.rng);
         };
         let plan = steer.plan(self.clock.epoch(), now_ms);
-        let ask = Ask { ticket, plan: &plan.zones, wait_ms, left_ms, up_bytes };
+        let ask = Ask { ticket, plan: &plan.zones, wait_ms, left_ms, up_bytes, idempotent };
         let step = self.dispatch.place(&ask, now_ms, &mut self.rng);
         let group = match step {
             Step::Serve(slot) => Some(slot.group),
--- /dev/null
+++ b/crates/azuregate/tests/dispatch/hand_over.rs
@@ -0,0 +1,137 @@
+//! What callers see of dispatchers in all conditions, and what may be handed
+//! over at all.
+
+use std::{net::SocketAddr, time::Duration};
+
+use azuregate_core::route::group::GroupLoad;
+use hyper::{Response, header::HeaderValue};
+use tokio::time;
+
+use crate::{
+    net::Host,
+    world::{World, caller, peer, request, server},
+};
+
+const MARK: &str = "azuregate-hand-over";
+const LOAD: &str = "azuregate-load";
+
+fn outcome<T>(response: &Response<T>) -> &str {
+    response.headers().get("azuregate-outcome").map_or("-", |value| value.to_str().unwrap())
+}
+
+/// State of the dispatcher, method, status, outcome, calls of the dispatcher and
+/// of the backend server from here.
+type Case = (Host, &'static str, u16, &'static str, usize, usize);
+
+// The request goes to the dispatcher of the only server's group. What the
+// dispatcher did not run may be tried again, there or, when it is dead, from
+// here; what it may have run only when the method is idempotent.
+#[tokio::test]
+async fn the_state_of_the_dispatcher_decides_what_the_caller_sees() {
+    let cases: &[Case] = &[
+        (Host::Answers, "GET", 200, "-", 1, 0),
+        (Host::Answers, "POST", 200, "-", 1, 0),
+        (Host::NotRun, "POST", 503, "not-run", 3, 0),
+        (Host::Unknown, "POST", 504, "unknown", 1, 0),
+        (Host::Unknown, "GET", 504, "unknown", 1, 0),
+        (Host::Dead, "GET", 200, "-", 0, 1),
+        (Host::Dead, "POST", 200, "-", 0, 1),
+        (Host::Cut, "GET", 200, "-", 1, 1),
+        (Host::Cut, "POST", 502, "unknown", 1, 0),
+    ];
+    for &(host, method, status, expected, at_peer, at_server) in cases {
+        let world = World::start(host).await;
+        let response = world.send(request(method)).await;
+        let seen = (response.status().as_u16(), outcome(&response));
+        assert_eq!(seen, (status, expected), "{host:?} {method}");
+        assert!(response.headers().get(LOAD).is_none(), "{host:?} {method}");
+        let calls = (world.net.calls(peer()), world.net.calls(server()));
+        assert_eq!(calls, (at_peer, at_server), "{host:?} {method}");
+    }
+}
+
+// The dispatcher is frozen: it took the request and says nothing more, though it
+// had spoken by frames. A read is sent again from here within a second or so; a
+// write waits for its deadline, since it may have run.
+#[tokio::test]
+async fn a_frozen_dispatcher_holds_no_read_until_its_deadline() {
+    for (method, status) in [("GET", 200), ("POST", 504)] {
+        let world = World::start(Host::Answers).await;
+        assert_eq!(world.send(request(method)).await.status(), 200);
+        world.frame(3);
+        time::sleep(Duration::from_millis(20)).await;
+        world.net.set(peer(), Host::Frozen);
+        let response = world.send(request(method)).await;
+        assert_eq!(response.status(), status, "{method}");
+        let response = world.send(request(method)).await;
+        assert_eq!(response.status(), 200, "the next {method} does not go there");
+    }
+}
+
+// A dispatcher that is back is used again, after one request that asked.
+#[tokio::test]
+async fn a_dispatcher_that_is_back_is_used_again() {
+    let world = World::start(Host::Dead).await;
+    assert_eq!(world.send(request("GET")).await.status(), 200);
+    world.net.set(peer(), Host::Answers);
+    time::sleep(Duration::from_millis(1_100)).await;
+    for _ in 0..3 {
+        assert_eq!(world.send(request("GET")).await.status(), 200);
+    }
+    assert!(world.net.calls(peer()) >= 1);
+}
+
+#[tokio::test]
+async fn a_hand_over_names_its_group_and_leaves_time_for_the_way_back() {
+    let world = World::start(Host::Answers).await;
+    world.send(request("GET")).await;
+    let state = world.net.state();
+    let (_, headers) = &state.calls[0];
+    assert_eq!(headers.get(MARK).unwrap(), "r-b/0 200");
+    let left_ms: u64 = headers["azuregate-timeout-ms"].to_str().unwrap().parse().unwrap();
+    assert!((2_000..3_000).contains(&left_ms), "{left_ms}");
+}
+
+async fn handed(world: &World, from: SocketAddr, mark: &'static str) -> Response<()> {
+    let mut request = request("POST");
+    request.headers_mut().insert(MARK, HeaderValue::from_static(mark));
+    request.headers_mut().insert("idempotency-key", HeaderValue::from_static("k"));
+    world.gateway.handle(request, from).await.map(|_| ())
+}
+
+// A caller sets the header of a hand-over, to get past the claim of its key. It
+// is refused before anything is sent, and may send the request without it.
+#[tokio::test]
+async fn a_forged_hand_over_is_refused() {
+    let world = World::start(Host::Answers).await;
+    let response = handed(&world, caller(), "r-b/0 100").await;
+    assert_eq!((response.status().as_u16(), outcome(&response)), (503, "not-run"));
+    assert!(response.headers().get(LOAD).is_none());
+    assert!(world.net.state().calls.is_empty());
+}
+
+// The other instance hands over a request for a group that it dispatches itself,
+// as far as this one knows: their lists differ. It is served from here; going
+// back, it could go round for ever. Its key was claimed by the other instance,
+// so this one needs no platform.
+#[tokio::test]
+async fn a_hand_over_makes_no_second_hop_and_no_second_claim() {
+    let world = World::start(Host::Answers).await;
+    let response = handed(&world, peer(), "r-b/0 100").await;
+    assert_eq!(response.status(), 200);
+    assert_eq!((world.net.calls(peer()), world.net.calls(server())), (0, 1));
+    assert!(!world.net.state().calls[0].1.contains_key(MARK));
+    let load: GroupLoad = response.headers()[LOAD].to_str().unwrap().parse().unwrap();
+    assert_eq!((load.slots, load.seen), (3, 1));
+}
+
+#[tokio::test]
+async fn hand_overs_that_cannot_be_served_have_not_run() {
+    for (mark, status) in [("r-c/0 100", 503), ("r-b/0", 400), ("nonsense", 400), ("r-b/x 1", 400)]
+    {
+        let world = World::start(Host::Answers).await;
+        let response = handed(&world, peer(), mark).await;
+        assert_eq!((response.status().as_u16(), outcome(&response)), (status, "not-run"), "{mark}");
+        assert!(world.net.state().calls.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/azuregate/tests/dispatch/main.rs
@@ -0,0 +1,7 @@
+//! Requests that are handed over between instances, over a small fake network.
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+mod hand_over;
+mod net;
+mod world;
--- /dev/null
+++ b/crates/azuregate/tests/dispatch/net.rs
@@ -0,0 +1,109 @@
+//! A network without sockets: what stands at each address, and who called it.
+
+use std::{
+    collections::HashMap,
+    future, io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use async_trait::async_trait;
+use azuregate::{
+    backend::{BackendConn, BackendDialer, SendCause, SendError},
+    body::{self, Body},
+};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Request, Response};
+
+/// What stands at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Host {
+    /// Answers whatever it is asked.
+    Answers,
+    /// Refuses as a dispatcher does whose queue is full.
+    NotRun,
+    /// Answers as a dispatcher does that cannot tell whether the request ran.
+    Unknown,
+    /// No connection can be opened.
+    Dead,
+    /// Takes requests and never answers.
+    Frozen,
+    /// Takes a request and breaks the connection.
+    Cut,
+}
+
+/// The network; cheap to clone.
+#[derive(Clone, Default)]
+pub(crate) struct Net {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+pub(crate) struct State {
+    pub(crate) hosts: HashMap<SocketAddr, Host>,
+    /// Every request that reached a host.
+    pub(crate) calls: Vec<(SocketAddr, HeaderMap)>,
+}
+
+impl Net {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    pub(crate) fn set(&self, addr: SocketAddr, host: Host) {
+        self.state().hosts.insert(addr, host);
+    }
+
+    /// How many requests reached the host at `addr`.
+    pub(crate) fn calls(&self, addr: SocketAddr) -> usize {
+        self.state().calls.iter().filter(|(called, _)| *called == addr).count()
+    }
+}
+
+struct Conn {
+    net: Net,
+    addr: SocketAddr,
+}
+
+#[async_trait]
+impl BackendDialer for Net {
+    async fn dial(&self, addr: SocketAddr) -> io::Result<Box<dyn BackendConn>> {
+        match self.state().hosts.get(&addr) {
+            None | Some(Host::Dead) => Err(io::ErrorKind::ConnectionRefused.into()),
+            Some(_) => Ok(Box::new(Conn { net: self.clone(), addr })),
+        }
+    }
+}
+
+#[async_trait]
+impl BackendConn for Conn {
+    async fn send(&mut self, request: Request<Body>) -> Result<Response<Body>, SendError> {
+        let (head, body) = request.into_parts();
+        let lost = |_| SendError { cause: SendCause::Lost, detail: "cut".to_owned() };
+        body.collect().await.map_err(lost)?;
+        let host = {
+            let mut state = self.net.state();
+            state.calls.push((self.addr, head.headers));
+            state.hosts[&self.addr]
+        };
+        match host {
+            Host::Answers => Ok(answer(200, None)),
+            Host::NotRun => Ok(answer(503, Some("not-run"))),
+            Host::Unknown => Ok(answer(504, Some("unknown"))),
+            Host::Frozen => future::pending().await,
+            Host::Dead | Host::Cut => Err(lost(body::BodyError::from("cut"))),
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        true
+    }
+}
+
+fn answer(status: u16, outcome: Option<&str>) -> Response<Body> {
+    let mut builder = Response::builder().status(status);
+    if let Some(outcome) = outcome {
+        builder = builder.header("azuregate-outcome", outcome);
+    }
+    builder.body(body::full("done")).unwrap()
+}
