Hand nothing over to a queue that is known to be full

Change: the call is mended; a dispatcher whose fresh word says that its queue is full gets nothing more, since its answer would be the same a round trip later.

--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -194,7 +194,7 @@
                 (
                     group.known.free(share, now_ms),
                     group.known.wait_ms(group.listed_slots),
-                    group.known.queued(),
+                    group.known.queued(now_ms),
                 )
             }
         };
@@ -230,6 +230,10 @@
         let Who::Peer(peer) = who else {
             return self.place_here(group, None, ask, now_ms, rng);
         };
+        // The dispatcher would only say the same, a round trip later.
+        if candidate.full {
+            return Step::Refuse(Refusal::queue_full(wait_ms));
+        }
         if wait_ms > ask.wait_ms || wait_ms >= ask.left_ms {
             return Step::Refuse(Refusal::too_late(wait_ms));
         }
--- a/crates/azuregate-core/tests/routing/handing_over.rs
+++ b/crates/azuregate-core/tests/routing/handing_over.rs
@@ -3,11 +3,12 @@
 use std::collections::VecDeque;
 
 use azuregate_core::{
-    names::InstanceId,
+    error::ErrorKind,
+    names::{InstanceId, StartNumber},
     route::{
         Ending,
         dispatch::{Ask, Slot, Step},
-        group::GroupId,
+        group::{GroupId, GroupLoad},
     },
     snapshot::Snapshot,
     time::Millis,
@@ -179,6 +180,21 @@
     first.hand_over(&["sofia-b"]);
 }
 
+// The dispatcher said that its queue is full. Handing more over would only bring
+// back the same answer a round trip later; the caller gets it at once.
+#[test]
+fn nothing_is_handed_over_to_a_full_queue() {
+    let snapshot = pair();
+    let mut first = Node::new("full_queue", "entry-1", "sofia-a", &snapshot);
+    first.hand_over(&["sofia-b"]);
+    let load = GroupLoad { queued: 12, slots: 3, service_ms: 1, seen: 1, ..Default::default() };
+    first.dispatch.hear(&id("entry-2"), &group("sofia-b"), load, true, first.now_ms);
+    let Step::Refuse(refusal) = first.place(&["sofia-b"]) else { panic!("not refused") };
+    assert_eq!(refusal.kind, ErrorKind::QueueFull);
+    first.now_ms = first.now_ms + Millis(301);
+    first.hand_over(&["sofia-b"]);
+}
+
 // The dispatcher is replaced by a new start that has seen none of what was sent
 // to the old one. Comparing the counts would make it look full for ever.
 #[test]
@@ -190,8 +206,8 @@
         held.push(first.hand_over(&["sofia-b"]));
     }
     for (start, seen) in [(1, 2), (2, 0)] {
-        let load = azuregate_core::route::group::GroupLoad {
-            start: azuregate_core::names::StartNumber(start),
+        let load = GroupLoad {
+            start: StartNumber(start),
             free: 2,
             slots: 3,
             service_ms: 20,
