--- a/crates/azuregate-lab/src/backends/server.rs
+++ b/crates/azuregate-lab/src/backends/server.rs
@@ -25,7 +25,7 @@
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Semaphore, watch},
     time,
 };
 
@@ -34,6 +34,9 @@
     network::{self, Network},
 };
 
+/// The path of probes, which take no slot.
+const HEALTH_PATH: &str = "/health";
+
 /// The header that names a request; the answer carries it back.
 const REQUEST_ID: &str = "azuregate-request-id";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -69,6 +72,7 @@
     /// Connections that were opened under a lower number are silent.
     silence: AtomicU64,
     warmth: Mutex<Warmth>,
+    dead: watch::Sender<bool>,
     counts: Mutex<Counts>,
 }
 
@@ -111,6 +115,7 @@
             rng: Mutex::new(fastrand::Rng::with_seed(seed)),
             silence: AtomicU64::new(0),
             warmth: Mutex::default(),
+            dead: watch::Sender::new(false),
             counts: Mutex::default(),
             server,
         }
@@ -142,6 +147,16 @@
         self.silence.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Ends it as a crash does: its port closes and all connections break.
+    pub fn kill(&self) {
+        self.dead.send_replace(true);
+    }
+
+    async fn died(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.dead.subscribe().wait_for(|&dead| dead).await;
+    }
+
     async fn answer(
         &self,
         request: Request<Incoming>,
@@ -154,6 +169,9 @@
         if behaviour.silent || opened_under < self.silence.load(Ordering::Relaxed) {
             return std::future::pending().await;
         }
+        if request.uri().path() == HEALTH_PATH {
+            return Ok(status(StatusCode::OK, "alive\n"));
+        }
         self.counts().arrived();
         let slot = if behaviour.shed { None } else { self.take_slot() };
         let Some((mut slot, in_use)) = slot else {
@@ -206,6 +224,8 @@
                 time::sleep(limit).await;
                 false
             }
+            // A timer takes a millisecond even for nothing.
+            None if service.is_zero() => true,
             None => {
                 time::sleep(service).await;
                 true
@@ -282,7 +302,11 @@
             }
         };
         let service = service_fn(|request| self.answer(request, opened_under));
-        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            _ = serving => {}
+            () = self.died() => {}
+        }
     }
 }
 
@@ -332,10 +356,14 @@
     response
 }
 
-/// Serves one backend server until the task is aborted.
-pub async fn serve(listener: TcpListener, backend: Arc<Backend>) -> Infallible {
+/// Serves one backend server until it is killed or the task is aborted.
+pub async fn serve(listener: TcpListener, backend: Arc<Backend>) {
     loop {
-        let Ok((stream, caller)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = backend.died() => return,
+        };
+        let Ok((stream, caller)) = accepted else {
             continue;
         };
         let _ = stream.set_nodelay(true);
--- a/crates/azuregate/benches/capacity_frames.rs
+++ b/crates/azuregate/benches/capacity_frames.rs
@@ -36,7 +36,11 @@
 }
 
 fn hello() -> Frame {
-    Frame::Hello { instance: InstanceId::new("entry-001"), start: StartNumber(1_796_256_000_000) }
+    Frame::Hello {
+        instance: InstanceId::new("entry-001"),
+        start: StartNumber(1_796_256_000_000),
+        has_list: true,
+    }
 }
 
 fn leaving() -> Frame {
