--- a/crates/azuregate/src/backend/http.rs
+++ b/crates/azuregate/src/backend/http.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpSocket;
 
 use crate::{
-    backend::{BackendConn, BackendDialer, SendError},
+    backend::{BackendConn, BackendDialer, SendCause, SendError},
     body::Body,
 };
 
@@ -32,8 +32,7 @@
         stream.set_nodelay(true)?;
         let (sender, conn) =
             http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        // The task owns the socket; it ends when the sender is dropped and the
-        // exchange is over, or when the backend server closes.
+        // The task owns the socket.
         tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!(addr:% = addr, error:% = e; "backend connection ended");
@@ -43,6 +42,8 @@
     }
 }
 
+/// Dropped, or with its exchange given up, it lets hyper's task close the socket:
+/// the only cancellation that a backend server sees.
 struct HttpConn {
     sender: http1::SendRequest<Body>,
 }
@@ -51,14 +52,21 @@
 impl BackendConn for HttpConn {
     async fn send(&mut self, request: Request<Body>) -> Result<Response<Body>, SendError> {
         if let Err(e) = self.sender.ready().await {
-            return Err(SendError { sent: false, detail: e.to_string() });
+            return Err(SendError { cause: SendCause::NotSent, detail: e.to_string() });
         }
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response.map(|body| body.map_err(Into::into).boxed_unsync())),
             Err(mut e) => {
-                // hyper hands the request back only if it did not start on it.
-                let sent = e.take_message().is_none();
-                Err(SendError { sent, detail: e.into_error().to_string() })
+                // hyper hands the request back only while it is still queued. Once
+                // its task took it, even before the first write, it does not.
+                let queued = e.take_message().is_some();
+                let e = e.into_error();
+                let cause = match () {
+                    () if queued => SendCause::NotSent,
+                    () if e.is_parse() => SendCause::Invalid,
+                    () => SendCause::Lost,
+                };
+                Err(SendError { cause, detail: e.to_string() })
             }
         }
     }
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -4,20 +4,28 @@
 
 mod answer;
 mod forward;
+mod handover;
+mod headers;
+mod keyed;
 mod lease_body;
+mod metered;
+mod payload;
 mod request;
+mod retries;
+mod send;
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use azuregate_core::{
-    claim::Verdict,
     entries::{self, MAX_AGE_S},
     error::{Error, ErrorKind},
-    names::{InstanceId, ServiceName, ZoneName},
+    names::{InstanceId, ZoneName},
     snapshot::Snapshot,
 };
-use hyper::{Method, Request, Response, header};
-use tokio::sync::Mutex;
+use hyper::{
+    Method, Request, Response,
+    header::{self, HeaderValue},
+};
 
 use crate::{
     backend::{Pool, SharedDialer},
@@ -25,11 +33,12 @@
     claims::Claims,
     clock::SharedClock,
     config::{Config, Snapshots},
-    dispatch::Rule,
     metrics::{ANSWERED, Recorder, Sample},
-    selector::Selector,
+    selector::{Handed, Selectors},
 };
 
+use self::{keyed::Keyed, payload::Payload, retries::AllRetries};
+
 pub use request::Attributes;
 
 /// The path that answers which entry instances to use.
@@ -53,36 +62,40 @@
     pub pool: Pool,
     /// Lets keyed requests run at most once.
     pub claims: Claims,
-    /// How backend servers are chosen.
-    pub rule: Rule,
+    /// Choose backend servers.
+    pub selectors: Selectors,
     /// Takes in latencies and outcomes.
     pub recorder: Recorder,
 }
 
 /// Serves callers; shared between their connections.
 pub struct Gateway {
-    parts: Parts,
-    selectors: Mutex<HashMap<ServiceName, Selector>>,
+    parts: Arc<Parts>,
+    retries: AllRetries,
 }
 
 impl Gateway {
     /// Makes a gateway.
     pub fn new(parts: Parts) -> Gateway {
-        Gateway { parts, selectors: Mutex::new(HashMap::new()) }
+        Gateway { parts: Arc::new(parts), retries: AllRetries::default() }
     }
 
     /// Answers one request of the caller at `caller`.
-    pub async fn handle(&self, request: Request<Body>, caller: SocketAddr) -> Response<Body> {
+    pub async fn handle(&self, mut request: Request<Body>, caller: SocketAddr) -> Response<Body> {
         let started_ms = self.parts.clock.now();
         let snapshot = self.parts.snapshots.current();
         if request.uri().path() == ENTRIES_PATH && request.method() == Method::GET {
             return self.entries(&request, &snapshot, caller).unwrap_or_else(|e| answer::error(&e));
         }
+        let handed = match handover::read(request.headers_mut(), caller, &snapshot) {
+            Ok(handed) => handed,
+            Err(e) => return answer::error(&e),
+        };
         let attributes = match Attributes::read(&request) {
             Ok(attributes) => attributes,
             Err(e) => return answer::error(&e),
         };
-        let result = self.serve(request, &attributes, &snapshot).await;
+        let result = self.serve(request, &attributes, &snapshot, handed.clone()).await;
         let taken_ms = self.parts.clock.now().since(started_ms).0;
         let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| ANSWERED);
         self.parts.recorder.record(Sample {
@@ -92,14 +105,22 @@
             code,
             taken_ms,
         });
-        result.unwrap_or_else(|e| {
+        let mut response = result.unwrap_or_else(|e| {
             log::info!(
                 request:% = attributes.request_id, service:% = attributes.service,
                 code = code, detail = e.detail(), taken_ms = taken_ms;
                 "request refused"
             );
             answer::error(&e)
-        })
+        });
+        if let Ok(id) = HeaderValue::from_str(&attributes.request_id) {
+            response.headers_mut().insert(request::REQUEST_ID, id);
+        }
+        if let Some(handed) = handed {
+            let selector = self.parts.selectors.get(&attributes.service);
+            handover::set_load(response.headers_mut(), selector.word_for(&handed).await);
+        }
+        response
     }
 
     fn entries(
@@ -114,7 +135,11 @@
             return Err(Error::new(ErrorKind::UnknownService, detail));
         }
         let salt = caller.ip().to_string();
-        let entries = entries::entries(snapshot, &service, &self.parts.zone, &salt);
+        let mut entries = entries::entries(snapshot, &service, &self.parts.zone, &salt);
+        for entry in &mut entries.entries {
+            let home = self.parts.claims.home_token(&entry.id, snapshot);
+            entry.home = home.map(|home| home.to_string());
+        }
         let json = serde_json::to_vec(&entries)
             .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
         Response::builder()
@@ -129,54 +154,38 @@
         request: Request<Body>,
         attributes: &Attributes,
         snapshot: &Snapshot,
+        handed: Option<Handed>,
     ) -> Result<Response<Body>, Error> {
+        // The claim of a request that was handed over was made by the instance
+        // that its caller chose.
+        let key = attributes.idempotency_key.clone().filter(|_| handed.is_none());
+        let keyed = key.is_some();
+        // A request with a key is refused here before its claim was read.
+        let refuse = |e: Error| if keyed { e.with_earlier_unknown() } else { e };
         if !snapshot.ready {
-            return Err(Error::new(ErrorKind::NotReady, "no configuration in force yet"));
+            let error = Error::new(ErrorKind::NotReady, "no configuration in force yet");
+            return Err(refuse(error));
         }
         let Some(policy) = snapshot.policies.get(&attributes.service) else {
             let detail = format!("no policy names {}", attributes.service);
-            return Err(Error::new(ErrorKind::UnknownService, detail));
+            return Err(refuse(Error::new(ErrorKind::UnknownService, detail)));
         };
         let timeout_ms = attributes.timeout_ms.unwrap_or(policy.timeout_ms);
-        let deadline_ms = self.parts.clock.now().0 + timeout_ms;
-        let selector = self.selector(&attributes.service).await;
         let forward = forward::Forward {
-            parts: &self.parts,
-            selector: &selector,
-            attributes,
-            deadline_ms,
+            parts: Arc::clone(&self.parts),
+            selector: self.parts.selectors.get(&attributes.service),
+            retries: self.retries.of(&attributes.service),
+            attributes: attributes.clone(),
+            deadline_ms: self.parts.clock.now().0 + timeout_ms,
             queue_ms: policy.queue_ms,
+            handed,
         };
-        let Some(key) = &attributes.idempotency_key else {
-            return forward.run(request).await;
+        let (head, body) = request.into_parts();
+        let payload = Payload::read(body, timeout_ms).await.map_err(refuse)?;
+        let Some(key) = key else {
+            return forward.run(&head, payload).await;
         };
-        let claims = &self.parts.claims;
-        match claims.claim(&attributes.service, key, attributes.fingerprint).await? {
-            (Verdict::Run, held) => {
-                let result = forward.run(request).await;
-                claims.settle(held, result).await
-            }
-            (Verdict::Repeat(kept), _) => claims.replay(kept).await,
-            (Verdict::Refuse(kind), _) => {
-                Err(Error::new(kind, format!("the idempotency key {key:?} was used before")))
-            }
-        }
-    }
-
-    async fn selector(&self, service: &ServiceName) -> Selector {
-        let mut selectors = self.selectors.lock().await;
-        if let Some(selector) = selectors.get(service) {
-            return selector.clone();
-        }
-        let Rule::Alone(make_router) = &self.parts.rule;
-        let selector = Selector::start(
-            service,
-            &self.parts.zone,
-            Arc::clone(&self.parts.clock),
-            make_router(),
-            self.parts.snapshots.clone(),
-        );
-        selectors.insert(service.clone(), selector.clone());
-        selector
+        let home = attributes.home.clone();
+        Keyed { forward, key, home }.run(head, payload).await
     }
 }
--- /dev/null
+++ b/crates/azuregate/src/gateway/send.rs
@@ -0,0 +1,213 @@
+//! One exchange with a backend server, or with a dispatcher.
+
+use std::time::Duration;
+
+use azuregate_core::{
+    error::{Error, ErrorKind},
+    route::Ending,
+};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Request, Response, body::Body as _, header::HeaderValue, http::request};
+use tokio::time;
+
+use crate::{
+    backend::{SendCause, SendError},
+    body::{self, Body, Progress},
+    config::{Change, Source},
+    gateway::{
+        answer::OUTCOME,
+        forward::{Forward, Link},
+        handover, headers,
+        lease_body::{Held, LeaseBody},
+        metered,
+        request::{REQUEST_ID, TIMEOUT_MS},
+    },
+    selector::Lease,
+};
+
+/// The largest body of a refusal that is read so that its connection stays of
+/// use, in bytes.
+const REFUSAL_LIMIT_BYTES: u64 = 4 << 10;
+/// How long such a body may take.
+const REFUSAL_WAIT: Duration = Duration::from_millis(100);
+
+impl Forward {
+    /// The request as the other end gets it.
+    pub(crate) fn outgoing(
+        &self,
+        lease: &Lease,
+        head: &request::Parts,
+        body: Body,
+    ) -> Request<Body> {
+        let mut request = Request::new(metered::up(body, lease.meter.as_ref()));
+        *request.method_mut() = head.method.clone();
+        // Backend servers take the path alone, with the service in Host.
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        *request.headers_mut() = headers::without_hop_by_hop(&head.headers);
+        let headers = request.headers_mut();
+        if let Ok(id) = HeaderValue::from_str(&self.attributes.request_id) {
+            headers.insert(REQUEST_ID, id);
+        }
+        // The answer needs the way back: work that ends later is wasted.
+        let left_ms = self.remaining_ms().saturating_sub(lease.delay_ms).max(1);
+        headers.insert(TIMEOUT_MS, HeaderValue::from(left_ms));
+        handover::mark(headers, lease);
+        request
+    }
+
+    /// Sends a request; a failure says whether its retry was paid for.
+    pub(crate) async fn send(
+        &self,
+        mut lease: Lease,
+        mut link: Link,
+        request: Request<Body>,
+        late_ms: Option<u64>,
+    ) -> Result<Response<Body>, (Error, bool)> {
+        let sent_at_ms = self.parts.clock.now();
+        let (request, progress) = watched(request);
+        let response = match self.wait_for_head(&mut lease, &mut link, request, late_ms).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(e)) => {
+                lease.set_ending(Ending::Failed);
+                return Err((send_error(&lease, &e, &progress), false));
+            }
+            Err(failed) => return Err(failed),
+        };
+        let latency_ms = self.parts.clock.now().since(sent_at_ms).0;
+        if lease.handed_to.is_some() {
+            let reusable = progress.is_ended() && !headers::is_last(response.headers());
+            return match handover::take_answer(&lease, response) {
+                Ok(response) => Ok(self.hand_back(lease, link, response, latency_ms, reusable)),
+                Err(error) => {
+                    lease.set_ending(Ending::Refused);
+                    Err((error, false))
+                }
+            };
+        }
+        self.retries.record(latency_ms);
+        let leaving = self.learn(&lease, response.headers());
+        // An answer that came before the request was sent whole leaves the rest
+        // of the request on the connection, where the backend server may take it
+        // for the next one.
+        let reusable = !leaving && progress.is_ended();
+        if headers::is_refusal(response.headers()) {
+            lease.set_ending(Ending::Refused);
+            let error = Error::new(ErrorKind::BackendRefused, format!("{} refused", lease.backend));
+            if reusable {
+                self.reuse_after_refusal(&lease, link, response.into_body()).await;
+            }
+            return Err((error, false));
+        }
+        let mut response = self.hand_back(lease, link, response, latency_ms, reusable);
+        // Only azuregate itself says what became of a request.
+        response.headers_mut().remove(OUTCOME);
+        Ok(response)
+    }
+
+    /// The answer for the caller, which holds the slot and the connection to its
+    /// end.
+    fn hand_back(
+        &self,
+        lease: Lease,
+        link: Link,
+        response: Response<Body>,
+        latency_ms: u64,
+        reusable: bool,
+    ) -> Response<Body> {
+        let deadline = time::Instant::now() + Duration::from_millis(self.remaining_ms());
+        let (mut head, body) = response.into_parts();
+        let body = body::with_deadline(metered::down(body, lease.meter.as_ref()), deadline);
+        head.headers = headers::without_hop_by_hop(&head.headers);
+        let pool = self.parts.pool.clone();
+        let held = Held { lease, conn: link.conn, pool, latency_ms, reusable };
+        Response::from_parts(head, LeaseBody::new(body, held).boxed_unsync())
+    }
+
+    async fn wait_for_head(
+        &self,
+        lease: &mut Lease,
+        link: &mut Link,
+        request: Request<Body>,
+        late_ms: Option<u64>,
+    ) -> Result<Result<Response<Body>, SendError>, (Error, bool)> {
+        let deadline = time::Instant::now() + Duration::from_millis(self.remaining_ms());
+        let sending = link.conn.send(request);
+        tokio::pin!(sending);
+        if let Some(late_ms) = late_ms {
+            let late = Duration::from_millis(late_ms);
+            if let Ok(sent) = time::timeout(late, &mut sending).await {
+                return Ok(sent);
+            }
+            if self.retries.try_take() {
+                // The others in the pool may have gone silent with this one.
+                self.parts.pool.forget(lease.addr);
+                let detail = format!("no answer from {} within {late_ms} ms", lease.backend);
+                return Err((Error::new(ErrorKind::BackendLost, detail), true));
+            }
+        }
+        let backend = lease.backend.clone();
+        tokio::select! {
+            sent = time::timeout_at(deadline, sending) => sent.map_err(|_| {
+                let detail = format!("no answer from {backend} in time");
+                (Error::new(ErrorKind::DeadlineAfterSend, detail), false)
+            }),
+            () = lost(lease), if self.attributes.idempotent => {
+                lease.set_ending(Ending::Failed);
+                let detail = format!("{backend} has gone silent");
+                Err((Error::new(ErrorKind::BackendLost, detail), false))
+            }
+        }
+    }
+
+    async fn reuse_after_refusal(&self, lease: &Lease, link: Link, body: Body) {
+        if body.size_hint().upper().is_none_or(|length| length > REFUSAL_LIMIT_BYTES) {
+            return;
+        }
+        let collected = body::collect(body, REFUSAL_LIMIT_BYTES as usize);
+        if let Ok(Ok(_)) = time::timeout(REFUSAL_WAIT, collected).await {
+            self.parts.pool.put(lease.addr, link.conn);
+        }
+    }
+
+    /// Takes in what the answer says of its server; returns whether it leaves.
+    fn learn(&self, lease: &Lease, headers: &HeaderMap) -> bool {
+        if let Some(report) = headers::load_report(headers, self.parts.clock.now()) {
+            lease.report(report);
+        }
+        let leaving = headers::is_last(headers);
+        if leaving {
+            let change = Change::Leaving(lease.backend.clone(), lease.start, Source::Backend);
+            self.parts.config.change(change);
+            self.parts.pool.forget(lease.addr);
+        }
+        leaving
+    }
+}
+
+/// Waits until the dispatcher that the request was handed over to is taken for
+/// frozen.
+async fn lost(lease: &mut Lease) {
+    let Some(handed_to) = &mut lease.handed_to else {
+        return std::future::pending().await;
+    };
+    if (&mut handed_to.lost).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+fn watched(request: Request<Body>) -> (Request<Body>, Progress) {
+    let (head, body) = request.into_parts();
+    let (body, progress) = body::watched(body);
+    (Request::from_parts(head, body), progress)
+}
+
+fn send_error(lease: &Lease, e: &SendError, progress: &Progress) -> Error {
+    let kind = match e.cause {
+        SendCause::NotSent => ErrorKind::ConnectFailed,
+        SendCause::Lost if progress.is_broken() => ErrorKind::CallerLost,
+        SendCause::Lost => ErrorKind::BackendLost,
+        SendCause::Invalid => ErrorKind::BackendInvalid,
+    };
+    Error::new(kind, format!("{} at {}: {}", lease.backend, lease.addr, e.detail))
+}
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -23,6 +23,7 @@
     platform::{HttpPlatform, SharedPlatform},
     poll::Poller,
     probe::{self, Prober},
+    selector::{SelectorParts, Selectors},
     settings::Settings,
     status::{self, Status},
     stop::Stop,
@@ -132,16 +133,26 @@
     let status =
         Status { snapshots: snapshots.clone(), recorder: recorder.clone(), stop: stop.clone() };
     let status = tokio::spawn(status::serve(status_listener, Arc::new(status)));
+    let selectors = Selectors::new(SelectorParts {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        start,
+        rule,
+        clock: Arc::clone(&clock),
+        snapshots: snapshots.clone(),
+        exchange,
+        timer: timer.clone(),
+    });
     let gateway = Arc::new(Gateway::new(Parts {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
-        snapshots,
+        snapshots: snapshots.clone(),
         config: config.clone(),
         clock: Arc::clone(&clock),
         dialer,
         pool,
-        claims: Claims::new(platform, clock, &settings.instance, start),
-        rule,
+        claims: Claims::new(platform, Arc::clone(&clock), snapshots, &settings.instance, start),
+        selectors,
         recorder,
     }));
     log::info!(instance:% = settings.instance, start:% = start; "entry instance started");
