--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -23,11 +23,13 @@
 * [`shift`] works out how far a shift has come, and bounds what moves.
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
+* [`home`] decides the same for keys that belong to one start of an instance.
 * [`blocks`] finds the site of a client from its address.
 * [`membership`] tells which instances take new work, [`neighbours`] which keep
   links to each other.
 * [`entries`] answers which entry instances a caller should use.
 * [`retry`] bounds retries to a share of recent requests.
+* [`late`] knows the usual time of an answer.
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
@@ -35,6 +37,8 @@
 pub mod claim;
 pub mod entries;
 pub mod error;
+pub mod home;
+pub mod late;
 pub mod membership;
 pub mod names;
 pub mod neighbours;
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -5,20 +5,27 @@
 mod answer;
 mod forward;
 mod handover;
+mod headers;
+mod keyed;
 mod lease_body;
 mod metered;
+mod payload;
 mod request;
+mod retries;
+mod send;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use azuregate_core::{
-    claim::Verdict,
     entries::{self, MAX_AGE_S},
     error::{Error, ErrorKind},
     names::{InstanceId, ZoneName},
     snapshot::Snapshot,
 };
-use hyper::{Method, Request, Response, header};
+use hyper::{
+    Method, Request, Response,
+    header::{self, HeaderValue},
+};
 
 use crate::{
     backend::{Pool, SharedDialer},
@@ -30,6 +37,8 @@
     selector::{Handed, Selectors},
 };
 
+use self::{keyed::Keyed, payload::Payload, retries::AllRetries};
+
 pub use request::Attributes;
 
 /// The path that answers which entry instances to use.
@@ -61,13 +70,14 @@
 
 /// Serves callers; shared between their connections.
 pub struct Gateway {
-    parts: Parts,
+    parts: Arc<Parts>,
+    retries: AllRetries,
 }
 
 impl Gateway {
     /// Makes a gateway.
     pub fn new(parts: Parts) -> Gateway {
-        Gateway { parts }
+        Gateway { parts: Arc::new(parts), retries: AllRetries::default() }
     }
 
     /// Answers one request of the caller at `caller`.
@@ -85,7 +95,7 @@
             Ok(attributes) => attributes,
             Err(e) => return answer::error(&e),
         };
-        let result = self.serve(request, &attributes, &snapshot, handed.as_ref()).await;
+        let result = self.serve(request, &attributes, &snapshot, handed.clone()).await;
         let taken_ms = self.parts.clock.now().since(started_ms).0;
         let code = result.as_ref().map_or_else(|e| e.kind().code(), |_| ANSWERED);
         self.parts.recorder.record(Sample {
@@ -103,6 +113,9 @@
             );
             answer::error(&e)
         });
+        if let Ok(id) = HeaderValue::from_str(&attributes.request_id) {
+            response.headers_mut().insert(request::REQUEST_ID, id);
+        }
         if let Some(handed) = handed {
             let selector = self.parts.selectors.get(&attributes.service);
             handover::set_load(response.headers_mut(), selector.word_for(&handed).await);
@@ -122,7 +135,11 @@
             return Err(Error::new(ErrorKind::UnknownService, detail));
         }
         let salt = caller.ip().to_string();
-        let entries = entries::entries(snapshot, &service, &self.parts.zone, &salt);
+        let mut entries = entries::entries(snapshot, &service, &self.parts.zone, &salt);
+        for entry in &mut entries.entries {
+            let home = self.parts.claims.home_token(&entry.id, snapshot);
+            entry.home = home.map(|home| home.to_string());
+        }
         let json = serde_json::to_vec(&entries)
             .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
         Response::builder()
@@ -137,42 +154,38 @@
         request: Request<Body>,
         attributes: &Attributes,
         snapshot: &Snapshot,
-        handed: Option<&Handed>,
+        handed: Option<Handed>,
     ) -> Result<Response<Body>, Error> {
+        // The claim of a request that was handed over was made by the instance
+        // that its caller chose.
+        let key = attributes.idempotency_key.clone().filter(|_| handed.is_none());
+        let keyed = key.is_some();
+        // A request with a key is refused here before its claim was read.
+        let refuse = |e: Error| if keyed { e.with_earlier_unknown() } else { e };
         if !snapshot.ready {
-            return Err(Error::new(ErrorKind::NotReady, "no configuration in force yet"));
+            let error = Error::new(ErrorKind::NotReady, "no configuration in force yet");
+            return Err(refuse(error));
         }
         let Some(policy) = snapshot.policies.get(&attributes.service) else {
             let detail = format!("no policy names {}", attributes.service);
-            return Err(Error::new(ErrorKind::UnknownService, detail));
+            return Err(refuse(Error::new(ErrorKind::UnknownService, detail)));
         };
         let timeout_ms = attributes.timeout_ms.unwrap_or(policy.timeout_ms);
-        let deadline_ms = self.parts.clock.now().0 + timeout_ms;
-        let selector = self.parts.selectors.get(&attributes.service);
         let forward = forward::Forward {
-            parts: &self.parts,
-            selector: &selector,
-            attributes,
-            deadline_ms,
+            parts: Arc::clone(&self.parts),
+            selector: self.parts.selectors.get(&attributes.service),
+            retries: self.retries.of(&attributes.service),
+            attributes: attributes.clone(),
+            deadline_ms: self.parts.clock.now().0 + timeout_ms,
             queue_ms: policy.queue_ms,
             handed,
         };
-        // The claim of a request that was handed over was made by the instance
-        // that its caller chose.
-        let key = attributes.idempotency_key.as_ref().filter(|_| handed.is_none());
+        let (head, body) = request.into_parts();
+        let payload = Payload::read(body, timeout_ms).await.map_err(refuse)?;
         let Some(key) = key else {
-            return forward.run(request).await;
+            return forward.run(&head, payload).await;
         };
-        let claims = &self.parts.claims;
-        match claims.claim(&attributes.service, key, attributes.fingerprint).await? {
-            (Verdict::Run, held) => {
-                let result = forward.run(request).await;
-                claims.settle(held, result).await
-            }
-            (Verdict::Repeat(kept), _) => claims.replay(kept).await,
-            (Verdict::Refuse(kind), _) => {
-                Err(Error::new(kind, format!("the idempotency key {key:?} was used before")))
-            }
-        }
+        let home = attributes.home.clone();
+        Keyed { forward, key, home }.run(head, payload).await
     }
 }
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -127,12 +127,12 @@
     let gateway = Arc::new(Gateway::new(Parts {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
-        snapshots,
+        snapshots: snapshots.clone(),
         config,
         clock: Arc::clone(&clock),
         dialer: Arc::new(HttpDialer { ip: settings.ip }),
         pool: Pool::start(Arc::clone(&clock)),
-        claims: Claims::new(platform, Arc::clone(&clock), &settings.instance, start),
+        claims: Claims::new(platform, Arc::clone(&clock), snapshots, &settings.instance, start),
         selectors,
         recorder,
     }));
