--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
+mod bad_input;
 mod deployment;
 mod outcomes;
 mod path;
