--- a/crates/azuregate-schema/src/gen/azuregate.v1.rs
+++ b/crates/azuregate-schema/src/gen/azuregate.v1.rs
@@ -58,6 +58,9 @@
     /// Whether it is believed to take new work.
     #[prost(bool, tag = "4")]
     pub live: bool,
+    /// Why it takes none; empty if it does.
+    #[prost(string, tag = "5")]
+    pub reason: ::prost::alloc::string::String,
 }
 /// A backend server.
 #[derive(serde::Serialize)]
--- a/crates/azuregate/src/cli/print.rs
+++ b/crates/azuregate/src/cli/print.rs
@@ -61,7 +61,7 @@
     }
     let mut instances = vec![row!["instance", "zone", "traffic", "state"]];
     for instance in &status.instances {
-        let state = if instance.live { "live" } else { "leaving" };
+        let state = if instance.live { "live" } else { &instance.reason };
         instances.push(row![instance.id, instance.zone, instance.traffic_addr, state]);
     }
     for part in [table(&policies), table(&instances), leaving(&status.backends)] {
--- a/crates/azuregate/src/operators/describe.rs
+++ b/crates/azuregate/src/operators/describe.rs
@@ -10,20 +10,30 @@
 use crate::metrics::{Histograms, Summary};
 
 /// Whether an instance is ready, and why.
-pub(super) fn readiness(snapshot: &Snapshot, stopping: bool) -> (bool, &'static str) {
-    match (stopping, snapshot.ready) {
-        (true, _) => (false, "a planned stop is in progress"),
-        (false, true) => (true, "the policies were confirmed by the platform or by peers"),
-        (false, false) => (false, "no configuration in force yet"),
+pub(super) fn readiness(snapshot: &Snapshot, stopping: bool) -> (bool, String) {
+    if stopping {
+        return (false, "a planned stop is in progress".to_owned());
     }
+    (snapshot.ready, snapshot.readiness.to_string())
 }
 
 pub(super) fn instances(snapshot: &Snapshot) -> Vec<v1::Instance> {
-    snapshot.instances.iter().map(instance).collect()
+    snapshot.instances.iter().map(|i| instance(snapshot, i)).collect()
 }
 
-fn instance(instance: &Instance) -> v1::Instance {
+fn instance(snapshot: &Snapshot, instance: &Instance) -> v1::Instance {
+    let is_stopping = snapshot.stopping.iter().any(|(id, _)| *id == instance.id);
+    let reason = if instance.liveness == Liveness::Live {
+        ""
+    } else if is_stopping {
+        "it said that it stops"
+    } else if snapshot.away.contains(&instance.id) {
+        "its peers do not hear of it"
+    } else {
+        "the platform lists it as leaving"
+    };
     v1::Instance {
+        reason: reason.to_owned(),
         id: instance.id.to_string(),
         zone: instance.zone.to_string(),
         traffic_addr: instance.traffic_addr().to_string(),
--- a/crates/azuregate/src/operators/effect.rs
+++ b/crates/azuregate/src/operators/effect.rs
@@ -135,7 +135,10 @@
         reasons.push("the platform lists it as leaving");
     }
     if snapshot.leaving.contains(&(server.id.clone(), server.start)) {
-        reasons.push("it said that it leaves, or a peer or a probe did");
+        reasons.push("it said that it leaves, here or to a peer");
+    }
+    if snapshot.unreachable.contains(&server.id) {
+        reasons.push("probes do not reach it");
     }
     reasons
 }
--- a/crates/azuregate/src/operators/service.rs
+++ b/crates/azuregate/src/operators/service.rs
@@ -48,7 +48,7 @@
             ready,
             stopping,
             policy_versions: versions.map(|(name, p)| (name.to_string(), p.version)).collect(),
-            ready_reason: reason.to_owned(),
+            ready_reason: reason,
             build_version: env!("CARGO_PKG_VERSION").to_owned(),
             zone: self.parts.zone.to_string(),
             instances: describe::instances(&snapshot),
