--- a/crates/azuregate/src/cli/call.rs
+++ b/crates/azuregate/src/cli/call.rs
@@ -198,7 +198,9 @@
 pub(super) fn operation_id(args: &ChangeArgs) -> String {
     args.operation_id.clone().unwrap_or_else(|| {
         let id = format!("{:016x}", fastrand::u64(..));
-        eprintln!("operation {id}");
+        if !args.dry_run {
+            eprintln!("operation {id}");
+        }
         id
     })
 }
--- a/crates/azuregate/src/cli/print.rs
+++ b/crates/azuregate/src/cli/print.rs
@@ -1,5 +1,7 @@
 //! What commands print: tables for people, one JSON value for scripts.
 
+use std::collections::BTreeMap;
+
 use azuregate_schema::v1;
 use serde::Serialize;
 
@@ -130,9 +132,13 @@
     let mut zones: Vec<_> = answer.share_ppm.keys().chain(end.keys()).collect();
     zones.sort();
     zones.dedup();
+    // An empty table leaves the choice to nearness.
+    let share = |shares: &BTreeMap<String, u32>, zone: &String| {
+        let ppm = shares.get(zone).copied().unwrap_or(0);
+        if shares.is_empty() { "by nearness".to_owned() } else { percent(ppm) }
+    };
     for zone in zones {
-        let now = answer.share_ppm.get(zone).copied().unwrap_or(0);
-        rows.push(row![zone, percent(now), percent(end.get(zone).copied().unwrap_or(0))]);
+        rows.push(row![zone, share(&answer.share_ppm, zone), share(end, zone)]);
     }
     let head = match &answer.shift {
         Some(shift) => format!(
@@ -188,7 +194,11 @@
             zone.open_after
         ]);
     }
-    let mut text = format!("\n{}", table(&rows));
+    let is_moved = |zone: &v1::ZoneEffect| {
+        zone.before_ppm != zone.after_ppm || zone.open_before != zone.open_after
+    };
+    let is_any_moved = effect.zones.iter().any(is_moved);
+    let mut text = if is_any_moved { format!("\n{}", table(&rows)) } else { String::new() };
     let moved = percent(effect.moved_ppm);
     if effect.duration_ms > 0 {
         let (start, takes) = (seconds(effect.start_in_ms), seconds(effect.duration_ms));
