--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -5,5 +5,6 @@
 
 mod bad_input;
 mod deployment;
+mod operators;
 mod outcomes;
 mod path;
