Let an attempt that may have run outweigh later refusals

Cause: Forward::run answered with the error of the last attempt. A read whose first backend server died after it ran was tried again, refused as not run, and its caller was told not-run.

Seen by 'measure recovery' (backend servers of one region gone: one read 'ran though refused as not run'). Before: the new test fails with left ('not-run', 1), right ('unknown', 1) for CutBeforeAnswer, Refused, Refused.

--- a/crates/azuregate-lab/src/measure/shift.rs
+++ b/crates/azuregate-lab/src/measure/shift.rs
@@ -227,13 +227,8 @@
     });
     let largest = Spread::of(runs.iter().map(|run| run.largest));
     let used = Spread::of(runs.iter().filter_map(|run| run.used));
-    let summary = vec![
-        "all".to_owned(),
-        format!("{largest}"),
-        String::new(),
-        format!("{used}"),
-        String::new(),
-    ];
+    let used = if used.count == 0 { "-".to_owned() } else { used.to_string() };
+    let summary = vec!["all".to_owned(), largest.to_string(), "-".to_owned(), used, "-".to_owned()];
     Section {
         title: format!("Shift: {}", plan.example.name),
         command: format!(
--- a/crates/azuregate/src/gateway/forward.rs
+++ b/crates/azuregate/src/gateway/forward.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use azuregate_core::{
-    error::{Error, ErrorKind, Retry},
+    error::{Error, ErrorKind, Outcome, Retry},
     route::Ending,
 };
 use hyper::{Response, http::request};
@@ -58,14 +58,19 @@
     ) -> Result<Response<Body>, Error> {
         self.retries.deposit();
         let mut attempt = 1;
+        let mut may_have_run = false;
         loop {
             let failed = match self.attempt(head, payload, attempt).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
+            may_have_run |= failed.error.outcome() == Outcome::Unknown;
             let may_retry = self.may_retry(&failed, attempt);
             let Some(again) = failed.payload.filter(|_| may_retry) else {
-                return Err(failed.error);
+                // The last attempt may be refused as not run where an earlier one
+                // ran and lost its answer; the caller asks about the request.
+                let error = failed.error;
+                return Err(if may_have_run { error.with_earlier_unknown() } else { error });
             };
             payload = again;
             attempt += 1;
--- /dev/null
+++ b/crates/azuregate/tests/outcomes/attempts.rs
@@ -0,0 +1,39 @@
+//! What several attempts at one request add up to.
+
+use azuregate::body;
+
+use crate::{
+    script::{Script, Step},
+    world::{Border, World, get, post},
+};
+
+// A read runs at a backend server that dies before its answer. It is tried
+// again, since it is idempotent, and the others refuse it as not run. The caller
+// asks what became of its request: it ran once, whatever the last attempt says.
+#[tokio::test]
+async fn an_attempt_that_may_have_run_outweighs_later_refusals() {
+    use Step::{CutBeforeAnswer, Refused};
+    let table: [(&[Step], &str, usize); 4] = [
+        (&[CutBeforeAnswer, Refused, Refused], "unknown", 1),
+        (&[Refused, CutBeforeAnswer, Refused], "unknown", 1),
+        (&[Refused, Refused, CutBeforeAnswer], "unknown", 1),
+        (&[Refused, Refused, Refused], "not-run", 0),
+    ];
+    for (steps, outcome, ran) in table {
+        let world = World::start(Border::Real, Script::new(steps)).await;
+        // Fill the retry budget, so that it does not end the attempts.
+        for _ in 0..20 {
+            world.warm_up().await;
+        }
+        let seen = world.send(get("/list").body(body::empty()).unwrap()).await;
+        assert_eq!((seen.outcome.as_str(), world.script.state().ran), (outcome, ran), "{steps:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_order_refused_by_all_is_not_run() {
+    let steps = [Step::Refused; 3];
+    let world = World::start(Border::Real, Script::new(&steps)).await;
+    let seen = world.send(post("/orders").body(body::full("one")).unwrap()).await;
+    assert_eq!((seen.outcome.as_str(), world.script.state().ran), ("not-run", 0));
+}
--- a/crates/azuregate/tests/outcomes/main.rs
+++ b/crates/azuregate/tests/outcomes/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 mod answers;
+mod attempts;
 mod bodies;
 mod border;
 mod claims;
