--- a/crates/azuregate-lab/examples/claims.rs
+++ b/crates/azuregate-lab/examples/claims.rs
@@ -197,6 +197,7 @@
             println!(
                 "home of {keys:6} keys, answers of {answer_bytes:3} bytes: {per_key} bytes a key"
             );
+            tables.push(table);
         }
     }
     Ok(())
