Tell reads of a frozen dispatcher in time, and test with real processes

The silence of a dispatcher counted only once it had spoken by a frame, and a busy one carries its words on answers and sent none. Ruled out: lost probes and the retry budget (no log line of a silent dispatcher at all). Change: a dispatcher sends a frame every 500 ms to those that hand over, and an instance that its link finds away loses its reads as well.

--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -194,6 +194,7 @@
     active: u32,
     heard_at_ms: Millis,
     said: Option<(GroupLoad, Millis)>,
+    framed_at_ms: Option<Millis>,
 }
 
 impl fmt::Debug for Dispatch {
--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -333,7 +333,14 @@
     fn enter(&mut self, peer: usize, now_ms: Millis) {
         if !self.handers.iter().any(|hander| hander.peer == peer) {
             let heard_at_ms = now_ms;
-            self.handers.push(Hander { peer, seen: 0, active: 0, heard_at_ms, said: None });
+            self.handers.push(Hander {
+                peer,
+                seen: 0,
+                active: 0,
+                heard_at_ms,
+                said: None,
+                framed_at_ms: None,
+            });
         }
         for hander in self.handers.iter_mut().filter(|hander| hander.peer == peer) {
             hander.seen += 1;
--- a/crates/azuregate-core/src/route/dispatch/words.rs
+++ b/crates/azuregate-core/src/route/dispatch/words.rs
@@ -6,6 +6,7 @@
         dispatch::{Dispatch, Group, Hander},
         group::{GroupId, GroupLoad},
     },
+    snapshot::Snapshot,
     time::Millis,
 };
 
@@ -14,6 +15,12 @@
 /// The longest time between two words to an instance whose requests are held:
 /// its silence would be taken for a freeze.
 const ALIVE_MS: Millis = Millis(200);
+/// The longest time between two frames to an instance that hands over.
+///
+/// While answers carry all words, no frame is due. The other instance would then
+/// not know that this one speaks by frames, and would take no silence for a
+/// freeze.
+const FRAME_MS: Millis = Millis(500);
 /// An instance that handed nothing over for so long hears nothing more.
 const OVERFLOW_MS: Millis = Millis(5_000);
 /// Changes smaller than one in so many of the slots are not worth a word.
@@ -48,6 +55,13 @@
         (words, silent)
     }
 
+    /// The instances that the links found away and that hold requests of this
+    /// one; as indexes.
+    pub fn away(&self, snapshot: &Snapshot) -> Vec<usize> {
+        let known = snapshot.away.iter().filter_map(|id| self.peers.find(id));
+        known.filter(|&peer| self.peers.holds_any(peer)).collect()
+    }
+
     /// The word that goes back with an answer to `to`.
     pub fn word_for(
         &mut self,
@@ -116,7 +130,12 @@
             let alive = self.active > 0 && passed_ms >= ALIVE_MS;
             alive || (passed_ms >= SAY_MS && is_news(&said, &load))
         });
-        due.then(|| self.say(load, now_ms))
+        let framed = self.framed_at_ms.is_some_and(|at_ms| now_ms.since(at_ms) < FRAME_MS);
+        if framed && !due {
+            return None;
+        }
+        self.framed_at_ms = Some(now_ms);
+        Some(self.say(load, now_ms))
     }
 }
 
--- a/crates/azuregate-core/src/route/peers.rs
+++ b/crates/azuregate-core/src/route/peers.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Whether it holds requests of this instance.
+    pub(super) fn holds_any(&self, peer: usize) -> bool {
+        self.peers[peer].in_flight > 0
+    }
+
     /// Counts the end of a hand-over.
     pub(super) fn finish(&mut self, peer: usize) {
         let peer = &mut self.peers[peer];
--- a/crates/azuregate-core/tests/routing/handing_over.rs
+++ b/crates/azuregate-core/tests/routing/handing_over.rs
@@ -163,6 +163,22 @@
     first.serve(&["sofia-b"]);
 }
 
+// Answers come every few milliseconds and carry all words, so no frame is due for
+// news. Without one the other instance would not know that this one speaks by
+// frames, and would take its silence for that of an instance that never does.
+#[test]
+fn a_busy_dispatcher_speaks_by_frames_as_well() {
+    let mut second = Node::new("busy", "entry-2", "sofia-b", &pair());
+    let mut frames = 0;
+    for _ in 0..400 {
+        arrive("entry-1", &mut second, "sofia-b");
+        second.dispatch.word_for(&id("entry-1"), &group("sofia-b"), second.now_ms).unwrap();
+        second.now_ms = second.now_ms + Millis(10);
+        frames += second.dispatch.tick(second.now_ms).0.len();
+    }
+    assert_eq!(frames, 8, "in four seconds");
+}
+
 // This process was paused. On waking, all others look silent, since what they
 // said is still unread; passing them over would make it dispatch for everybody.
 #[test]
--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -5,6 +5,7 @@
 
 mod bad_input;
 mod deployment;
+mod dispatchers;
 mod operators;
 mod outcomes;
 mod path;
--- a/crates/azuregate-lab/tests/processes/outcomes.rs
+++ b/crates/azuregate-lab/tests/processes/outcomes.rs
@@ -35,7 +35,7 @@
     (answer.status().as_u16(), outcome.map_or("-", |outcome| outcome.to_str().unwrap()))
 }
 
-fn signal(name: &str, child: &Child) {
+pub(crate) fn signal(name: &str, child: &Child) {
     let id = child.id().to_string();
     assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
 }
--- a/crates/azuregate/src/selector/task.rs
+++ b/crates/azuregate/src/selector/task.rs
@@ -207,6 +207,9 @@
         if let Some(steer) = &mut self.steer {
             steer.set_snapshot(&snapshot);
         }
+        for peer in self.dispatch.away(&snapshot) {
+            self.lose(peer);
+        }
         for (waiting, refusal) in self.dispatch.set_snapshot(&snapshot) {
             self.refuse(waiting.ticket, refusal);
         }
--- a/crates/azuregate/tests/dispatch/hand_over.rs
+++ b/crates/azuregate/tests/dispatch/hand_over.rs
@@ -68,6 +68,19 @@
     }
 }
 
+// The frozen dispatcher never spoke by frames, so its silence says nothing. Its
+// link finds it away a little later; the read is sent again from here.
+#[tokio::test]
+async fn a_dispatcher_that_its_link_finds_away_holds_no_read() {
+    let world = World::start(Host::Frozen).await;
+    let (response, ()) = tokio::join!(world.send(request("GET")), async {
+        time::sleep(Duration::from_millis(100)).await;
+        world.peer_is_away();
+    });
+    assert_eq!(response.status(), 200);
+    assert_eq!((world.net.calls(peer()), world.net.calls(server())), (1, 1));
+}
+
 // A dispatcher that is back is used again, after one request that asked.
 #[tokio::test]
 async fn a_dispatcher_that_is_back_is_used_again() {
--- a/crates/azuregate/tests/dispatch/world.rs
+++ b/crates/azuregate/tests/dispatch/world.rs
@@ -46,6 +46,7 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) net: Net,
     exchange: Exchange,
+    config: Config,
 }
 
 impl World {
@@ -80,7 +81,7 @@
             instance: instance.clone(),
             zone,
             snapshots: snapshots.clone(),
-            config,
+            config: config.clone(),
             clock: Arc::clone(&clock),
             dialer: Arc::new(net.clone()),
             pool: Pool::start(Arc::clone(&clock)),
@@ -88,13 +89,18 @@
             selectors,
             recorder: Recorder::start(Arc::new(NullSink)),
         });
-        World { gateway: Arc::new(gateway), net, exchange }
+        World { gateway: Arc::new(gateway), net, exchange, config }
     }
 
     pub(crate) async fn send(&self, request: Request<Body>) -> Response<Body> {
         self.gateway.handle(request, caller()).await
     }
 
+    /// The link to the other instance has found it away.
+    pub(crate) fn peer_is_away(&self) {
+        self.config.change(Change::Away([InstanceId::new("entry-2")].into()));
+    }
+
     /// A frame of the dispatcher about the server's group.
     pub(crate) fn frame(&self, free: u32) {
         let load = GroupLoad { free, slots: 3, service_ms: 20, ..GroupLoad::default() };
