Measure a routing choice, look at each link once, and split long files

Change: a zone's groups are a range, its link is looked at once; place.rs and task.rs are split by job, without a change of behaviour. Not proved: that a choice allocates nothing; a counting allocator needs unsafe code, which the workspace forbids, or a crate that is not here.

--- /dev/null
+++ b/crates/azuregate-core/benches/routing.rs
@@ -0,0 +1,161 @@
+//! What a routing choice costs, at today's size and at a thousand servers.
+
+use std::{hint::black_box, sync::Arc};
+
+use azuregate_core::{
+    names::{BackendId, InstanceId, RegionName, ServiceName, StartNumber, ZoneName},
+    route::{
+        Ending, SlotTable,
+        dispatch::{Ask, Config, Dispatch, Grouping, Step},
+        group::GroupLoad,
+    },
+    snapshot::{BackendServer, Instance, InstanceList, Liveness, Snapshot},
+    time::Millis,
+    topology::{Region, Topology},
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+const SERVICE: &str = "starter-desk";
+const NOW_MS: Millis = Millis(1_000);
+
+fn zones() -> Vec<ZoneName> {
+    let regions = ["sofia", "plovdiv", "varna"];
+    let names = regions.iter().flat_map(|region| ["a", "b"].map(|part| format!("{region}-{part}")));
+    names.map(|name| ZoneName::new(&name)).collect()
+}
+
+fn topology() -> Topology {
+    let region = |pair: &[ZoneName]| Region {
+        name: RegionName::new(pair[0].as_str().trim_end_matches("-a")),
+        zones: pair.to_vec(),
+    };
+    Topology {
+        regions: zones().chunks(2).map(region).collect(),
+        zone_delay_ms: 4,
+        region_delay_ms: 20,
+        link_mbit_per_s: 4_000,
+    }
+}
+
+fn instance(nth: usize, zone: &ZoneName) -> Instance {
+    Instance {
+        id: InstanceId::new(&format!("entry-{nth}")),
+        zone: zone.clone(),
+        ip: [127, 0, 0, 1].into(),
+        traffic_port: 8080,
+        peer_port: 8081,
+        liveness: Liveness::Live,
+    }
+}
+
+fn server(nth: usize, zone: &ZoneName) -> BackendServer {
+    BackendServer {
+        id: BackendId::new(&format!("{SERVICE}-{nth}")),
+        service: ServiceName::new(SERVICE),
+        zone: zone.clone(),
+        addr: ([127, 0, 0, 1], 9_000).into(),
+        start: StartNumber(1),
+        slots: 3,
+        liveness: Liveness::Live,
+    }
+}
+
+/// Nine instances and as many servers as asked for, evenly over six zones.
+fn snapshot(servers: usize) -> Snapshot {
+    let zones = zones();
+    let mut snapshot = Snapshot::empty(Arc::new(topology()));
+    snapshot.set_list(InstanceList {
+        instances: (0..9).map(|nth| instance(nth, &zones[nth % 6])).collect(),
+        backends: (0..servers).map(|nth| server(nth, &zones[nth % 6])).collect(),
+    });
+    snapshot
+}
+
+/// The dispatch of the only instance of `plovdiv-a`'s neighbour, `plovdiv-b`.
+fn dispatch(snapshot: &Snapshot) -> Dispatch {
+    let mut dispatch = Dispatch::new(Config {
+        service: ServiceName::new(SERVICE),
+        me: InstanceId::new("entry-3"),
+        zone: ZoneName::new("plovdiv-b"),
+        start: StartNumber(1),
+        grouping: Grouping::Zones,
+        make_router: Box::new(|| Box::new(SlotTable::default())),
+    });
+    dispatch.set_snapshot(snapshot);
+    dispatch
+}
+
+/// The plan of a request: the own zone first, then the others.
+fn plan() -> Vec<ZoneName> {
+    let mut plan = zones();
+    plan.rotate_left(3);
+    plan
+}
+
+fn ask(plan: &[ZoneName]) -> Ask<'_> {
+    Ask { ticket: 1, plan, wait_ms: 200, left_ms: 10_000, up_bytes: 0, idempotent: true }
+}
+
+/// A choice and its end, with a free slot in the own zone.
+fn serve_here(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route_serve_here");
+    for servers in [24, 1_000] {
+        let mut dispatch = dispatch(&snapshot(servers));
+        let (plan, mut rng) = (plan(), fastrand::Rng::with_seed(1));
+        group.bench_function(BenchmarkId::from_parameter(servers), |b| {
+            b.iter(|| {
+                let step = dispatch.place(black_box(&ask(&plan)), NOW_MS, &mut rng);
+                let Step::Serve(slot) = step else { panic!("not served here: {step:?}") };
+                dispatch.finish(&slot, Ending::Answered { latency_ms: 20 }, NOW_MS);
+            });
+        });
+    }
+    group.finish();
+}
+
+/// A choice and its end, with the own zone full and the last one free: all
+/// groups are looked at.
+fn hand_over_last(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route_hand_over_last");
+    for servers in [24, 1_000] {
+        let snapshot = snapshot(servers);
+        let mut dispatch = dispatch(&snapshot);
+        let (plan, mut rng) = (plan(), fastrand::Rng::with_seed(1));
+        fill(&mut dispatch, &plan, &mut rng);
+        group.bench_function(BenchmarkId::from_parameter(servers), |b| {
+            b.iter(|| {
+                let step = dispatch.place(black_box(&ask(&plan)), NOW_MS, &mut rng);
+                let Step::HandOver(hand_over) = step else { panic!("not handed over: {step:?}") };
+                dispatch.finish_hand_over(&hand_over, Ending::Answered { latency_ms: 20 }, NOW_MS);
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Takes all slots of the own zone, and lets every dispatcher but the last of
+/// the plan say that it has none.
+fn fill(dispatch: &mut Dispatch, plan: &[ZoneName], rng: &mut fastrand::Rng) {
+    let own = [plan[0].clone()];
+    while let Step::Serve(_) = dispatch.place(&ask(&own), NOW_MS, rng) {}
+    dispatch.give_up(1);
+    for zone in &plan[1..] {
+        let one = [zone.clone()];
+        let last = zone == &plan[plan.len() - 1];
+        for _ in 0..64 {
+            let Step::HandOver(hand_over) = dispatch.place(&ask(&one), NOW_MS, rng) else { break };
+            let from = dispatch.dispatcher_id(&hand_over).clone();
+            let group = dispatch.group_id(hand_over.group).clone();
+            let (free, slots) = if last { (1_000, 1_000) } else { (0, 12) };
+            let load = GroupLoad { free, slots, service_ms: 20, ..GroupLoad::default() };
+            dispatch.hear(&from, &group, load, false, NOW_MS);
+            dispatch.finish_hand_over(&hand_over, Ending::Answered { latency_ms: 20 }, NOW_MS);
+            if last {
+                break;
+            }
+        }
+    }
+}
+
+criterion_group!(benches, serve_here, hand_over_last);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/azuregate-core/src/route/dispatch/end.rs
@@ -0,0 +1,67 @@
+//! Takes back what requests held, and serves those that wait.
+
+use crate::{
+    route::{
+        Ending,
+        dispatch::{Dispatch, HandOver, Refusal, Slot},
+        queue::Waiting,
+    },
+    time::Millis,
+};
+
+impl Dispatch {
+    /// Gives the next free slot of a group to the request that has waited
+    /// longest.
+    pub fn serve_waiting(
+        &mut self,
+        group: usize,
+        now_ms: Millis,
+        rng: &mut fastrand::Rng,
+    ) -> Option<(Waiting, Slot)> {
+        if self.groups[group].queue.is_empty() {
+            return None;
+        }
+        let slot = self.take_slot(group, None, now_ms, rng)?;
+        let waiting = self.groups[group].queue.pop()?;
+        Some((waiting, Slot { from: waiting.from, ..slot }))
+    }
+
+    /// Takes a request out of its queue that has waited as long as it may;
+    /// `None` when it waits no more.
+    pub fn give_up(&mut self, ticket: u64) -> Option<Refusal> {
+        for group in &mut self.groups {
+            if let Some(waiting) = group.queue.remove(ticket) {
+                group.leave(waiting.from);
+                return Some(Refusal::too_late(group.wait_ms()));
+            }
+        }
+        None
+    }
+
+    /// Gives a slot back, with what was learnt.
+    pub fn finish(&mut self, slot: &Slot, ending: Ending, now_ms: Millis) {
+        let group = &mut self.groups[slot.group];
+        group.router.finish(slot.key, ending, now_ms);
+        group.drain.finish(matches!(ending, Ending::Answered { .. }), now_ms);
+        group.leave(slot.from);
+        if let Some(booking) = slot.booking {
+            self.links.release(booking);
+        }
+    }
+
+    /// Ends a hand-over. A dispatcher that did not answer is passed over.
+    pub fn finish_hand_over(&mut self, hand_over: &HandOver, ending: Ending, now_ms: Millis) {
+        self.peers.finish(hand_over.peer);
+        let failed = ending == Ending::Failed;
+        let group = &mut self.groups[hand_over.group];
+        if group.known_of == Some(hand_over.peer) {
+            group.known.finish(!failed);
+        }
+        if failed {
+            self.peers.fail(hand_over.peer, now_ms);
+        }
+        if let Some(booking) = hand_over.booking {
+            self.links.release(booking);
+        }
+    }
+}
--- a/crates/azuregate-core/src/route/dispatch/list.rs
+++ b/crates/azuregate-core/src/route/dispatch/list.rs
@@ -37,6 +37,7 @@
         for group in &self.groups {
             by_group.entry(group.id.clone()).or_default();
         }
+        self.open.clear();
         self.by_zone.clear();
         let mut refused = Vec::new();
         for (id, servers) in by_group {
@@ -108,7 +109,11 @@
         group.link = region.and_then(|region| self.links.to(region));
         group.order = order;
         if group.listed_slots > 0 {
-            self.by_zone.entry(group.id.zone.clone()).or_default().push(index);
+            // Groups come in the order of their names, so a zone's are together.
+            let nth = self.open.len();
+            self.open.push(index);
+            let range = self.by_zone.entry(group.id.zone.clone()).or_insert(nth..nth);
+            range.end = nth + 1;
         }
     }
 
--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -32,11 +32,14 @@
 //! assert!(matches!(step, Step::Refuse(_)));
 //! ```
 
+mod end;
+mod group_state;
 mod list;
 mod place;
+mod refusal;
 mod words;
 
-use std::{collections::HashMap, fmt};
+use std::{collections::HashMap, fmt, ops::Range};
 
 use crate::{
     error::ErrorKind,
@@ -153,8 +156,10 @@
     config: Config,
     groups: Vec<Group>,
     by_id: HashMap<GroupId, usize>,
-    /// Groups with open servers.
-    by_zone: HashMap<ZoneName, Vec<usize>>,
+    /// Groups with open servers, those of one zone beside each other.
+    open: Vec<usize>,
+    /// Which of them are a zone's.
+    by_zone: HashMap<ZoneName, Range<usize>>,
     peers: Peers,
     links: Links,
     /// Live instances, this one included.
@@ -211,6 +216,7 @@
             config,
             groups: Vec::new(),
             by_id: HashMap::new(),
+            open: Vec::new(),
             by_zone: HashMap::new(),
             peers: Peers::default(),
             links: Links::default(),
--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -1,11 +1,9 @@
-//! Places requests, and takes back what they held.
+//! Places requests.
 
 use crate::{
-    error::ErrorKind,
     names::InstanceId,
     route::{
-        Ending,
-        dispatch::{Ask, Dispatch, Group, HandOver, Hander, Refusal, Slot, Step, Who},
+        dispatch::{Ask, Dispatch, HandOver, Refusal, Slot, Step, Who},
         group::GroupId,
         link::Booking,
         queue::{self, Waiting},
@@ -25,34 +23,6 @@
     full: bool,
 }
 
-impl Refusal {
-    /// No server of the groups in question takes new work.
-    pub(super) fn no_backend() -> Refusal {
-        let reason = "no backend server that may be used takes new work";
-        Refusal { kind: ErrorKind::NoBackend, reason, retry_after_ms: 1_000 }
-    }
-
-    fn cap_reached() -> Refusal {
-        let reason = "the cap of the policy leaves no room for this request";
-        Refusal { kind: ErrorKind::CapReached, reason, retry_after_ms: 1_000 }
-    }
-
-    fn no_link() -> Refusal {
-        let reason = "the links to the regions with free slots have no room";
-        Refusal { kind: ErrorKind::QueueFull, reason, retry_after_ms: 1_000 }
-    }
-
-    fn queue_full(retry_after_ms: u64) -> Refusal {
-        let reason = "the queue holds as much as it may";
-        Refusal { kind: ErrorKind::QueueFull, reason, retry_after_ms }
-    }
-
-    fn too_late(retry_after_ms: u64) -> Refusal {
-        let reason = "no slot would be free in time";
-        Refusal { kind: ErrorKind::TooLate, reason, retry_after_ms }
-    }
-}
-
 impl Dispatch {
     /// Places a request of a caller of this instance: in the first availability
     /// zone of its plan with a free slot, else where it waits the least.
@@ -61,13 +31,15 @@
         let mut crowded = false;
         for zone in ask.plan {
             let mut roomiest: Option<Candidate> = None;
-            let count = self.by_zone.get(zone).map_or(0, Vec::len);
-            for nth in 0..count {
-                let group = self.by_zone[zone][nth];
-                let Some(candidate) = self.candidate(group, ask, now_ms) else {
-                    crowded = true;
-                    continue;
-                };
+            let Some(groups) = self.by_zone.get(zone).cloned() else {
+                continue;
+            };
+            let Some(booking) = self.link_room(self.open[groups.start], ask, now_ms) else {
+                crowded = true;
+                continue;
+            };
+            for nth in groups {
+                let candidate = self.candidate(self.open[nth], booking, ask, now_ms);
                 let shorter = shortest.is_none_or(|best| {
                     (candidate.full, candidate.wait_ms) < (best.full, best.wait_ms)
                 });
@@ -114,61 +86,6 @@
         step
     }
 
-    /// Gives the next free slot of a group to the request that has waited
-    /// longest.
-    pub fn serve_waiting(
-        &mut self,
-        group: usize,
-        now_ms: Millis,
-        rng: &mut fastrand::Rng,
-    ) -> Option<(Waiting, Slot)> {
-        if self.groups[group].queue.is_empty() {
-            return None;
-        }
-        let slot = self.take_slot(group, None, now_ms, rng)?;
-        let waiting = self.groups[group].queue.pop()?;
-        Some((waiting, Slot { from: waiting.from, ..slot }))
-    }
-
-    /// Takes a request out of its queue that has waited as long as it may;
-    /// `None` when it waits no more.
-    pub fn give_up(&mut self, ticket: u64) -> Option<Refusal> {
-        for group in &mut self.groups {
-            if let Some(waiting) = group.queue.remove(ticket) {
-                group.leave(waiting.from);
-                return Some(Refusal::too_late(group.wait_ms()));
-            }
-        }
-        None
-    }
-
-    /// Gives a slot back, with what was learnt.
-    pub fn finish(&mut self, slot: &Slot, ending: Ending, now_ms: Millis) {
-        let group = &mut self.groups[slot.group];
-        group.router.finish(slot.key, ending, now_ms);
-        group.drain.finish(matches!(ending, Ending::Answered { .. }), now_ms);
-        group.leave(slot.from);
-        if let Some(booking) = slot.booking {
-            self.links.release(booking);
-        }
-    }
-
-    /// Ends a hand-over. A dispatcher that did not answer is passed over.
-    pub fn finish_hand_over(&mut self, hand_over: &HandOver, ending: Ending, now_ms: Millis) {
-        self.peers.finish(hand_over.peer);
-        let failed = ending == Ending::Failed;
-        let group = &mut self.groups[hand_over.group];
-        if group.known_of == Some(hand_over.peer) {
-            group.known.finish(!failed);
-        }
-        if failed {
-            self.peers.fail(hand_over.peer, now_ms);
-        }
-        if let Some(booking) = hand_over.booking {
-            self.links.release(booking);
-        }
-    }
-
     /// Who dispatches for a group: the first in its order that answers.
     fn dispatcher(&self, group: usize, idempotent: bool, now_ms: Millis) -> Who {
         let usable = |who: &Who| match *who {
@@ -178,12 +95,27 @@
         self.groups[group].order.iter().copied().find(usable).unwrap_or(Who::Me)
     }
 
-    /// `None` when the link to the group has no room.
-    fn candidate(&mut self, index: usize, ask: &Ask<'_>, now_ms: Millis) -> Option<Candidate> {
-        let booking = match self.groups[index].link {
-            None => None,
-            Some(link) => Some(self.links.room(link, ask.up_bytes, now_ms)?),
+    /// What a request would hold of the link to a group, if it crosses one;
+    /// `None` when that has no room.
+    fn link_room(
+        &mut self,
+        group: usize,
+        ask: &Ask<'_>,
+        now_ms: Millis,
+    ) -> Option<Option<Booking>> {
+        let Some(link) = self.groups[group].link else {
+            return Some(None);
         };
+        self.links.room(link, ask.up_bytes, now_ms).map(Some)
+    }
+
+    fn candidate(
+        &mut self,
+        index: usize,
+        booking: Option<Booking>,
+        ask: &Ask<'_>,
+        now_ms: Millis,
+    ) -> Candidate {
         let who = self.dispatcher(index, ask.idempotent, now_ms);
         let group = &mut self.groups[index];
         let (free, wait_ms, queued) = match who {
@@ -200,7 +132,7 @@
         };
         let wait_ms = wait_ms + group.round_trip_ms;
         let full = queued >= queue::limit(group.listed_slots);
-        Some(Candidate { group: index, who, booking, free, wait_ms, full })
+        Candidate { group: index, who, booking, free, wait_ms, full }
     }
 
     fn send(
@@ -252,8 +184,9 @@
             return Step::Refuse(Refusal::no_backend());
         }
         if self.groups[group].queue.is_empty() {
-            let booking = self.groups[group].link;
-            let booking = booking.and_then(|link| self.links.room(link, ask.up_bytes, now_ms));
+            // Who handed it over has looked at the link; what is held here counts
+            // all the same.
+            let booking = self.link_room(group, ask, now_ms).flatten();
             if let Some(slot) = self.take_slot(group, booking, now_ms, rng) {
                 return Step::Serve(Slot { from, ..slot });
             }
@@ -275,7 +208,7 @@
         Step::Wait { group: index }
     }
 
-    fn take_slot(
+    pub(super) fn take_slot(
         &mut self,
         index: usize,
         booking: Option<Booking>,
@@ -306,53 +239,3 @@
         Step::HandOver(HandOver { group, peer, booking })
     }
 }
-
-impl Group {
-    /// Free slots that nobody waits for.
-    pub(super) fn free(&self) -> u64 {
-        if self.queue.is_empty() { u64::from(self.router.room().free) } else { 0 }
-    }
-
-    /// How long another request would wait here.
-    pub(super) fn wait_ms(&self) -> u64 {
-        if self.free() > 0 {
-            return 0;
-        }
-        self.drain.wait_ms(self.queue.len() + 1, self.router.room().slots)
-    }
-
-    /// Another dispatcher's words do not count for this one.
-    fn know(&mut self, peer: usize) {
-        if self.known_of != Some(peer) {
-            self.known_of = Some(peer);
-            self.known.forget();
-        }
-    }
-
-    /// Counts a request that another instance handed over.
-    fn enter(&mut self, peer: usize, now_ms: Millis) {
-        if !self.handers.iter().any(|hander| hander.peer == peer) {
-            let heard_at_ms = now_ms;
-            self.handers.push(Hander {
-                peer,
-                seen: 0,
-                active: 0,
-                heard_at_ms,
-                said: None,
-                framed_at_ms: None,
-            });
-        }
-        for hander in self.handers.iter_mut().filter(|hander| hander.peer == peer) {
-            hander.seen += 1;
-            hander.active += 1;
-            hander.heard_at_ms = now_ms;
-        }
-    }
-
-    /// Counts the end of a request that another instance handed over.
-    pub(super) fn leave(&mut self, peer: Option<usize>) {
-        for hander in self.handers.iter_mut().filter(|hander| Some(hander.peer) == peer) {
-            hander.active = hander.active.saturating_sub(1);
-        }
-    }
-}
--- a/crates/azuregate/src/selector/mod.rs
+++ b/crates/azuregate/src/selector/mod.rs
@@ -5,6 +5,7 @@
 
 mod lease;
 mod meter;
+mod reply;
 mod task;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
--- a/crates/azuregate/src/selector/task.rs
+++ b/crates/azuregate/src/selector/task.rs
@@ -11,7 +11,7 @@
 
 use azuregate_core::{
     error::Error,
-    names::{BackendId, InstanceId, ServiceName, StartNumber, ZoneName},
+    names::{InstanceId, ServiceName, ZoneName},
     route::{
         Ending, LoadReport,
         dispatch::{Ask, Dispatch, HandOver, Refusal, Slot, Step},
@@ -26,11 +26,11 @@
 use crate::{
     clock::SharedClock,
     dispatch::{Exchange, Word, Words},
-    selector::{HandedTo, Lease, Meter, SelectorParts, TICK_MS, Want, lease::Held},
+    selector::{Lease, Meter, SelectorParts, TICK_MS, Want, lease::Held, reply::refusal_error},
     timer::Tick,
 };
 
-type Reply = oneshot::Sender<Result<Lease, Error>>;
+pub(super) type Reply = oneshot::Sender<Result<Lease, Error>>;
 
 /// Names one request in one queue.
 pub(super) fn next_ticket() -> u64 {
@@ -49,28 +49,28 @@
 }
 
 /// A hand-over in progress.
-struct Out {
-    peer: usize,
-    lost: oneshot::Sender<()>,
+pub(super) struct Out {
+    pub(super) peer: usize,
+    pub(super) lost: oneshot::Sender<()>,
 }
 
 pub(super) struct Task {
     service: ServiceName,
-    zone: ZoneName,
-    clock: SharedClock,
-    dispatch: Dispatch,
+    pub(super) zone: ZoneName,
+    pub(super) clock: SharedClock,
+    pub(super) dispatch: Dispatch,
     steer: Option<Box<dyn Steer>>,
     rng: fastrand::Rng,
     exchange: Exchange,
     heard: Words,
     ticks: mpsc::Receiver<Tick>,
     snapshots: watch::Receiver<Arc<Snapshot>>,
-    topology: Arc<Topology>,
-    addrs: HashMap<InstanceId, SocketAddr>,
+    pub(super) topology: Arc<Topology>,
+    pub(super) addrs: HashMap<InstanceId, SocketAddr>,
     waiting: HashMap<u64, Reply>,
-    out: HashMap<u64, Out>,
-    meters: BTreeMap<usize, Arc<Meter>>,
-    sender: mpsc::WeakUnboundedSender<Message>,
+    pub(super) out: HashMap<u64, Out>,
+    pub(super) meters: BTreeMap<usize, Arc<Meter>>,
+    pub(super) sender: mpsc::WeakUnboundedSender<Message>,
 }
 
 impl Task {
@@ -293,63 +293,4 @@
             let _ = reply.send(Err(refusal_error(refusal)));
         }
     }
-
-    fn reply_slot(&mut self, reply: Reply, slot: Slot) {
-        let (Some(sender), Some(server)) = (self.sender.upgrade(), self.dispatch.server(&slot))
-        else {
-            let now_ms = self.clock.now();
-            self.dispatch.finish(&slot, Ending::Abandoned, now_ms);
-            return;
-        };
-        let distance = self.topology.distance(&self.zone, &server.zone);
-        let mut lease = Lease {
-            backend: server.id.clone(),
-            start: server.start,
-            addr: server.addr,
-            delay_ms: self.topology.delay_ms(distance),
-            handed_to: None,
-            meter: None,
-            held: Held::Slot(slot),
-            ending: Ending::Abandoned,
-            sender,
-        };
-        lease.meter = slot.booking.map(|booking| self.meter(booking.link));
-        let _ = reply.send(Ok(lease));
-    }
-
-    fn reply_hand_over(&mut self, reply: Reply, ticket: u64, hand_over: HandOver, want: &Want) {
-        let id = self.dispatch.dispatcher_id(&hand_over);
-        let (Some(sender), Some(&addr)) = (self.sender.upgrade(), self.addrs.get(id)) else {
-            let now_ms = self.clock.now();
-            self.dispatch.finish_hand_over(&hand_over, Ending::Failed, now_ms);
-            return;
-        };
-        let backend = BackendId::new(id.as_str());
-        let group = self.dispatch.group_id(hand_over.group).clone();
-        let distance = self.topology.distance(&self.zone, &group.zone);
-        let delay_ms = self.topology.delay_ms(distance);
-        let (lose, lost) = oneshot::channel();
-        self.out.insert(ticket, Out { peer: hand_over.peer, lost: lose });
-        let meter = hand_over.booking.map(|booking| self.meter(booking.link));
-        let lease = Lease {
-            backend,
-            start: StartNumber::default(),
-            addr,
-            delay_ms,
-            handed_to: Some(HandedTo { group, wait_ms: want.wait_ms, lost }),
-            meter,
-            held: Held::HandOver { hand_over, ticket },
-            ending: Ending::Abandoned,
-            sender,
-        };
-        let _ = reply.send(Ok(lease));
-    }
-
-    fn meter(&mut self, link: usize) -> Arc<Meter> {
-        Arc::clone(self.meters.entry(link).or_default())
-    }
-}
-
-fn refusal_error(refusal: Refusal) -> Error {
-    Error::new(refusal.kind, refusal.reason).with_retry_after_ms(refusal.retry_after_ms)
 }
