Pass over no dispatcher for what a caller or a backend server broke

Cause: a caller that broke off its upload, or an answer that was cut after the dispatcher had begun it, counted as a dispatcher that does not answer; it was passed over and two instances dispatched for its group for a second. Change: a request broken by its caller says nothing of the server; a cut answer says nothing of the dispatcher. Seen to fail without: a_caller_that_breaks_off_and_a_cut_answer_pass_nobody_over gave (2, 1) for (3, 0) without the second and (0, 1) for (1, 0) without the first.

--- a/crates/azuregate/src/gateway/lease_body.rs
+++ b/crates/azuregate/src/gateway/lease_body.rs
@@ -64,7 +64,7 @@
     fn cut(&mut self, detail: &str) -> Error {
         let error = Error::new(ErrorKind::AnswerCut, detail);
         if let Some(mut held) = self.held.take() {
-            held.lease.set_ending(Ending::Failed);
+            held.lease.set_cut();
             log::info!(
                 backend:% = held.lease.backend, code = error.kind().code(), detail = detail;
                 "answer cut"
--- a/crates/azuregate/src/gateway/send.rs
+++ b/crates/azuregate/src/gateway/send.rs
@@ -69,8 +69,13 @@
         let response = match self.wait_for_head(&mut lease, &mut link, request, late_ms).await {
             Ok(Ok(response)) => response,
             Ok(Err(e)) => {
-                lease.set_ending(Ending::Failed);
-                return Err((send_error(&lease, &e, &progress), false));
+                let error = send_error(&lease, &e, &progress);
+                // A caller that breaks off says nothing of the server: taken for
+                // a failure, it would lower a limit or pass over a dispatcher.
+                if error.kind() != ErrorKind::CallerLost {
+                    lease.set_ending(Ending::Failed);
+                }
+                return Err((error, false));
             }
             Err(failed) => return Err(failed),
         };
--- a/crates/azuregate/src/selector/lease.rs
+++ b/crates/azuregate/src/selector/lease.rs
@@ -60,6 +60,15 @@
         self.ending = ending;
     }
 
+    /// Records that the answer was cut short.
+    ///
+    /// An answer of a dispatcher that is cut is most likely one that its backend
+    /// server cut: the dispatcher itself had answered.
+    pub fn set_cut(&mut self) {
+        let handed = self.handed_to.is_some();
+        self.ending = if handed { Ending::Abandoned } else { Ending::Failed };
+    }
+
     /// Passes on what the server said of its load.
     pub fn report(&self, report: LoadReport) {
         if let Held::Slot(slot) = self.held {
--- a/crates/azuregate/tests/dispatch/hand_over.rs
+++ b/crates/azuregate/tests/dispatch/hand_over.rs
@@ -3,8 +3,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use azuregate::body::BodyError;
 use azuregate_core::route::group::GroupLoad;
-use hyper::{Response, header::HeaderValue};
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{Response, body::Frame, header::HeaderValue};
 use tokio::time;
 
 use crate::{
@@ -81,6 +85,25 @@
     assert_eq!((world.net.calls(peer()), world.net.calls(server())), (1, 1));
 }
 
+// A caller breaks off in the middle of an upload that was handed over, and an
+// answer is cut that the dispatcher had begun. Neither says that the dispatcher
+// is gone; passing it over would make two instances dispatch for one group.
+#[tokio::test]
+async fn a_caller_that_breaks_off_and_a_cut_answer_pass_nobody_over() {
+    let world = World::start(Host::Answers).await;
+    let broken = stream::iter([Err::<Frame<Bytes>, _>(BodyError::from("gone"))]);
+    let mut upload = request("POST");
+    *upload.body_mut() = StreamBody::new(broken).boxed_unsync();
+    assert_eq!(world.send(upload).await.status(), 400);
+    assert_eq!(world.send(request("POST")).await.status(), 200);
+    assert_eq!((world.net.calls(peer()), world.net.calls(server())), (1, 0));
+    world.net.set(peer(), Host::CutsAnswers);
+    let cut = world.send(request("POST")).await;
+    assert!(cut.into_body().collect().await.is_err());
+    assert_eq!(world.send(request("POST")).await.status(), 200);
+    assert_eq!((world.net.calls(peer()), world.net.calls(server())), (3, 0));
+}
+
 // A dispatcher that is back is used again, after one request that asked.
 #[tokio::test]
 async fn a_dispatcher_that_is_back_is_used_again() {
--- a/crates/azuregate/tests/dispatch/net.rs
+++ b/crates/azuregate/tests/dispatch/net.rs
@@ -12,8 +12,10 @@
     backend::{BackendConn, BackendDialer, SendCause, SendError},
     body::{self, Body},
 };
-use http_body_util::BodyExt;
-use hyper::{HeaderMap, Request, Response};
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{HeaderMap, Request, Response, body::Frame};
 
 /// What stands at an address.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,6 +32,8 @@
     Frozen,
     /// Takes a request and breaks the connection.
     Cut,
+    /// Breaks the connection in the body of its answer.
+    CutsAnswers,
 }
 
 /// The network; cheap to clone.
@@ -90,6 +94,10 @@
             Host::Answers => Ok(answer(200, None)),
             Host::NotRun => Ok(answer(503, Some("not-run"))),
             Host::Unknown => Ok(answer(504, Some("unknown"))),
+            Host::CutsAnswers => {
+                let cut = stream::iter([Err::<Frame<Bytes>, _>(body::BodyError::from("cut"))]);
+                Ok(Response::new(StreamBody::new(cut).boxed_unsync()))
+            }
             Host::Frozen => future::pending().await,
             Host::Dead | Host::Cut => Err(lost(body::BodyError::from("cut"))),
         }
