Work out the watched servers once for each list

Cause: the prober hashed every pair of an instance and a backend server once a second to find out which servers it watches: 2.3 million hashes at 680 instances and 3,360 servers.

Change: the watched servers are kept until the lists change, by identity.

--- a/crates/azuregate-core/src/probe.rs
+++ b/crates/azuregate-core/src/probe.rs
@@ -12,7 +12,7 @@
 use crate::{
     names::{BackendId, InstanceId, StartNumber},
     neighbours,
-    snapshot::{Liveness, Snapshot},
+    snapshot::{BackendServer, Liveness, Snapshot},
 };
 
 /// How many instances watch each backend server.
@@ -79,10 +79,9 @@
 }
 
 /// The servers that `me` watches.
-pub fn watched(me: &InstanceId, snapshot: &Snapshot) -> BTreeSet<BackendId> {
+pub fn watched(me: &InstanceId, snapshot: &Snapshot) -> Vec<BackendServer> {
     let servers = snapshot.backends.values().flat_map(|servers| servers.iter());
-    let mine = servers.filter(|server| watchers(snapshot, &server.id).contains(&me));
-    mine.map(|server| server.id.clone()).collect()
+    servers.filter(|server| watchers(snapshot, &server.id).contains(&me)).cloned().collect()
 }
 
 /// The servers that every one of their watchers found not to answer.
--- a/crates/azuregate-core/src/snapshot/mod.rs
+++ b/crates/azuregate-core/src/snapshot/mod.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Whether both have the same lists of instances and backend servers, by
+    /// identity: what was worked out from the one holds for the other.
+    pub fn has_lists_of(&self, other: &Snapshot) -> bool {
+        let same = |(a, b): (&Arc<[BackendServer]>, &Arc<[BackendServer]>)| Arc::ptr_eq(a, b);
+        Arc::ptr_eq(&self.instances, &other.instances)
+            && self.backends.len() == other.backends.len()
+            && self.backends.values().zip(other.backends.values()).all(same)
+    }
+
     /// Replaces the lists of instances and backend servers.
     ///
     /// Returns whether anything changed. An empty list is ignored: a platform
--- a/crates/azuregate-core/tests/membership.rs
+++ b/crates/azuregate-core/tests/membership.rs
@@ -235,7 +235,8 @@
 fn both_watchers_have_to_agree() {
     let mut snapshot = snapshot(4);
     let suspect = server(0, 1).id;
-    let mut watchers = (0..5).filter(|&i| watched(&id(i), &snapshot).contains(&suspect));
+    let mut watchers =
+        (0..5).filter(|&i| watched(&id(i), &snapshot).iter().any(|server| server.id == suspect));
     let (first, second) = (id(watchers.next().unwrap()), id(watchers.next().unwrap()));
     assert_eq!(watchers.next(), None);
     let report = |sequence, failed| ProbeReport { start: StartNumber(1), sequence, failed };
--- a/crates/azuregate/src/probe.rs
+++ b/crates/azuregate/src/probe.rs
@@ -47,12 +47,19 @@
         let mut ticks = self.timer.subscribe(PROBE_MS);
         let mut watch = Watch::default();
         let mut report = self.report(0, BTreeSet::new());
+        let mut lists = self.snapshots.current();
+        let mut servers = watched(&self.instance, &lists);
         while ticks.recv().await.is_some() {
             let snapshot = self.snapshots.current();
-            let mine = watched(&self.instance, &snapshot);
-            watch.set_servers(&mine);
-            let servers = mine.iter().filter_map(|id| snapshot.backend(id));
-            let probes = servers.map(|server| self.probe(server));
+            // Every pair of an instance and a server is hashed to find out who
+            // watches what: milliseconds at today's size, but 0.2 s of processor
+            // time with 680 instances and 3,000 servers. The lists change seldom.
+            if !snapshot.has_lists_of(&lists) {
+                servers = watched(&self.instance, &snapshot);
+                lists = snapshot;
+            }
+            watch.set_servers(&servers.iter().map(|server| server.id.clone()).collect());
+            let probes = servers.iter().map(|server| self.probe(server));
             for (id, answered) in future::join_all(probes).await {
                 watch.probed(&id, answered);
             }
