Steer by shares in the selector; weigh Connection: close; mend two start races

Ruled out: probes (two failures take 2 s), the order of changes in the channel.

Change: ready needs the list; the membership's task tells who is away before it confirms. The selector steers by Capped; an exhausted cap is refused as cap-reached.

Seen to fail without the list: policies_without_a_list_are_not_enough, left (5, true) right (5, false).

--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -32,6 +32,12 @@
         Refusal { kind: ErrorKind::NoBackend, reason, retry_after_ms: 1_000 }
     }
 
+    /// The cap of a movement leaves no room for the request.
+    pub fn cap_reached() -> Refusal {
+        let reason = "the cap of a movement is reached";
+        Refusal { kind: ErrorKind::CapReached, reason, retry_after_ms: 1_000 }
+    }
+
     fn no_link() -> Refusal {
         let reason = "the links to the regions with free slots have no room";
         Refusal { kind: ErrorKind::QueueFull, reason, retry_after_ms: 1_000 }
--- a/crates/azuregate-core/src/steer/capped.rs
+++ b/crates/azuregate-core/src/steer/capped.rs
@@ -192,7 +192,7 @@
             // what has failed moves from there.
             let shares = self.wanted(policy, epoch_ms, false);
             self.set_shares(&shares);
-            self.started = true;
+            self.started = shares.iter().any(|&share| share > NEAR);
             self.limiter.start(now_ms);
         }
         if by_nearness(policy) {
@@ -281,22 +281,22 @@
     }
 
     fn plan(&mut self, epoch_ms: Millis, now_ms: Millis) -> ZonePlan {
+        let none = |cap_reached| ZonePlan { zones: Vec::new(), cap_reached };
         let Some(policy) = self.policy.clone() else {
-            return ZonePlan { zones: Vec::new() };
+            return none(false);
         };
         let may_overflow = self.advance(&policy, epoch_ms, now_ms);
         let Some(next) = self.next_zone() else {
-            return ZonePlan { zones: Vec::new() };
+            return none(false);
         };
-        let waits = |zone: &Zone| zone.open && zone.goal > NEAR;
-        if !self.zones[next].open && self.zones.iter().any(waits) {
-            // The zones that take over have all that the cap lets them have.
-            return ZonePlan { zones: Vec::new() };
+        let takes_over = |zone: &Zone| zone.open && zone.goal > NEAR;
+        if !self.zones[next].open && self.zones.iter().any(takes_over) {
+            return none(true);
         }
         let mut zones = vec![self.zones[next].name.clone()];
         if by_nearness(&policy) {
             zones.extend(self.open_zones(next, true));
-            return ZonePlan { zones };
+            return ZonePlan { zones, cap_reached: false };
         }
         let window_ms = cap_of(&policy).window_ms;
         self.overflow.count(window_ms, now_ms);
@@ -304,7 +304,7 @@
         if !others.is_empty() && self.overflow.reserve(may_overflow, window_ms, now_ms) {
             zones.extend(others);
         }
-        ZonePlan { zones }
+        ZonePlan { zones, cap_reached: false }
     }
 
     fn went(&mut self, plan: &ZonePlan, zone: Option<&ZoneName>, now_ms: Millis) {
--- a/crates/azuregate-core/src/steer/mod.rs
+++ b/crates/azuregate-core/src/steer/mod.rs
@@ -20,9 +20,11 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ZonePlan {
     /// Zones that the policy and its cap allow. A request that none of them
-    /// takes is refused as not run. An empty plan is refused because the cap is
-    /// reached.
+    /// takes is refused as not run.
     pub zones: Vec<ZoneName>,
+    /// Whether there are no zones because the cap leaves no room: the zones that
+    /// take over have all that they may have so far.
+    pub cap_reached: bool,
 }
 
 /// Plans the requests of one service on one instance.
@@ -70,7 +72,7 @@
     }
 
     fn plan(&mut self, _epoch_ms: Millis, _now_ms: Millis) -> ZonePlan {
-        ZonePlan { zones: self.zones.clone() }
+        ZonePlan { zones: self.zones.clone(), cap_reached: false }
     }
 
     fn went(&mut self, _plan: &ZonePlan, _zone: Option<&ZoneName>, _now_ms: Millis) {}
--- a/crates/azuregate-core/tests/shift.rs
+++ b/crates/azuregate-core/tests/shift.rs
@@ -341,7 +341,8 @@
         for request in 0..100 {
             let now_ms = Millis(COMMIT_MS + window * WINDOW_MS + request * 10);
             let plan = steer.plan(now_ms, now_ms);
-            empty += u32::from(plan.zones.is_empty());
+            assert_eq!(plan.cap_reached, plan.zones.is_empty());
+            empty += u32::from(plan.cap_reached);
             steer.went(&plan, plan.zones.first(), now_ms);
         }
         refused.push(empty);
--- a/crates/azuregate/src/gateway/send.rs
+++ b/crates/azuregate/src/gateway/send.rs
@@ -86,11 +86,11 @@
             };
         }
         self.retries.record(latency_ms);
-        let leaving = self.learn(&lease, response.headers());
+        let closing = self.learn(&lease, link.pooled, response.headers());
         // An answer that came before the request was sent whole leaves the rest
         // of the request on the connection, where the backend server may take it
         // for the next one.
-        let reusable = !leaving && progress.is_ended();
+        let reusable = !closing && progress.is_ended();
         if headers::is_refusal(response.headers()) {
             lease.set_ending(Ending::Refused);
             let error = Error::new(ErrorKind::BackendRefused, format!("{} refused", lease.backend));
@@ -170,18 +170,27 @@
         }
     }
 
-    /// Takes in what the answer says of its server; returns whether it leaves.
-    fn learn(&self, lease: &Lease, headers: &HeaderMap) -> bool {
+    /// Takes in what the answer says of its server; returns whether it closes the
+    /// connection.
+    ///
+    /// A server that refuses and closes is leaving. One that answers and closes a
+    /// connection that has carried requests before may have counted enough of
+    /// them; the next request goes on a new connection, whose first answer tells.
+    fn learn(&self, lease: &Lease, pooled: bool, headers: &HeaderMap) -> bool {
         if let Some(report) = headers::load_report(headers, self.parts.clock.now()) {
             lease.report(report);
         }
-        let leaving = headers::is_last(headers);
-        if leaving {
-            let change = Change::Leaving(lease.backend.clone(), lease.start, Source::Backend);
-            self.parts.config.change(change);
-            self.parts.pool.forget(lease.addr);
+        if !headers::is_last(headers) {
+            return false;
         }
-        leaving
+        let (backend, start) = (lease.backend.clone(), lease.start);
+        if headers::is_refusal(headers) {
+            self.parts.config.change(Change::Leaving(backend, start, Source::Backend));
+        } else if !pooled {
+            self.parts.config.change(Change::Closed(backend, start));
+        }
+        self.parts.pool.forget(lease.addr);
+        true
     }
 }
 
--- a/crates/azuregate/src/membership.rs
+++ b/crates/azuregate/src/membership.rs
@@ -71,7 +71,8 @@
         self.send(Message::Heard(id.clone(), start, heartbeat));
     }
 
-    /// Tells that all that the platform holds was read.
+    /// Tells that all that the platform holds was read and sent to the
+    /// configuration, which is ready from then on.
     pub fn platform_read(&self) {
         self.send(Message::PlatformRead);
     }
@@ -131,9 +132,14 @@
                 let digest = self.parts.snapshots.current().digest();
                 self.membership.heard(&id, start, heartbeat, digest, now_ms);
             }
+            Message::PlatformRead if self.was_paused(now_ms) => {}
             Message::PlatformRead => {
                 self.platform_down = false;
                 self.membership.confirmed(now_ms);
+                // In this order, or an instance that has just started would be
+                // ready while it still calls itself away.
+                self.tell_away(now_ms);
+                self.parts.config.change(Change::Confirmed);
             }
             Message::PlatformFailed => self.platform_down = true,
         }
@@ -141,7 +147,7 @@
 
     fn look(&mut self) {
         let now_ms = self.parts.clock.now();
-        if now_ms.since(self.looked_at_ms).0 > PAUSE_MS {
+        if self.was_paused(now_ms) {
             // Whatever was decided meanwhile is not known here yet.
             log::warn!(paused_ms = now_ms.since(self.looked_at_ms).0; "process was paused");
             self.membership.woke(now_ms);
@@ -151,12 +157,20 @@
         self.parts.config.change(Change::Beat(now_ms.0));
         let snapshot = self.parts.snapshots.current();
         self.watch(&snapshot, now_ms);
+        self.tell_away(now_ms);
+        self.get_ready(&snapshot, now_ms);
+    }
+
+    fn was_paused(&self, now_ms: Millis) -> bool {
+        now_ms.since(self.looked_at_ms).0 > PAUSE_MS
+    }
+
+    fn tell_away(&mut self, now_ms: Millis) {
         let away = self.membership.away(now_ms);
         if away != self.away {
             self.away = away.clone();
             self.parts.config.change(Change::Away(away));
         }
-        self.get_ready(&snapshot, now_ms);
     }
 
     fn watch(&mut self, snapshot: &Snapshot, now_ms: Millis) {
--- a/crates/azuregate/src/poll.rs
+++ b/crates/azuregate/src/poll.rs
@@ -98,8 +98,14 @@
     }
 
     async fn poll(&self, position: &mut Position) {
+        // Policies alone are not enough to serve: without a list there is no
+        // backend server.
+        let mut has_list = !self.snapshots.current().listed.is_empty();
         match self.platform.instances().await {
-            Ok(list) => self.config.change(Change::List(list)),
+            Ok(list) => {
+                self.config.change(Change::List(list));
+                has_list = true;
+            }
             Err(e) => log::warn!(error:% = e; "instance list not read"),
         }
         let asked_at_ms = self.clock.now();
@@ -118,8 +124,7 @@
         // An answer that waited while this process was paused is as old as the
         // pause is long.
         let was_paused = self.clock.now().since(asked_at_ms).0 > PAUSE_MS;
-        if is_newest && !was_paused {
-            self.config.change(Change::Confirmed);
+        if is_newest && has_list && !was_paused {
             self.members.platform_read();
         }
     }
--- a/crates/azuregate/src/selector/mod.rs
+++ b/crates/azuregate/src/selector/mod.rs
@@ -18,7 +18,7 @@
         dispatch::{Config, Dispatch, Grouping},
         group::{GroupId, GroupLoad},
     },
-    steer::{ByNearness, Steer},
+    steer::{Capped, Steer},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -106,7 +106,7 @@
         let (config, steer): (Config, Option<Box<dyn Steer>>) = match &parts.rule {
             Rule::Dispatch => {
                 let make_router = Box::new(|| Box::new(SlotTable::default()) as _);
-                let steer = Box::new(ByNearness::new(&parts.zone));
+                let steer = Box::new(Capped::new(service, &parts.instance, &parts.zone));
                 (config(Grouping::Zones, make_router), Some(steer))
             }
             Rule::Alone(make_router) => {
--- a/crates/azuregate/src/selector/task.rs
+++ b/crates/azuregate/src/selector/task.rs
@@ -252,6 +252,10 @@
             return self.dispatch.place(&ask, now_ms, &mut self.rng);
         };
         let plan = steer.plan(self.clock.epoch(), now_ms);
+        if plan.cap_reached {
+            steer.went(&plan, None, now_ms);
+            return Step::Refuse(Refusal::cap_reached());
+        }
         let ask = Ask { ticket, plan: &plan.zones, wait_ms, left_ms, up_bytes };
         let step = self.dispatch.place(&ask, now_ms, &mut self.rng);
         let group = match step {
--- a/crates/azuregate/tests/configuration/poll.rs
+++ b/crates/azuregate/tests/configuration/poll.rs
@@ -1,6 +1,9 @@
 //! Reading the platform.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use azuregate::{
     config::{Config, PAUSE_MS, Snapshots},
@@ -81,6 +84,18 @@
     }
 }
 
+// The platform comes up between two reads: the list was refused, policies are
+// answered. Served now, every request would find no backend server.
+#[tokio::test(start_paused = true)]
+async fn policies_without_a_list_are_not_enough() {
+    let world = start(&instances(3), &[Reading::Ok(3, vec![row(5)])]);
+    world.platform.list_refusals.store(2, Ordering::Relaxed);
+    time::sleep(Duration::from_millis(400)).await;
+    assert_eq!((version(&world.snapshots), world.snapshots.current().ready), (5, false));
+    time::sleep(Duration::from_secs(2)).await;
+    assert!(world.snapshots.current().ready);
+}
+
 // A copy of the platform lags: its answer is older than what was read before. It
 // does not count as a confirmation, or an instance would stay in the answers of
 // the others with a configuration that was replaced meanwhile.
--- a/crates/azuregate/tests/configuration/world.rs
+++ b/crates/azuregate/tests/configuration/world.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Script {
     pub(crate) clock: Arc<JumpClock>,
     pub(crate) list: InstanceList,
+    /// How often the list is refused at first.
+    pub(crate) list_refusals: AtomicU64,
     readings: Mutex<VecDeque<Reading>>,
     pub(crate) asked: Mutex<Vec<u64>>,
 }
@@ -78,6 +80,7 @@
         Script {
             clock: Arc::clone(clock),
             list,
+            list_refusals: AtomicU64::new(0),
             readings: Mutex::new(readings.iter().cloned().collect()),
             asked: Mutex::default(),
         }
@@ -106,6 +109,11 @@
     }
 
     async fn instances(&self) -> Result<InstanceList> {
+        let refuse = |left: u64| left.checked_sub(1);
+        let left = &self.list_refusals;
+        if left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, refuse).is_ok() {
+            return Err(PlatformError::new(Effect::None, "down"));
+        }
         Ok(self.list.clone())
     }
 
