Test changes, leaving servers and planned stops with real processes

Four tests in processes/configuration.rs: a frozen instance that wakes after a change while the platform is down; a server that leaves by its own sign while the platform is down; SIGTERM during an upload, a slow request and a kept connection; a second signal.

Seen to fail with the safeguard removed: - sign of a closed fresh connection: a_leaving_server..., 'it still gets work' - peers told of the stop: a_planned_stop..., never away before the process ended - close on the last answer, finishing what is in progress: the same test - not ready after a pause (both places): a_woken_instance..., 'the drained server got work' A first form of the test of the last answer passed without the safeguard, since the server library closes what is in progress at the end anyway; it now asks within the time in which the instance still serves.

--- a/crates/azuregate-lab/tests/processes/deployment.rs
+++ b/crates/azuregate-lab/tests/processes/deployment.rs
@@ -27,7 +27,13 @@
 impl Deployment {
     /// Starts stand-ins and entry instances; `test` names the deployment.
     pub(crate) async fn start(test: &str) -> Deployment {
-        let example = example(test);
+        Deployment::start_with(test, |_| {}).await
+    }
+
+    /// The same, with changes to the example.
+    pub(crate) async fn start_with(test: &str, change: impl FnOnce(&mut Example)) -> Deployment {
+        let mut example = example(test);
+        change(&mut example);
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
         fs::create_dir_all(&dir).unwrap();
         let file = dir.join("example.jsonc");
--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 mod bad_input;
+mod configuration;
 mod deployment;
 mod operators;
 mod outcomes;
--- a/crates/azuregate/src/platform/http.rs
+++ b/crates/azuregate/src/platform/http.rs
@@ -1,6 +1,9 @@
 //! The platform over HTTP and JSON; docs/PLATFORM.md describes the calls.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use azuregate_core::snapshot::InstanceList;
@@ -43,7 +46,24 @@
 impl HttpPlatform {
     /// A platform at `addr`; each call fails after `timeout_ms`.
     pub fn new(addr: SocketAddr, timeout_ms: u64) -> HttpPlatform {
-        let client = Client::builder(TokioExecutor::new()).build_http();
+        HttpPlatform::with_connector(addr, timeout_ms, HttpConnector::new())
+    }
+
+    /// The same, with calls from the IP number `from`: networks tell parties by
+    /// their addresses.
+    pub fn from_ip(from: IpAddr, addr: SocketAddr, timeout_ms: u64) -> HttpPlatform {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(Some(from));
+        HttpPlatform::with_connector(addr, timeout_ms, connector)
+    }
+
+    fn with_connector(
+        addr: SocketAddr,
+        timeout_ms: u64,
+        mut connector: HttpConnector,
+    ) -> HttpPlatform {
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
         HttpPlatform { addr, timeout_ms, client }
     }
 
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -66,8 +66,11 @@
     let clock: SharedClock = Arc::new(SystemClock::new());
     let start = StartNumber(clock.epoch().0);
     let timer = Timer::start();
-    let platform: SharedPlatform =
-        Arc::new(HttpPlatform::new(settings.platform.addr, settings.platform.timeout_ms));
+    let platform: SharedPlatform = Arc::new(HttpPlatform::from_ip(
+        settings.ip,
+        settings.platform.addr,
+        settings.platform.timeout_ms,
+    ));
     let first = Snapshot::empty(Arc::new(settings.topology.clone()));
     let (config, snapshots) = Config::start_with_clock(first, Arc::clone(&clock));
     let recorder = Recorder::start(metric_sink(&settings)?);
