Test the contract of the platform's border; describe its calls

A table of faults (none, down, unreachable, slow, silent, answer lost, cut, garbage) with what is known and what is true, transactions, changes and names, passed by HttpPlatform against the stand-in and by a fake in memory.

Found and mended: an object put was taken for kept when anything answered 404 or 409, and a 409 to a read of an object for 'no such object'. Seen to fail with the safeguard removed: status of a put (answers_that_are_not_the_platforms), effect of a failed connection and of a timeout (http_and_the_stand_in_keep_the_contract).

--- /dev/null
+++ b/crates/azuregate-lab/tests/platform/contract.rs
@@ -0,0 +1,143 @@
+//! What every platform has to do.
+
+use azuregate::platform::{Commit, Effect, Expect, HttpPlatform, PlatformError, Row, Table, Write};
+use bytes::Bytes;
+use serde_json::json;
+
+use crate::{
+    fake::FakePlatform,
+    subjects::{Fault, InMemory, Subject, answers, over_http},
+};
+
+fn write(table: Table, key: &str, expect: Expect, value: Option<u64>) -> Write {
+    let value = value.map(|value| json!({ "value": value }));
+    Write { table, key: key.to_owned(), expect, value }
+}
+
+fn row(key: &str, version: u64, value: u64) -> Row {
+    Row { key: key.to_owned(), version, value: json!({ "value": value }) }
+}
+
+fn effect<T>(result: Result<T, PlatformError>) -> Result<(), Effect> {
+    result.map(drop).map_err(|e| e.effect())
+}
+
+/// What is known after a fault, and what is true.
+async fn check_faults(subject: &dyn Subject) {
+    let (none, unknown) = (Err(Effect::None), Err(Effect::Unknown));
+    // Fault, answer to a write, whether it took effect, whether a read answers.
+    let table = [
+        (Fault::None, Ok(()), true, true),
+        (Fault::Down, none, false, false),
+        (Fault::Unreachable, none, false, false),
+        (Fault::Slow, Ok(()), true, true),
+        (Fault::Silent, unknown, false, false),
+        (Fault::AnswerLost, unknown, true, true),
+        (Fault::Cut, unknown, false, false),
+        (Fault::Garbage, unknown, false, false),
+    ];
+    for (fault, answer, is_done, reads) in table {
+        let key = format!("{fault:?}");
+        let wanted = [write(Table::Claim, &key, Expect::Absent, Some(1))];
+        let failing = subject.with(fault);
+        assert_eq!(effect(failing.transact(&wanted).await), answer, "{fault:?}");
+        assert_eq!(failing.read(Table::Claim, "none").await.is_ok(), reads, "{fault:?}");
+        assert_eq!(failing.changes(Table::Claim, 0).await.is_ok(), reads, "{fault:?}");
+        assert_eq!(failing.instances().await.is_ok(), reads, "{fault:?}");
+        let found = subject.with(Fault::None).read(Table::Claim, &key).await.unwrap();
+        assert_eq!(found.is_some(), is_done, "{fault:?}");
+        let put = subject.with(fault).put_object(&key, Bytes::from_static(b"x")).await;
+        // Bytes that are no answer to a write of an object need not be read.
+        if fault != Fault::Garbage {
+            assert_eq!(effect(put), answer, "{fault:?}");
+        }
+        let kept = subject.with(Fault::None).get_object(&key).await.unwrap();
+        assert_eq!(kept.is_some(), is_done, "{fault:?}");
+    }
+}
+
+// Two writes commit together or not at all; a conflict shows the first row in the
+// way; a row that was deleted starts again from version 1.
+async fn check_transactions(subject: &dyn Subject) {
+    let platform = subject.with(Fault::None);
+    let (table, other) = (Table::Policy, Table::PolicyHistory);
+    let first =
+        [write(table, "t", Expect::Absent, Some(1)), write(other, "t/1", Expect::Absent, Some(1))];
+    assert_eq!(platform.transact(&first).await.unwrap(), Commit::Done(vec![1, 1]));
+
+    let rival =
+        [write(other, "t/2", Expect::Absent, Some(2)), write(table, "t", Expect::Absent, Some(2))];
+    let conflict = Commit::Conflict { index: 1, row: Some(row("t", 1, 1)) };
+    assert_eq!(platform.transact(&rival).await.unwrap(), conflict);
+    assert_eq!(platform.read(other, "t/2").await.unwrap(), None, "all or nothing");
+
+    let next = [write(table, "t", Expect::Version(1), Some(2))];
+    assert_eq!(platform.transact(&next).await.unwrap(), Commit::Done(vec![2]));
+    let conflict = Commit::Conflict { index: 0, row: Some(row("t", 2, 2)) };
+    assert_eq!(platform.transact(&next).await.unwrap(), conflict);
+
+    let missing = [write(table, "u", Expect::Version(1), Some(2))];
+    let conflict = Commit::Conflict { index: 0, row: None };
+    assert_eq!(platform.transact(&missing).await.unwrap(), conflict);
+
+    let delete = [write(table, "t", Expect::Version(2), None)];
+    assert!(matches!(platform.transact(&delete).await.unwrap(), Commit::Done(_)));
+    assert_eq!(platform.read(table, "t").await.unwrap(), None);
+}
+
+async fn check_changes(subject: &dyn Subject) {
+    let platform = subject.with(Fault::None);
+    let table = Table::Policy;
+    let before = platform.changes(table, 0).await.unwrap();
+    for (key, expect, value) in
+        [("a", Expect::Absent, 1), ("b", Expect::Absent, 2), ("a", Expect::Version(1), 3)]
+    {
+        let write = [write(table, key, expect, Some(value))];
+        assert!(matches!(platform.transact(&write).await.unwrap(), Commit::Done(_)));
+    }
+    let changes = platform.changes(table, before.sequence).await.unwrap();
+    assert_eq!(changes.rows, [row("b", 1, 2), row("a", 2, 3)], "the newest of each, in order");
+    let after = platform.changes(table, changes.sequence).await.unwrap();
+    assert_eq!((after.rows.len(), after.sequence), (0, changes.sequence));
+}
+
+async fn check_names(subject: &dyn Subject) {
+    let platform = subject.with(Fault::None);
+    for key in ["a/b", "with space", "50%", "?since=3", "дом", ".."] {
+        let insert = [write(Table::Claim, key, Expect::Absent, Some(7))];
+        assert_eq!(platform.transact(&insert).await.unwrap(), Commit::Done(vec![1]), "{key}");
+        assert_eq!(platform.read(Table::Claim, key).await.unwrap(), Some(row(key, 1, 7)), "{key}");
+        let bytes = Bytes::copy_from_slice(key.as_bytes());
+        platform.put_object(key, bytes.clone()).await.unwrap();
+        assert_eq!(platform.get_object(key).await.unwrap(), Some(bytes), "{key}");
+    }
+    assert_eq!(platform.get_object("never put").await.unwrap(), None);
+}
+
+async fn check_all(subject: &dyn Subject) {
+    check_faults(subject).await;
+    check_transactions(subject).await;
+    check_changes(subject).await;
+    check_names(subject).await;
+}
+
+#[tokio::test]
+async fn http_and_the_stand_in_keep_the_contract() {
+    check_all(&over_http().await).await;
+}
+
+#[tokio::test]
+async fn the_fake_keeps_the_contract() {
+    check_all(&InMemory(FakePlatform::default().into())).await;
+}
+
+// Something on the way answers in the platform's place. An object that was not
+// kept must not be taken for kept, nor a refused read for an empty one.
+#[tokio::test]
+async fn answers_that_are_not_the_platforms() {
+    let not_found = answers(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await;
+    let put = HttpPlatform::new(not_found, 300).put_object("a", Bytes::new()).await;
+    assert_eq!(effect(put), Err(Effect::Unknown));
+    let conflict = answers(b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n").await;
+    assert!(HttpPlatform::new(conflict, 300).get_object("a").await.is_err());
+}
--- /dev/null
+++ b/crates/azuregate-lab/tests/platform/subjects.rs
@@ -0,0 +1,108 @@
+//! The platforms under test, each of which can be told to fail.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use azuregate::platform::{HttpPlatform, Platform};
+use azuregate_core::snapshot::InstanceList;
+use azuregate_lab::platform::{Faults, Server, serve};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+use crate::fake::FakePlatform;
+
+/// How long the client waits for an answer.
+const TIMEOUT_MS: u64 = 300;
+
+/// What goes wrong with the calls of a case.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Fault {
+    #[default]
+    None,
+    /// Every call is refused.
+    Down,
+    /// Nobody listens.
+    Unreachable,
+    /// Answers take a while, but come in time.
+    Slow,
+    /// Calls are taken and never answered.
+    Silent,
+    /// Writes take effect, and their answers are lost.
+    AnswerLost,
+    /// The connection ends in the middle of an answer.
+    Cut,
+    /// What is answered is no answer.
+    Garbage,
+}
+
+/// A platform under test.
+pub(crate) trait Subject {
+    /// The platform while this goes wrong.
+    fn with(&self, fault: Fault) -> Arc<dyn Platform>;
+}
+
+pub(crate) struct InMemory(pub(crate) Arc<FakePlatform>);
+
+impl Subject for InMemory {
+    fn with(&self, fault: Fault) -> Arc<dyn Platform> {
+        *self.0.fault.lock().unwrap() = fault;
+        Arc::clone(&self.0) as _
+    }
+}
+
+pub(crate) struct OverHttp {
+    server: Arc<Server>,
+    addr: SocketAddr,
+    cut_addr: SocketAddr,
+    garbage_addr: SocketAddr,
+    closed_addr: SocketAddr,
+}
+
+impl Subject for OverHttp {
+    fn with(&self, fault: Fault) -> Arc<dyn Platform> {
+        let mut faults = Faults::default();
+        let mut addr = self.addr;
+        match fault {
+            Fault::None => {}
+            Fault::Down => faults.down = true,
+            Fault::Slow => faults.slow_ms = 50,
+            Fault::Silent => faults.silent = true,
+            Fault::AnswerLost => faults.lose_answers = 1,
+            Fault::Unreachable => addr = self.closed_addr,
+            Fault::Cut => addr = self.cut_addr,
+            Fault::Garbage => addr = self.garbage_addr,
+        }
+        *self.server.faults() = faults;
+        Arc::new(HttpPlatform::new(addr, TIMEOUT_MS))
+    }
+}
+
+pub(crate) async fn over_http() -> OverHttp {
+    let server = Arc::new(Server::new(InstanceList::default()));
+    let (listener, addr) = listen().await;
+    tokio::spawn(serve(listener, Arc::clone(&server)));
+    let (closed, closed_addr) = listen().await;
+    drop(closed);
+    let cut_addr = answers(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"done\":").await;
+    let garbage_addr = answers(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[}7!").await;
+    OverHttp { server, addr, cut_addr, garbage_addr, closed_addr }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+/// A server that gives the same bytes to everyone and closes.
+pub(crate) async fn answers(bytes: &'static [u8]) -> SocketAddr {
+    let (listener, addr) = listen().await;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 4096]).await;
+            let _ = stream.write_all(bytes).await;
+        }
+    });
+    addr
+}
--- a/crates/azuregate/src/platform/http.rs
+++ b/crates/azuregate/src/platform/http.rs
@@ -149,14 +149,21 @@
 
     async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
         let path = format!("/v1/objects/{}", encode(name));
-        self.call(Method::PUT, &path, bytes).await?;
-        Ok(())
+        let reply = self.call(Method::PUT, &path, bytes).await?;
+        if reply.status == StatusCode::OK {
+            return Ok(());
+        }
+        Err(PlatformError::new(Effect::Unknown, format!("PUT {path}: {}", reply.status)))
     }
 
     async fn get_object(&self, name: &str) -> Result<Option<Bytes>> {
         let path = format!("/v1/objects/{}", encode(name));
         let reply = self.call(Method::GET, &path, Bytes::new()).await?;
-        Ok((reply.status == StatusCode::OK).then_some(reply.bytes))
+        match reply.status {
+            StatusCode::OK => Ok(Some(reply.bytes)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(PlatformError::new(Effect::None, format!("GET {path}: {status}"))),
+        }
     }
 
     async fn instances(&self) -> Result<InstanceList> {
