--- a/crates/azuregate-lab/tests/platform/contract.rs
+++ b/crates/azuregate-lab/tests/platform/contract.rs
@@ -1,6 +1,8 @@
 //! What every platform has to do.
 
-use azuregate::platform::{Commit, Effect, Expect, HttpPlatform, PlatformError, Row, Table, Write};
+use azuregate::platform::{
+    Commit, Effect, Expect, HttpPlatform, Platform, PlatformError, Row, Table, Write,
+};
 use bytes::Bytes;
 use serde_json::json;
 
