--- a/crates/azuregate-lab/tests/processes/configuration.rs
+++ b/crates/azuregate-lab/tests/processes/configuration.rs
@@ -127,6 +127,56 @@
     assert!(ready(&deployment, 2).await.contains("peers"));
 }
 
+/// Runs the operators' client against instance 0; returns what it printed.
+fn operate(deployment: &Deployment, line: &str) -> String {
+    let mut command = Command::new(azuregate());
+    command.args(line.split(' ')).arg("--at").arg(deployment.operators(0).to_string());
+    let output = command.output().unwrap();
+    assert!(output.status.success(), "{line}: {}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).unwrap()
+}
+
+// Nearness decides, until the operator shifts everything to one zone that no
+// instance is near to, a quarter of all requests a second. Counted at the callers,
+// no second sees more than that more than the one before, give or take the two
+// requests by which each instance may be off, and in the end all go there.
+#[tokio::test]
+async fn a_shift_moves_requests_within_its_cap() {
+    const CAP: f64 = 0.25;
+    let deployment = Deployment::start("shift").await;
+    let policy = operate(&deployment, "policy get --service starter-desk --output json");
+    let mut policy: serde_json::Value = serde_json::from_str(&policy).unwrap();
+    policy["shift_delay_ms"] = json!(1_000);
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("shift-policy.json");
+    std::fs::write(&file, policy.to_string()).unwrap();
+    operate(&deployment, &format!("policy set --file {} --based-on 1", file.display()));
+    let goal = "--to-share-ppm varna-b=1000000 --cap-ppm 250000 --window-ms 1000";
+    operate(&deployment, &format!("shift start --service starter-desk {goal}"));
+    let goal = deployment.example.backends(&deployment.example.services[0])[5].id.clone();
+    let start = Instant::now();
+    let mut seen = Vec::new();
+    while seen.iter().rev().take_while(|(_, there)| *there).count() < 100 {
+        assert!(start.elapsed() < PATIENCE, "it never ends");
+        let request = Request::get("/hello").body(Full::<Bytes>::default()).unwrap();
+        let answer = deployment.send(seen.len() % 3, request).await;
+        assert_eq!(answer.status(), 200);
+        let there = answer.body().starts_with(goal.as_str().as_bytes());
+        seen.push((start.elapsed().as_millis() as u64, there));
+    }
+    let share = |from_ms: u64| {
+        let window = seen.iter().filter(|(at_ms, _)| (from_ms..from_ms + 1_000).contains(at_ms));
+        let (all, there) = (window.clone().count(), window.filter(|(_, there)| *there).count());
+        (there as f64 / all.max(1) as f64, all)
+    };
+    let end_ms = seen.last().unwrap().0;
+    assert!(share(0).0 < 0.5 && end_ms > 3_000, "it takes its time");
+    for from_ms in (0..end_ms.saturating_sub(2_000)).step_by(100) {
+        let ((before, count), (after, next)) = (share(from_ms), share(from_ms + 1_000));
+        let rounding = 2.0 * 3.0 * 2.0 / count.min(next).max(1) as f64;
+        assert!(after - before <= CAP + rounding, "{before} then {after} at {from_ms} ms");
+    }
+}
+
 // The platform is down. One server says by itself that it leaves: it closes its
 // connections. After some requests through one instance, no instance sends it
 // anything.
