--- a/crates/azuregate-core/src/route/dispatch/refusal.rs
+++ b/crates/azuregate-core/src/route/dispatch/refusal.rs
@@ -9,7 +9,8 @@
         Refusal { kind: ErrorKind::NoBackend, reason, retry_after_ms: 1_000 }
     }
 
-    pub(super) fn cap_reached() -> Refusal {
+    /// The cap of a movement leaves no room for the request.
+    pub fn cap_reached() -> Refusal {
         let reason = "the cap of the policy leaves no room for this request";
         Refusal { kind: ErrorKind::CapReached, reason, retry_after_ms: 1_000 }
     }
