--- a/crates/azuregate-lab/tests/processes/operators.rs
+++ b/crates/azuregate-lab/tests/processes/operators.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    process::{Command, Output},
+    process::{Child, Command, Output, Stdio},
     time::{Duration, Instant},
 };
 
@@ -90,3 +90,32 @@
     assert_eq!(exit(&run(deployment.operators(0), &line)), 0);
     assert_eq!(version(deployment.operators(0)), 2);
 }
+
+// The platform is slow. While an operator's change waits for it, the instance is
+// told to stop. It answers the operator before it ends; a connection that just
+// broke would leave the operator with an unknown outcome.
+#[tokio::test]
+async fn a_planned_stop_settles_the_change_in_progress() {
+    let mut deployment = Deployment::start("operators_stop").await;
+    set_faults(&deployment, &Faults { slow_ms: 500, ..Faults::default() }).await;
+    let at = deployment.operators(0).to_string();
+    let call = Command::new(azuregate())
+        .args(format!("{DRAIN} --operation-id night-1 --at {at}").split(' '))
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // The change reads twice and writes once, half a second each.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    terminate(&deployment.entries[0]);
+    let output = call.wait_with_output().unwrap();
+    assert_eq!(exit(&output), 0, "{}", String::from_utf8_lossy(&output.stderr));
+    assert_eq!(deployment.entries[0].wait().unwrap().code(), Some(0));
+    set_faults(&deployment, &Faults::default()).await;
+    assert_eq!(exit(&run(deployment.operators(1), DRAIN)), 3, "it is drained already");
+}
+
+fn terminate(child: &Child) {
+    let pid = rustix::process::Pid::from_child(child);
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+}
--- a/crates/azuregate/src/cli/args.rs
+++ b/crates/azuregate/src/cli/args.rs
@@ -18,7 +18,7 @@
     #[options(help = "run an entry instance")]
     Run(SettingsArgs),
     #[options(help = "check settings and do nothing else")]
-    Check(SettingsArgs),
+    Check(CheckArgs),
     #[options(help = "show what an entry instance knows and does")]
     Status(ReadArgs),
     #[options(help = "read and change policies")]
@@ -41,6 +41,16 @@
     pub(super) settings: PathBuf,
 }
 
+#[derive(Debug, Options)]
+pub(super) struct CheckArgs {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(required, help = "the settings file", meta = "FILE")]
+    pub(super) settings: PathBuf,
+    #[options(no_short, help = "human or json", meta = "FORM", default = "human")]
+    pub(super) output: Output,
+}
+
 /// The form of what goes to standard output.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum Output {
--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -17,9 +17,11 @@
 
 use error_stack::Report;
 use gumdrop::Options;
+use serde::Serialize;
 
-use self::args::{Args, Command, SettingsArgs};
+use self::args::{Args, CheckArgs, Command, Output, SettingsArgs};
 use crate::{
+    jsonc::Problem,
     logs, run,
     settings::{Settings, SettingsError},
     stop,
@@ -101,22 +103,41 @@
     }
 }
 
-fn check(args: &SettingsArgs) -> Exit {
-    match Settings::load(&args.settings) {
-        Ok(_) => {
-            println!("{}: the settings can be used", args.settings.display());
-            Exit::Done
-        }
-        Err(e) => usage(&e),
+/// The answer of `check` as JSON.
+#[derive(Serialize)]
+struct Checked<'a> {
+    class: &'static str,
+    problems: &'a [Problem],
+    warnings: &'a [String],
+}
+
+fn check(args: &CheckArgs) -> Exit {
+    let checked = Settings::load(&args.settings);
+    let warnings = checked.as_ref().map(Settings::warnings).unwrap_or_default();
+    let exit = match &checked {
+        Ok(_) => Exit::Done,
+        Err(e) => usage(e),
+    };
+    tell_warnings(&args.settings, &warnings);
+    let problems = checked.as_ref().err().map_or(&[][..], |e| e.current_context().problems());
+    let answer = Checked { class: exit.as_str(), problems, warnings: &warnings };
+    if args.output == Output::Json || exit == Exit::Done {
+        let file = args.settings.display();
+        print::answer(args.output, &answer, |_| format!("{file}: the settings can be used"));
+    }
+    exit
+}
+
+fn tell_warnings(file: &Path, warnings: &[String]) {
+    for warning in warnings {
+        eprintln!("{}: warning: {warning}", file.display());
     }
 }
 
 fn usage(e: &Report<SettingsError>) -> Exit {
-    // The causes are only there when the file could not be read.
-    let causes: Vec<_> =
-        e.frames().filter_map(|frame| frame.downcast_ref::<std::io::Error>()).collect();
     eprintln!("{}", e.current_context());
-    for cause in causes {
+    // The cause is only there when the file could not be read.
+    for cause in e.frames().filter_map(|frame| frame.downcast_ref::<std::io::Error>()) {
         eprintln!("{cause}");
     }
     Exit::Usage
@@ -127,7 +148,9 @@
         Ok(settings) => settings,
         Err(e) => return usage(&e),
     };
+    tell_warnings(&args.settings, &settings.warnings());
     logs::start(&settings.log_filter);
+    logs::panics();
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
--- a/crates/azuregate/src/gateway/lease_body.rs
+++ b/crates/azuregate/src/gateway/lease_body.rs
@@ -30,6 +30,8 @@
 
 /// What an answer holds until its end.
 pub(crate) struct Held {
+    /// Names the request in the log.
+    pub(crate) request_id: String,
     pub(crate) lease: Lease,
     pub(crate) conn: Box<dyn BackendConn>,
     pub(crate) pool: Pool,
@@ -66,7 +68,8 @@
         if let Some(mut held) = self.held.take() {
             held.lease.set_ending(Ending::Failed);
             log::info!(
-                backend:% = held.lease.backend, code = error.kind().code(), detail = detail;
+                request = held.request_id, backend:% = held.lease.backend,
+                code = error.kind().code(), detail = detail;
                 "answer cut"
             );
         }
--- a/crates/azuregate/src/gateway/send.rs
+++ b/crates/azuregate/src/gateway/send.rs
@@ -120,7 +120,8 @@
         let body = body::with_deadline(metered::down(body, lease.meter.as_ref()), deadline);
         head.headers = headers::without_hop_by_hop(&head.headers);
         let pool = self.parts.pool.clone();
-        let held = Held { lease, conn: link.conn, pool, latency_ms, reusable };
+        let request_id = self.attributes.request_id.clone();
+        let held = Held { request_id, lease, conn: link.conn, pool, latency_ms, reusable };
         Response::from_parts(head, LeaseBody::new(body, held).boxed_unsync())
     }
 
--- a/crates/azuregate/src/jsonc/problem.rs
+++ b/crates/azuregate/src/jsonc/problem.rs
@@ -3,9 +3,10 @@
 use std::fmt;
 
 use jsonc_parser::errors::ParseError;
+use serde::Serialize;
 
 /// One thing that is wrong with a text.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Problem {
     /// The line, from 1.
     pub line: usize,
--- a/crates/azuregate/src/logs/mod.rs
+++ b/crates/azuregate/src/logs/mod.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// Makes a panic an event of the log, on one line like all others.
+pub fn panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let place = panic.location().map_or_else(String::new, ToString::to_string);
+        let detail = panic.payload_as_str().unwrap_or_default();
+        log::error!(place = place, detail = detail; "task panicked");
+    }));
+}
+
 /// The level beyond which the filter lets nothing through.
 fn highest_level(filter: &str) -> LevelFilter {
     let levels = filter.split([',', '=', '/']).filter_map(|part| part.trim().parse().ok());
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -1,11 +1,11 @@
 //! Runs an entry instance: opens its ports and starts its tasks.
 
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use azuregate_core::{names::StartNumber, snapshot::Snapshot};
 use azuregate_schema::v1::operators_server::OperatorsServer;
 use error_stack::{Report, ResultExt};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::oneshot, time};
 use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::{
@@ -30,6 +30,9 @@
     timer::Timer,
 };
 
+/// How long a planned stop waits for operators' calls in progress.
+const OPERATORS_STOP_LIMIT_MS: u64 = 5_000;
+
 /// An instance that could not start.
 #[derive(Debug)]
 pub struct RunError;
@@ -125,10 +128,13 @@
         recorder: recorder.clone(),
         stop: stop.clone(),
     });
+    let (operators_open, operators_closed) = oneshot::channel::<()>();
     let operators = tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(OperatorsServer::new(operators_service))
-            .serve_with_incoming(TcpListenerStream::new(operators)),
+            .serve_with_incoming_shutdown(TcpListenerStream::new(operators), async {
+                let _ = operators_closed.await;
+            }),
     );
     let status =
         Status { snapshots: snapshots.clone(), recorder: recorder.clone(), stop: stop.clone() };
@@ -162,7 +168,9 @@
     for task in [poller, prober, closer, mesh, status] {
         task.abort();
     }
-    operators.abort();
+    // An operator's change that is in progress is settled, and its outcome told.
+    drop(operators_open);
+    let _ = time::timeout(Duration::from_millis(OPERATORS_STOP_LIMIT_MS), operators).await;
     Ok(())
 }
 
--- a/crates/azuregate/src/settings/mod.rs
+++ b/crates/azuregate/src/settings/mod.rs
@@ -16,6 +16,7 @@
 };
 
 use azuregate_core::{
+    entries::MAX_AGE_S,
     names::{InstanceId, ZoneName},
     topology::Topology,
 };
@@ -104,6 +105,20 @@
         parse(&text).map_err(|e| Report::new(e.in_file(path)))
     }
 
+    /// What can be used and is probably not meant.
+    pub fn warnings(&self) -> Vec<String> {
+        let mut warnings = Vec::new();
+        let max_age_ms = MAX_AGE_S * 1_000;
+        if self.stop_delay_ms < max_age_ms {
+            warnings.push(format!(
+                "stop_delay_ms is {}, but callers may keep an answer for {max_age_ms} ms: a \
+                 planned stop will cut off those that do",
+                self.stop_delay_ms
+            ));
+        }
+        warnings
+    }
+
     /// Reads settings from text.
     ///
     /// # Errors
--- a/crates/azuregate/tests/operators/faults.rs
+++ b/crates/azuregate/tests/operators/faults.rs
@@ -30,6 +30,24 @@
     bench.service.set_policy(Request::new(request)).await
 }
 
+// Two operators create the same policy. The second, who says that there is none,
+// is told of the first's.
+#[tokio::test(start_paused = true)]
+async fn a_policy_is_created_once() {
+    let bench = Bench::new().await;
+    let create = async |operation_id: &str| {
+        let mut policy = convert::to_proto(&first_policy());
+        policy.service = "proof-vault".to_owned();
+        let operation_id = operation_id.to_owned();
+        let request = SetPolicyRequest { policy: Some(policy), operation_id, ..Default::default() };
+        ending(&bench.service.set_policy(Request::new(request)).await)
+    };
+    assert_eq!(create("op-1").await, "accepted 1");
+    assert_eq!(create("op-2").await, "conflict 1");
+    assert_eq!(create("op-1").await, "repeated 1");
+    assert_eq!(bench.snapshots.current().policies["proof-vault"].version, 1);
+}
+
 async fn drain(bench: &Bench, operation_id: &str, backend: &str) -> Answer {
     let request = DrainRequest {
         service: SERVICE.to_owned(),
