Show the answer that a test of bad input did not expect

Cause: an entry instance that could not read the instance list (the platform's port was not open yet) but read the policies a moment later called itself ready without knowing any backend server. Ruled out: probes and the selector (the log of the failing run has only 'instance list not read').

--- a/crates/azuregate-lab/tests/processes/bad_input.rs
+++ b/crates/azuregate-lab/tests/processes/bad_input.rs
@@ -110,7 +110,8 @@
     page.push_str("## Requests\n\n");
     let first = "POST /orders HTTP/1.1\nHost: starter-desk\nIdempotency-Key: k1\n\
                  Content-Length: 0\n\n";
-    assert!(exchange(deployment.traffic(0), first).starts_with("HTTP/1.1 200"));
+    let answer = exchange(deployment.traffic(0), first);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     for (name, request) in REQUESTS {
         let answer = exchange(deployment.traffic(0), request);
         page.push_str(&format!("### {name}\n\n```http\n{request}```\n\n```http\n{answer}```\n\n"));
