--- a/crates/azuregate/src/claims/mod.rs
+++ b/crates/azuregate/src/claims/mod.rs
@@ -2,8 +2,8 @@
 Lets a request with an idempotency key run at most once.
 
 A key is claimed in one of two places. Without `Azuregate-Home`, its claim is a
-row of the platform ([`rows`]). With it, the claim is in the memory of the
-instance and start that the header names ([`home`]); that form needs no platform.
+row of the platform (`rows`). With it, the claim is in the memory of the
+instance and start that the header names (`home`); that form needs no platform.
 */
 
 mod answer;
