Look for an operation before refusing what it names

Cause: zones and backend servers were checked when a call came in, before the operation was looked for. A drain whose answer was lost was refused ('nothing was changed') once its server had been taken off the list, though it had been made. Seen to fail before the mend: a_drain_is_asked_after_when_its_server_is_gone (left refused, right repeated 2). Names are now checked where the next policy is made, after the look.

--- a/crates/azuregate/src/cli/call.rs
+++ b/crates/azuregate/src/cli/call.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Exit,
-    args::{CallArgs, ChangeArgs, Output},
+    options::{CallArgs, ChangeArgs, Output},
 };
 use crate::operators::FailureClass;
 
--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -1,7 +1,7 @@
 /*!
 The command line.
 
-`args` holds the options, `operator` the commands that call an instance, `call`
+`args` and `options` hold the options, `operator` the commands that call an instance, `call`
 what such a call does when an instance does not answer.
 */
 
@@ -9,6 +9,7 @@
 mod call;
 mod help;
 mod operator;
+mod options;
 mod policy_file;
 mod print;
 mod shares;
@@ -19,7 +20,10 @@
 use gumdrop::Options;
 use serde::Serialize;
 
-use self::args::{Args, CheckArgs, Command, Output, SettingsArgs};
+use self::{
+    args::{Args, CheckArgs, Command, SettingsArgs},
+    options::Output,
+};
 use crate::{
     jsonc::Problem,
     logs, run,
--- a/crates/azuregate/src/cli/operator.rs
+++ b/crates/azuregate/src/cli/operator.rs
@@ -6,11 +6,11 @@
 use super::{
     Exit,
     args::{
-        BackendsArgs, CallArgs, Command, DrainCommand, EntriesArgs, HistoryArgs, Output,
-        PolicyCommand, ReadArgs, ServiceArgs, ServiceChangeArgs, ServiceReadArgs, SetArgs,
-        ShiftCommand, StartShiftArgs,
+        BackendsArgs, Command, DrainCommand, EntriesArgs, HistoryArgs, PolicyCommand, ReadArgs,
+        ServiceArgs, ServiceChangeArgs, ServiceReadArgs, SetArgs, ShiftCommand, StartShiftArgs,
     },
     call::{Call, Failure, operation_id},
+    options::{CallArgs, Output},
     policy_file, print, read_file, shares,
 };
 use crate::operators::convert;
--- a/crates/azuregate/src/cli/print.rs
+++ b/crates/azuregate/src/cli/print.rs
@@ -5,7 +5,7 @@
 use azuregate_schema::v1;
 use serde::Serialize;
 
-use super::args::Output;
+use super::options::Output;
 
 /// Prints a message as JSON under the schema's names, or by `human`.
 pub(super) fn answer<T: Serialize>(output: Output, message: &T, human: impl FnOnce(&T) -> String) {
--- a/crates/azuregate/src/operators/mod.rs
+++ b/crates/azuregate/src/operators/mod.rs
@@ -93,7 +93,11 @@
     /// A service that works with `parts`.
     pub fn new(parts: Parts) -> OperatorsService {
         let rows = Rows::new(Arc::clone(&parts.platform));
-        let settler = Settler { rows: rows.clone(), clock: Arc::clone(&parts.clock) };
+        let settler = Settler {
+            rows: rows.clone(),
+            clock: Arc::clone(&parts.clock),
+            snapshots: parts.snapshots.clone(),
+        };
         OperatorsService { parts: Arc::new(parts), rows, settler }
     }
 
@@ -101,7 +105,6 @@
     async fn change(&self, wanted: Wanted, dry_run: bool) -> Result<v1::ChangeResponse, Status> {
         convert::check_name("operation_id", &wanted.operation_id)
             .map_err(|e| answer::usage(e.to_string()))?;
-        validate::known_names(&wanted, &self.parts.snapshots.current())?;
         // An operator who goes away, or whose deadline passes, drops the call's
         // future. A task of its own goes on: otherwise a write might be left
         // unsettled, and be in force everywhere but here.
--- a/crates/azuregate/src/operators/settle.rs
+++ b/crates/azuregate/src/operators/settle.rs
@@ -18,9 +18,11 @@
     answer::{self, FailureClass},
     edit::Wanted,
     rows::{Held, Operation, ReadError, Rows},
+    validate,
 };
 use crate::{
     clock::SharedClock,
+    config::Snapshots,
     platform::{Commit, Effect, PlatformError},
 };
 
@@ -55,6 +57,8 @@
 pub(crate) struct Settler {
     pub(crate) rows: Rows,
     pub(crate) clock: SharedClock,
+    /// Tells which zones and backend servers there are.
+    pub(crate) snapshots: Snapshots,
 }
 
 /// A write that may have taken effect, or may still do so.
@@ -121,10 +125,8 @@
             // Whatever comes after the first look, the operator cannot have seen.
             self.based_on_version = Some(version);
         }
-        let policy = held.as_ref().map(|held| &held.policy);
-        let now_ms = self.settler.clock.epoch();
-        let next = match self.wanted.edit.apply(&self.wanted.service, policy, now_ms) {
-            Ok(next) => Policy { operation_id: self.wanted.operation_id.clone(), ..next },
+        let next = match self.next(held.as_ref()) {
+            Ok(next) => next,
             Err(_) if self.pending.is_some() => return None,
             Err(status) => return Some(Err(status)),
         };
@@ -135,6 +137,19 @@
         self.commit(held, next).await
     }
 
+    /// The policy that the change leads to.
+    ///
+    /// Names are checked here, and not when the call comes in: what a change that
+    /// was made before names may be gone since, and a refusal would tell that
+    /// nothing was changed.
+    fn next(&self, held: Option<&Held>) -> Result<Policy, Status> {
+        validate::known_names(self.wanted, &self.settler.snapshots.current())?;
+        let policy = held.map(|held| &held.policy);
+        let now_ms = self.settler.clock.epoch();
+        let next = self.wanted.edit.apply(&self.wanted.service, policy, now_ms)?;
+        Ok(Policy { operation_id: self.wanted.operation_id.clone(), ..next })
+    }
+
     async fn look(&self) -> Result<(Option<Operation>, Option<Held>), ReadError> {
         // In this order: a policy that is read last could be of this very
         // operation, taking effect in between, and look like a rival's.
--- a/crates/azuregate/tests/operators/fake.rs
+++ b/crates/azuregate/tests/operators/fake.rs
@@ -211,6 +211,7 @@
     pub(crate) service: OperatorsService,
     pub(crate) snapshots: Snapshots,
     pub(crate) recorder: Recorder,
+    pub(crate) config: Config,
     _stopper: stop::Stopper,
 }
 
@@ -232,14 +233,14 @@
             instance: settings.instance,
             zone: settings.zone,
             start: StartNumber(7),
-            config,
+            config: config.clone(),
             snapshots: snapshots.clone(),
             platform: platform.clone(),
             clock: Arc::new(StandingClock),
             recorder: recorder.clone(),
             stop,
         });
-        Bench { platform, service, snapshots, recorder, _stopper: stopper }
+        Bench { platform, service, snapshots, recorder, config, _stopper: stopper }
     }
 
     /// The version in force on this instance.
@@ -265,8 +266,8 @@
     }
 }
 
-/// Two backend servers in each of three zones, and two entry instances.
-fn list() -> InstanceList {
+/// The platform's list: two backend servers in each of three zones, and two entry instances.
+pub(crate) fn list() -> InstanceList {
     let zones = ["sofia-a", "plovdiv-a", "varna-a"];
     let backends = (0_u16..6).map(|index| BackendServer {
         id: BackendId::new(&format!("{SERVICE}-{:02}", index + 1)),
--- a/crates/azuregate/tests/operators/faults.rs
+++ b/crates/azuregate/tests/operators/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azuregate::{operators::convert, platform::Table};
+use azuregate::{config::Change, operators::convert, platform::Table};
 use azuregate_schema::v1::{
     ChangeResponse, DrainRequest, SetPolicyRequest, StartShiftRequest, StopShiftRequest,
     operators_server::Operators,
@@ -13,7 +13,7 @@
 use crate::fake::{
     Bench,
     Fault::{self, *},
-    SERVICE, ending, first_policy,
+    SERVICE, ending, first_policy, list,
 };
 
 type Answer = Result<Response<ChangeResponse>, Status>;
@@ -127,6 +127,22 @@
     assert_eq!(bench.version_in_force(), 3);
 }
 
+// The answer to a drain is lost. The server finishes and is taken off the list
+// before the operator repeats the call. To refuse it as a server that nobody
+// knows would tell that nothing was changed.
+#[tokio::test(start_paused = true)]
+async fn a_drain_is_asked_after_when_its_server_is_gone() {
+    let bench = Bench::new().await;
+    assert_eq!(ending(&drain(&bench, "op-1", "starter-desk-01").await), "accepted 2");
+    let mut list = list();
+    list.backends.remove(0);
+    bench.config.change(Change::List(list));
+    let mut snapshots = bench.snapshots.watch();
+    snapshots.wait_for(|snapshot| snapshot.backends[SERVICE].len() == 5).await.unwrap();
+    assert_eq!(ending(&drain(&bench, "op-1", "starter-desk-01").await), "repeated 2");
+    assert_eq!(ending(&drain(&bench, "op-2", "starter-desk-01").await), "refused");
+}
+
 // The same operation id comes with another change, by a mistake in a script.
 // Taking it for a repeat would report a change that nobody made.
 #[tokio::test(start_paused = true)]
