Name the homes of other instances, delete old claims, tell checkouts apart

An instance learns the start of each neighbour from its greeting, so that /v1/entries names a home for each entry it has met; a process test takes the home of one instance from another.

The process tests' IP numbers now depend on the checkout as well as the test: with two checkouts testing at once one deployment's ports were taken by the other (connection refused).

--- a/crates/azuregate-core/src/claim.rs
+++ b/crates/azuregate-core/src/claim.rs
@@ -13,6 +13,8 @@
 use crate::{
     error::ErrorKind,
     names::{InstanceId, StartNumber},
+    route::hash,
+    snapshot::{Instance, Liveness},
     time::Millis,
 };
 
@@ -54,6 +56,29 @@
     pub settled: Option<Settled>,
 }
 
+/// How long a claim is kept, in milliseconds.
+///
+/// Callers are told that a key is good for half of it. The other half is for
+/// clocks: a row deleted too early would let its request run again.
+pub const RETENTION_MS: u64 = 24 * 3_600_000;
+
+/// How long one instance does the cleaning before it is another's turn.
+const TURN_MS: u64 = 60_000;
+
+impl Claim {
+    /// Whether it is past its retention.
+    pub fn is_old(&self, now_ms: Millis) -> bool {
+        now_ms.since(self.made_at_ms).0 > RETENTION_MS
+    }
+}
+
+/// Whose turn it is to delete old claims: one live instance at a time.
+pub fn cleaner(instances: &[Instance], now_ms: Millis) -> Option<&InstanceId> {
+    let turn = (now_ms.0 / TURN_MS).to_string();
+    let live = instances.iter().filter(|instance| instance.liveness == Liveness::Live);
+    live.map(|instance| &instance.id).max_by_key(|id| hash::score(&[id.as_str(), &turn]))
+}
+
 /// How a claimed request ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/azuregate-core/src/snapshot/mod.rs
+++ b/crates/azuregate-core/src/snapshot/mod.rs
@@ -38,6 +38,8 @@
     pub listed: Arc<[Instance]>,
     /// Instances that get no new work by any sign but the list.
     pub away: BTreeSet<InstanceId>,
+    /// The latest start of each entry instance that a neighbour told of.
+    pub starts: BTreeMap<InstanceId, StartNumber>,
     /// Instances that told of their planned stop, with their start numbers.
     pub stopping: BTreeSet<(InstanceId, StartNumber)>,
     /// The backend servers of each service, ordered by name.
@@ -65,6 +67,7 @@
             instances: Arc::from([]),
             listed: Arc::from([]),
             away: BTreeSet::new(),
+            starts: BTreeMap::new(),
             stopping: BTreeSet::new(),
             backends: BTreeMap::new(),
             leaving: BTreeSet::new(),
@@ -139,6 +142,15 @@
         self.backends.values().flat_map(|servers| servers.iter()).find(|server| server.id == *id)
     }
 
+    /// Notes a start of an entry instance; returns whether it is news.
+    pub fn add_start(&mut self, id: &InstanceId, start: StartNumber) -> bool {
+        let is_news = self.starts.get(id).is_none_or(|known| *known < start);
+        if is_news {
+            self.starts.insert(id.clone(), start);
+        }
+        is_news
+    }
+
     /// Notes a sign that a server is leaving; returns whether it is news.
     ///
     /// Servers that are not listed, and starts before the listed one, are
@@ -177,6 +189,7 @@
         self.leaving = leaving;
         let listed = |id: &InstanceId| self.listed.iter().any(|instance| instance.id == *id);
         self.stopping.retain(|(id, _)| listed(id));
+        self.starts.retain(|id, _| listed(id));
         let mut probes = std::mem::take(&mut self.probes);
         probes.retain(|id, _| self.listed.iter().any(|instance| instance.id == *id));
         self.probes = probes;
--- a/crates/azuregate-core/tests/home.rs
+++ b/crates/azuregate-core/tests/home.rs
@@ -37,7 +37,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         (0_u64..90).prop_map(Step::Wait),
-        (-200_i64..40).prop_map(|off_ms| Step::New { off_ms }),
+        (-200_i64..200).prop_map(|off_ms| Step::New { off_ms }),
         (0_usize..100).prop_map(Step::Again),
         (0_usize..100, 0_usize..40).prop_map(|(key, bytes)| Step::Settle(key, bytes)),
         (0_usize..100).prop_map(Step::Release),
--- a/crates/azuregate-lab/src/platform/server.rs
+++ b/crates/azuregate-lab/src/platform/server.rs
@@ -190,8 +190,11 @@
                 }
             }
             (&Method::GET, ["v1", "tables", table, "changes"]) => {
-                let since = query.strip_prefix("since=").and_then(|n| n.parse().ok());
-                Answer::json(StatusCode::OK, &self.store().changes(table, since.unwrap_or(0)))
+                let mut changes = self.store().changes(table, number(query, "since").unwrap_or(0));
+                if let Some(limit) = number(query, "limit") {
+                    changes.rows.truncate(usize::try_from(limit).unwrap_or(usize::MAX));
+                }
+                Answer::json(StatusCode::OK, &changes)
             }
             (&Method::POST, ["v1", "transact"]) => self.transact(body),
             (&Method::PUT, ["v1", "objects", name]) => {
@@ -268,3 +271,9 @@
         });
     }
 }
+
+/// The value of a query such as `since=7&limit=200`.
+fn number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|pair| pair.0 == name)?.1.parse().ok()
+}
--- a/crates/azuregate-lab/tests/processes/deployment.rs
+++ b/crates/azuregate-lab/tests/processes/deployment.rs
@@ -126,7 +126,9 @@
 fn example(test: &str) -> Example {
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/kvas.jsonc");
     let mut example = Example::load(file.as_ref()).unwrap();
-    let [.., second, third] = hash::score(&[test]).to_be_bytes();
+    // Two checkouts may test at once on one machine, so the folder counts too.
+    let checkout = env!("CARGO_TARGET_TMPDIR");
+    let [.., second, third] = hash::score(&[test, checkout]).to_be_bytes();
     let ip = |last: u8| IpAddr::V4(Ipv4Addr::new(127, 64 + second / 2, third, last));
     example.entries.truncate(3);
     for (entry, last) in example.entries.iter_mut().zip(1..) {
--- a/crates/azuregate-lab/tests/processes/outcomes.rs
+++ b/crates/azuregate-lab/tests/processes/outcomes.rs
@@ -67,22 +67,30 @@
     tokio::spawn(async move { client::call(addr, order).await.ok() })
 }
 
-async fn wait_for_runs(deployment: &Deployment, runs: u64) {
+async fn wait_for_run(deployment: &Deployment, first: &JoinHandle<Option<Response<Bytes>>>) {
     let start = Instant::now();
-    while deployment.runs("o1").await < runs {
+    while deployment.runs("o1").await < 1 {
+        assert!(!first.is_finished(), "the order was answered and did not run");
         assert!(start.elapsed() < PATIENCE, "the order never ran");
         time::sleep(Duration::from_millis(10)).await;
     }
 }
 
-/// The home that an entry instance names for itself.
-async fn home_of(deployment: &Deployment, index: usize) -> String {
+/// The home that one entry instance names for another, once they have met.
+async fn home_of(deployment: &Deployment, index: usize, asked: usize) -> String {
     let path = format!("/v1/entries?service={}", deployment.example.services[0].name);
-    let answer = client::get(deployment.traffic(index), &path).await.unwrap();
-    let entries: Entries = serde_json::from_slice(answer.body()).unwrap();
     let id = &deployment.example.entries[index].id;
-    let entry = entries.entries.into_iter().find(|entry| entry.id == *id).unwrap();
-    entry.home.unwrap()
+    let start = Instant::now();
+    loop {
+        let answer = client::get(deployment.traffic(asked), &path).await.unwrap();
+        let entries: Entries = serde_json::from_slice(answer.body()).unwrap();
+        let entry = entries.entries.into_iter().find(|entry| entry.id == *id);
+        if let Some(home) = entry.and_then(|entry| entry.home) {
+            return home;
+        }
+        assert!(start.elapsed() < PATIENCE, "the home of {id} was never named");
+        time::sleep(Duration::from_millis(50)).await;
+    }
 }
 
 // The caller's order runs at a slow backend server when its entry instance is
@@ -93,7 +101,7 @@
     let mut deployment = Deployment::start("owner_killed").await;
     backends(&deployment, json!({ "service_ms": 2_000 })).await;
     let first = send(&deployment, 0, order(None, 10_000));
-    wait_for_runs(&deployment, 1).await;
+    wait_for_run(&deployment, &first).await;
     signal("-KILL", &deployment.entries[0]);
     deployment.entries[0].wait().unwrap();
     assert!(first.await.unwrap().is_none(), "a killed instance answered");
@@ -152,7 +160,7 @@
 #[tokio::test]
 async fn an_order_at_its_home_runs_once_while_the_platform_is_down() {
     let mut deployment = Deployment::start("home_form").await;
-    let home = home_of(&deployment, 0).await;
+    let home = home_of(&deployment, 0, 1).await;
     let writes = platform_writes(&deployment).await;
     platform(&deployment, json!({ "down": true })).await;
     let row_form = deployment.send(0, order(None, 10_000)).await;
--- a/crates/azuregate/src/claims/mod.rs
+++ b/crates/azuregate/src/claims/mod.rs
@@ -7,6 +7,7 @@
 */
 
 mod answer;
+mod cleanup;
 mod home;
 mod rows;
 mod upkeep;
@@ -23,6 +24,8 @@
 
 use crate::{body::Body, clock::SharedClock, config::Snapshots, platform::SharedPlatform};
 
+pub use cleanup::Cleaner;
+
 use self::{home::Home, rows::Rows};
 
 /// Makes and settles claims.
@@ -85,7 +88,7 @@
     /// The home to name to callers of `instance`, if its start is known.
     pub fn home_token(&self, instance: &InstanceId, snapshot: &Snapshot) -> Option<HomeToken> {
         let start =
-            if *instance == self.instance { self.start } else { start_of(snapshot, instance)? };
+            if *instance == self.instance { self.start } else { *snapshot.starts.get(instance)? };
         let issued_at_ms = self.clock.epoch();
         Some(HomeToken { instance: instance.clone(), start, issued_at_ms })
     }
@@ -193,11 +196,6 @@
     }
 }
 
-/// The start number of another instance, where it is known.
-fn start_of(_snapshot: &Snapshot, _instance: &InstanceId) -> Option<StartNumber> {
-    None
-}
-
 /// When an owner that has `remaining_ms` left at `now_ms` has certainly stopped.
 fn until(now_ms: Millis, remaining_ms: u64) -> Millis {
     now_ms + Millis(remaining_ms)
--- a/crates/azuregate/src/claims/rows.rs
+++ b/crates/azuregate/src/claims/rows.rs
@@ -132,8 +132,12 @@
     /// lets anyone else run the request; it only words the refusal.
     fn may_run_still(&self, claim: &Claim) -> bool {
         let owner = &claim.attempt;
-        let other_start = owner.instance == self.owner.instance && owner.start != self.owner.start;
         let snapshot = self.snapshots.current();
+        let latest = match owner.instance == self.owner.instance {
+            true => Some(&self.owner.start),
+            false => snapshot.starts.get(&owner.instance),
+        };
+        let other_start = latest.is_some_and(|latest| *latest > owner.start);
         let listed = snapshot.instances.iter().any(|instance| instance.id == owner.instance);
         listed && !other_start && self.clock.epoch() <= claim.until_ms
     }
--- a/crates/azuregate/src/config.rs
+++ b/crates/azuregate/src/config.rs
@@ -94,6 +94,8 @@
     /// requests, says nothing about itself; one that closes fresh connections
     /// wants no more work.
     Closed(BackendId, StartNumber),
+    /// A start of an instance, as it told itself.
+    Started(InstanceId, StartNumber),
     /// An instance that has started a planned stop.
     Stopping(InstanceId, StartNumber),
     /// The instances that get no new work, as far as the peer links tell.
@@ -164,6 +166,7 @@
         Change::Closed(backend, start) => {
             most_stay(snapshot, &backend) && leave(snapshot, &backend, start, &Source::Backend)
         }
+        Change::Started(instance, start) => snapshot.add_start(&instance, start),
         Change::Stopping(instance, start) => {
             let fresh = snapshot.stopping.insert((instance.clone(), start));
             if fresh {
--- a/crates/azuregate/src/peer/link.rs
+++ b/crates/azuregate/src/peer/link.rs
@@ -240,6 +240,7 @@
         }
         log::info!(peer:% = instance, start:% = start; "peer link open");
         let _ = self.parts.opened.send(instance.clone());
+        self.parts.config.change(Change::Started(instance.clone(), start));
         self.known.neighbour = Some((instance, start));
         self.known.lacks_list = !has_list;
         self.send_missing(&snapshot).await
--- a/crates/azuregate/src/platform/http.rs
+++ b/crates/azuregate/src/platform/http.rs
@@ -120,6 +120,13 @@
         parse("changes", &reply.bytes)
     }
 
+    async fn page(&self, table: Table, since_sequence: u64, limit: usize) -> Result<Changes> {
+        let table = table.as_str();
+        let path = format!("/v1/tables/{table}/changes?since={since_sequence}&limit={limit}");
+        let reply = self.call(Method::GET, &path, Bytes::new()).await?;
+        parse("page", &reply.bytes)
+    }
+
     async fn transact(&self, writes: &[Write]) -> Result<Commit> {
         let body = serde_json::to_vec(&Transaction { writes })
             .map_err(|e| PlatformError::new(Effect::None, e.to_string()))?;
--- a/crates/azuregate/src/platform/mod.rs
+++ b/crates/azuregate/src/platform/mod.rs
@@ -160,6 +160,14 @@
     /// Reads the rows that changed after `since_sequence`, 0 for all.
     async fn changes(&self, table: Table, since_sequence: u64) -> Result<Changes>;
 
+    /// Reads at most `limit` of the rows that changed after `since_sequence`, in
+    /// the order of their change. Its `sequence` is of no use to go on from.
+    async fn page(&self, table: Table, since_sequence: u64, limit: usize) -> Result<Changes> {
+        let mut changes = self.changes(table, since_sequence).await?;
+        changes.rows.truncate(limit);
+        Ok(changes)
+    }
+
     /// Commits all of `writes` or none.
     async fn transact(&self, writes: &[Write]) -> Result<Commit>;
 
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -11,7 +11,7 @@
 use crate::{
     backend::{HttpDialer, Pool, SharedDialer},
     callers::Callers,
-    claims::Claims,
+    claims::{Claims, Cleaner},
     clock::{SharedClock, SystemClock},
     config::Config,
     dispatch::{Exchange, Rule},
@@ -101,6 +101,14 @@
     };
     let prober = tokio::spawn(prober.serve());
     let closer = tokio::spawn(probe::close_idle(pool.clone(), snapshots.clone()));
+    let cleaner = Cleaner {
+        instance: settings.instance.clone(),
+        platform: Arc::clone(&platform),
+        clock: Arc::clone(&clock),
+        snapshots: snapshots.clone(),
+        timer: timer.clone(),
+    };
+    let cleaner = tokio::spawn(cleaner.serve());
     let exchange = Exchange::default();
     let mesh = Mesh {
         instance: settings.instance.clone(),
@@ -159,7 +167,7 @@
     let callers = Callers { gateway, config, instance: settings.instance.clone(), start, stop };
     callers.serve(traffic, settings.stop_delay_ms).await;
     log::info!(instance:% = settings.instance; "entry instance stopped");
-    for task in [poller, prober, closer, mesh, status] {
+    for task in [poller, prober, closer, cleaner, mesh, status] {
         task.abort();
     }
     operators.abort();
--- a/crates/azuregate/tests/outcomes/claims.rs
+++ b/crates/azuregate/tests/outcomes/claims.rs
@@ -245,6 +245,22 @@
     }
 }
 
+// A row deleted too early would let its order run again; one never deleted
+// would fill the table.
+#[tokio::test]
+async fn only_claims_past_their_retention_are_deleted() {
+    let hour_ms = 3_600_000;
+    for (age_ms, left) in [(0, 1), (23 * hour_ms, 1), (25 * hour_ms, 0)] {
+        let world = World::start(Border::Fake, Script::new(&[])).await;
+        world.send(order("k", None)).await;
+        world.clock.jump(age_ms);
+        for instance in ["entry-1", "entry-2"] {
+            world.cleaner(instance).look().await;
+        }
+        assert_eq!(world.platform.state().rows.len(), left, "after {age_ms} ms");
+    }
+}
+
 // Nothing ran, so the row must go, or the repeat could never run.
 #[tokio::test]
 async fn a_claim_is_given_up_when_nothing_ran() {
--- a/crates/azuregate/tests/outcomes/fake_platform.rs
+++ b/crates/azuregate/tests/outcomes/fake_platform.rs
@@ -118,7 +118,8 @@
     }
 
     async fn changes(&self, _table: Table, _since_sequence: u64) -> Result<Changes> {
-        Ok(Changes::default())
+        let rows = self.state().rows.values().cloned().collect();
+        Ok(Changes { sequence: 0, rows })
     }
 
     async fn transact(&self, writes: &[Write]) -> Result<Commit> {
--- a/crates/azuregate/tests/outcomes/world.rs
+++ b/crates/azuregate/tests/outcomes/world.rs
@@ -12,9 +12,9 @@
 use azuregate::{
     backend::{HttpDialer, Pool, SharedDialer},
     body::{self, Body},
-    claims::Claims,
+    claims::{Claims, Cleaner},
     clock::{Clock, SharedClock, SystemClock},
-    config::{Change, Config, Source},
+    config::{Change, Config, Snapshots, Source},
     dispatch::{Exchange, Rule},
     gateway::{Gateway, Parts},
     metrics::{NullSink, Recorder},
@@ -77,6 +77,7 @@
     pub(crate) start: StartNumber,
     pub(crate) clock: Arc<JumpClock>,
     pub(crate) addr: SocketAddr,
+    snapshots: Snapshots,
 }
 
 /// What the caller saw.
@@ -158,14 +159,33 @@
             claims: Claims::new(
                 Arc::new(platform.clone()),
                 Arc::clone(&clock),
-                snapshots,
+                snapshots.clone(),
                 &instance,
                 start,
             ),
             selectors,
             recorder: Recorder::start(Arc::new(NullSink)),
         });
-        World { gateway: Arc::new(gateway), script, platform, start, clock: jump_clock, addr }
+        World {
+            gateway: Arc::new(gateway),
+            script,
+            platform,
+            start,
+            clock: jump_clock,
+            addr,
+            snapshots,
+        }
+    }
+
+    /// Deletes old claims as this instance or another one does.
+    pub(crate) fn cleaner(&self, instance: &str) -> Cleaner {
+        Cleaner {
+            instance: InstanceId::new(instance),
+            platform: Arc::new(self.platform.clone()),
+            clock: self.clock.clone(),
+            snapshots: self.snapshots.clone(),
+            timer: Timer::start(),
+        }
     }
 
     /// The home of keys here, as a caller learns it.
