--- a/crates/azuregate-lab/examples/claims.rs
+++ b/crates/azuregate-lab/examples/claims.rs
@@ -182,7 +182,7 @@
 fn home_memory() -> Result<(), ClientError> {
     let config = Config { limit_bytes: usize::MAX, ..Config::default() };
     // Kept to the end, or the next table would live in what this one gave back.
-    let mut tables: Vec<HomeTable> = Vec::new();
+    let mut tables = Vec::new();
     for keys in [25_000, 50_000, 100_000] {
         for answer_bytes in [0, 256] {
             let before = resident_bytes()?;
@@ -193,8 +193,7 @@
                 let (_, sequence) = table.claim(&key, 7, Millis(1), Millis(1));
                 table.settle(&key, sequence, settled(answer_bytes));
             }
-            let per_key = resident_bytes()?.saturating_sub(before) / keys;
-            tables.push(table);
+            let per_key = resident_bytes()?.saturating_sub(before) / table.len();
             println!(
                 "home of {keys:6} keys, answers of {answer_bytes:3} bytes: {per_key} bytes a key"
             );
