--- a/crates/azuregate-core/src/home.rs
+++ b/crates/azuregate-core/src/home.rs
@@ -175,6 +175,15 @@
         }
     }
 
+    /// When the oldest key will be forgotten, in milliseconds from `now_ms`: when a
+    /// full home has room again.
+    pub fn room_in_ms(&self, now_ms: Millis) -> u64 {
+        let oldest = self.seen.front();
+        oldest.map_or(0, |(seen_ms, ..)| {
+            (*seen_ms + Millis(self.config.retention_ms())).since(now_ms).0
+        })
+    }
+
     /// How many keys are remembered.
     pub fn len(&self) -> usize {
         self.keys.len()
--- a/crates/azuregate-core/tests/home.rs
+++ b/crates/azuregate-core/tests/home.rs
@@ -119,4 +119,8 @@
     assert!(matches!(table.claim("4", 7, now_ms, now_ms).0, Verdict::Repeat(_)));
     let other = table.claim("4", 8, now_ms, now_ms).0;
     assert_eq!(other, Verdict::Refuse(ErrorKind::ClaimMismatch));
+    for (after_ms, verdict) in [(0, Verdict::Refuse(ErrorKind::ClaimsFull)), (1, Verdict::Run)] {
+        let then_ms = now_ms + Millis(table.room_in_ms(now_ms) + after_ms);
+        assert_eq!(table.claim("5", 7, then_ms, then_ms).0, verdict);
+    }
 }
--- a/crates/azuregate/src/claims/home.rs
+++ b/crates/azuregate/src/claims/home.rs
@@ -16,6 +16,14 @@
     sender: mpsc::UnboundedSender<Message>,
 }
 
+/// What the task decided for a key.
+struct Decided {
+    verdict: Verdict,
+    sequence: u64,
+    /// When a full home has room again.
+    room_in_ms: u64,
+}
+
 /// A key that a request holds while it runs.
 #[derive(Debug)]
 pub(crate) struct HeldKey {
@@ -24,19 +32,9 @@
 }
 
 enum Message {
-    Claim {
-        key: String,
-        fingerprint: u64,
-        issued_at_ms: Millis,
-        reply: oneshot::Sender<(Verdict, u64)>,
-    },
-    Settle {
-        held: HeldKey,
-        settled: Settled,
-    },
-    Release {
-        held: HeldKey,
-    },
+    Claim { key: String, fingerprint: u64, issued_at_ms: Millis, reply: oneshot::Sender<Decided> },
+    Settle { held: HeldKey, settled: Settled },
+    Release { held: HeldKey },
 }
 
 impl Home {
@@ -58,9 +56,12 @@
         let _ =
             self.sender.send(Message::Claim { key: key.clone(), fingerprint, issued_at_ms, reply });
         let gone = |_| Error::new(ErrorKind::Stopping, "the instance is stopping");
-        let (verdict, sequence) =
-            answer.await.map_err(gone).map_err(Error::with_earlier_unknown)?;
-        Ok((verdict, HeldKey { key, sequence }))
+        let decided = answer.await.map_err(gone).map_err(Error::with_earlier_unknown)?;
+        if decided.verdict == Verdict::Refuse(ErrorKind::ClaimsFull) {
+            let error = Error::new(ErrorKind::ClaimsFull, "this home remembers all it can");
+            return Err(error.with_retry_after_ms(decided.room_in_ms));
+        }
+        Ok((decided.verdict, HeldKey { key, sequence: decided.sequence }))
     }
 
     pub(crate) fn settle(&self, held: HeldKey, settled: Settled) {
@@ -85,7 +86,9 @@
         match message {
             Message::Claim { key, fingerprint, issued_at_ms, reply } => {
                 let now_ms = origin_ms + clock.now();
-                let _ = reply.send(table.claim(&key, fingerprint, issued_at_ms, now_ms));
+                let (verdict, sequence) = table.claim(&key, fingerprint, issued_at_ms, now_ms);
+                let room_in_ms = table.room_in_ms(now_ms);
+                let _ = reply.send(Decided { verdict, sequence, room_in_ms });
             }
             Message::Settle { held, settled } => table.settle(&held.key, held.sequence, settled),
             Message::Release { held } => table.release(&held.key, held.sequence),
--- a/crates/azuregate/tests/outcomes/border.rs
+++ b/crates/azuregate/tests/outcomes/border.rs
@@ -65,6 +65,17 @@
     .unwrap();
 }
 
+#[tokio::test]
+async fn the_request_id_comes_back_with_answers_and_refusals() {
+    for step in [Step::Ok, Step::CutBeforeAnswer] {
+        let world = World::start(Border::Fake, Script::new(&[step])).await;
+        let request = post("/orders").header("azuregate-request-id", "r7");
+        let request = request.body(body::full("one")).unwrap();
+        let answer = world.gateway.handle(request, world.addr).await;
+        assert_eq!(answer.headers()["azuregate-request-id"], "r7", "{step:?}");
+    }
+}
+
 /// For each fault: one request with a first and, if it has a key, a second
 /// sending.
 async fn table(border: Border) -> String {
