--- a/crates/azuregate-core/tests/home.rs
+++ b/crates/azuregate-core/tests/home.rs
@@ -37,7 +37,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         (0_u64..90).prop_map(Step::Wait),
-        (-200_i64..40).prop_map(|off_ms| Step::New { off_ms }),
+        (-200_i64..200).prop_map(|off_ms| Step::New { off_ms }),
         (0_usize..100).prop_map(Step::Again),
         (0_usize..100, 0_usize..40).prop_map(|(key, bytes)| Step::Settle(key, bytes)),
         (0_usize..100).prop_map(Step::Release),
@@ -119,4 +119,8 @@
     assert!(matches!(table.claim("4", 7, now_ms, now_ms).0, Verdict::Repeat(_)));
     let other = table.claim("4", 8, now_ms, now_ms).0;
     assert_eq!(other, Verdict::Refuse(ErrorKind::ClaimMismatch));
+    for (after_ms, verdict) in [(0, Verdict::Refuse(ErrorKind::ClaimsFull)), (1, Verdict::Run)] {
+        let then_ms = now_ms + Millis(table.room_in_ms(now_ms) + after_ms);
+        assert_eq!(table.claim("5", 7, then_ms, then_ms).0, verdict);
+    }
 }
