Give each run of the mesh tests IP numbers of its own

Cause: two runs on one machine bound the same ports (address in use, three tests failed); ruled out: a port that the test itself had left open.

--- a/crates/azuregate/tests/configuration/mesh.rs
+++ b/crates/azuregate/tests/configuration/mesh.rs
@@ -16,6 +16,7 @@
 };
 use azuregate_core::{
     names::{InstanceId, StartNumber},
+    route::hash,
     snapshot::{Instance, Liveness, Readiness, Snapshot},
 };
 use tokio::{net::TcpListener, task::JoinHandle, time};
@@ -39,8 +40,11 @@
     }
 }
 
+/// IP numbers of one test of one run: another run of the same tests on this
+/// machine would otherwise hold the ports.
 fn ip(test: u8, last: u8) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 40, test, last))
+    let [.., run_high, run_low] = hash::score(&[&std::process::id().to_string()]).to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 192 + run_high % 48, (run_low & 0xf0) | test, last))
 }
 
 async fn node(of: &Instance) -> Node {
