--- a/crates/azuregate-core/tests/routing/links.rs
+++ b/crates/azuregate-core/tests/routing/links.rs
@@ -50,6 +50,28 @@
     assert_eq!(links.room(link, 0, Millis(0)), None);
 }
 
+// No instance knows what the others send. Whatever each of them sends at once,
+// all together stay within the link.
+#[test]
+fn the_shares_of_all_instances_fit_into_the_link() {
+    for (here, there) in [(1, 1), (3, 2), (5, 4), (130, 140)] {
+        let near = (0..here).map(|nth| instance(&format!("n{nth}"), "sofia-a"));
+        let far = (0..there).map(|nth| instance(&format!("f{nth}"), "varna-a"));
+        let instances: Vec<_> = near.chain(far).collect();
+        let mut links = Links::default();
+        links.set(&topology(4_000), &RegionName::new("sofia"), &instances);
+        let link = links.to(&RegionName::new("varna")).unwrap();
+        let mut sent_bytes = 0;
+        while links.room(link, 10_000, Millis(0)).is_some() {
+            sent_bytes += 10_000;
+            links.passed(link, sent_bytes, 0, Millis(0));
+        }
+        let all_bytes = sent_bytes * (here + there);
+        assert!(all_bytes <= 500_000_000, "{all_bytes} bytes a second of {here} and {there}");
+        assert!(all_bytes >= 490_000_000, "{all_bytes} bytes a second of {here} and {there}");
+    }
+}
+
 // A body larger than a second's share would never find room.
 #[test]
 fn a_large_body_books_no_more_than_a_quarter() {
--- /dev/null
+++ b/crates/azuregate-lab/tests/baselines.rs
@@ -0,0 +1,97 @@
+//! The rules that the dispatchers are measured against do what their names say.
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+use std::collections::BTreeMap;
+
+use azuregate::dispatch::Rule;
+use azuregate_core::{
+    names::{BackendId, ServiceName, StartNumber, ZoneName},
+    route::{Ending, LoadReport, Place, RouteServer, Router},
+    snapshot::{BackendServer, Liveness},
+    time::Millis,
+    topology::Topology,
+};
+use azuregate_lab::baselines;
+
+const NOW_MS: Millis = Millis(0);
+
+fn router(rule: &str) -> Box<dyn Router> {
+    let Rule::Alone(make) = baselines::rule(rule).unwrap() else { panic!("not alone") };
+    make()
+}
+
+fn set(router: &mut dyn Router, open: [bool; 3]) {
+    let servers = open.iter().enumerate().map(|(nth, &open)| {
+        let server = BackendServer {
+            id: BackendId::new(&format!("s{nth}")),
+            service: ServiceName::new("svc"),
+            zone: ZoneName::new("a"),
+            addr: "127.0.0.1:1".parse().unwrap(),
+            start: StartNumber(1),
+            slots: 3,
+            liveness: Liveness::Live,
+        };
+        RouteServer { server, open }
+    });
+    let topology =
+        Topology { regions: Vec::new(), zone_delay_ms: 0, region_delay_ms: 0, link_mbit_per_s: 0 };
+    let place = Place { topology: &topology, zone: &ZoneName::new("a") };
+    router.set_servers(place, &servers.collect::<Vec<_>>());
+}
+
+/// How often each server was chosen in `count` choices.
+fn choose(router: &mut dyn Router, count: usize) -> BTreeMap<usize, usize> {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut chosen = BTreeMap::new();
+    for _ in 0..count {
+        let key = router.choose(NOW_MS, &mut rng).unwrap();
+        *chosen.entry(key).or_default() += 1;
+        router.finish(key, Ending::Answered { latency_ms: 1 }, NOW_MS);
+    }
+    chosen
+}
+
+#[test]
+fn each_rule_spreads_as_it_says() {
+    for rule in ["random", "round-robin", "least-load"] {
+        let mut router = router(rule);
+        set(router.as_mut(), [true; 3]);
+        let chosen = choose(router.as_mut(), 300);
+        let even = chosen.values().all(|&times| (60..=140).contains(&times));
+        assert!(chosen.len() == 3 && even, "{rule}: {chosen:?}");
+        assert!(rule != "round-robin" || chosen.values().all(|&times| times == 100), "{chosen:?}");
+    }
+}
+
+#[test]
+fn a_closed_server_gets_nothing() {
+    for rule in ["random", "round-robin", "least-load", "nearest"] {
+        let mut router = router(rule);
+        set(router.as_mut(), [true; 3]);
+        set(router.as_mut(), [true, false, true]);
+        assert!(!choose(router.as_mut(), 100).contains_key(&1), "{rule}");
+        set(router.as_mut(), [false; 3]);
+        assert_eq!(router.choose(NOW_MS, &mut fastrand::Rng::with_seed(1)), None, "{rule}");
+    }
+}
+
+// The reason why this rule is only a baseline: whatever was sent meanwhile, all
+// go to the server whose last report was the smallest.
+#[test]
+fn least_load_follows_the_last_reports() {
+    let mut router = router("least-load");
+    set(router.as_mut(), [true; 3]);
+    for (key, in_use) in [(0, 3), (1, 0), (2, 2)] {
+        router.report(key, LoadReport { in_use, slots: 3, at_ms: NOW_MS });
+    }
+    assert_eq!(choose(router.as_mut(), 50), BTreeMap::from([(1, 50)]));
+}
+
+#[test]
+fn rules_go_by_name() {
+    for rule in ["random", "round-robin", "least-load", "nearest", "dispatcher"] {
+        assert!(baselines::rule(rule).is_ok(), "{rule}");
+    }
+    assert!(baselines::rule("best").unwrap_err().contains("round-robin"));
+}
