--- a/crates/azuregate-core/benches/routing.rs
+++ b/crates/azuregate-core/benches/routing.rs
@@ -133,12 +133,12 @@
     group.finish();
 }
 
-/// Takes all slots of the own zone, and lets every dispatcher but the last of
-/// the plan say that it has none.
+/// Fills the slots and the queue of the own zone, and lets every dispatcher but
+/// the last of the plan say that its own are full.
 fn fill(dispatch: &mut Dispatch, plan: &[ZoneName], rng: &mut fastrand::Rng) {
     let own = [plan[0].clone()];
-    while let Step::Serve(_) = dispatch.place(&ask(&own), NOW_MS, rng) {}
-    dispatch.give_up(1);
+    let patient = Ask { wait_ms: 60_000, left_ms: 60_000, ..ask(&own) };
+    while !matches!(dispatch.place(&patient, NOW_MS, rng), Step::Refuse(_)) {}
     for zone in &plan[1..] {
         let one = [zone.clone()];
         let last = zone == &plan[plan.len() - 1];
@@ -146,8 +146,9 @@
             let Step::HandOver(hand_over) = dispatch.place(&ask(&one), NOW_MS, rng) else { break };
             let from = dispatch.dispatcher_id(&hand_over).clone();
             let group = dispatch.group_id(hand_over.group).clone();
-            let (free, slots) = if last { (1_000, 1_000) } else { (0, 12) };
-            let load = GroupLoad { free, slots, service_ms: 20, ..GroupLoad::default() };
+            let (free, queued) = if last { (1_000, 0) } else { (0, 1_000) };
+            let load =
+                GroupLoad { free, queued, slots: 12, service_ms: 20, ..GroupLoad::default() };
             dispatch.hear(&from, &group, load, false, NOW_MS);
             dispatch.finish_hand_over(&hand_over, Ending::Answered { latency_ms: 20 }, NOW_MS);
             if last {
--- a/crates/azuregate-core/src/route/dispatch/place.rs
+++ b/crates/azuregate-core/src/route/dispatch/place.rs
@@ -1,6 +1,6 @@
 //! Places requests.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, ops::Range};
 
 use crate::{
     names::InstanceId,
@@ -59,19 +59,16 @@
                 Some(first_ms) => round_trip_ms.abs_diff(first_ms).max(MOVE_MS),
             };
             first_trip_ms.get_or_insert(round_trip_ms);
-            let Some(booking) = self.link_room(self.open[groups.start], ask, now_ms) else {
+            let Some(mut candidate) = self.best_of(groups, ask, now_ms) else {
                 crowded = true;
                 continue;
             };
-            for nth in groups {
-                let mut candidate = self.candidate(self.open[nth], booking, ask, now_ms);
-                candidate.cost_ms += detour_ms;
-                if best.is_none_or(|best| candidate.order() < best.order()) {
-                    best = Some(candidate);
-                }
+            candidate.cost_ms += detour_ms;
+            if best.is_none_or(|best| candidate.order() < best.order()) {
+                best = Some(candidate);
             }
             // Nothing later in the plan can be better than a free slot here.
-            if best.is_some_and(|best| best.cost_ms == 0) {
+            if candidate.cost_ms == 0 {
                 break;
             }
         }
@@ -107,6 +104,24 @@
         step
     }
 
+    /// The best of one zone's groups; `None` when the link there has no room.
+    fn best_of(
+        &mut self,
+        groups: Range<usize>,
+        ask: &Ask<'_>,
+        now_ms: Millis,
+    ) -> Option<Candidate> {
+        let booking = self.link_room(self.open[groups.start], ask, now_ms)?;
+        let mut best: Option<Candidate> = None;
+        for nth in groups {
+            let candidate = self.candidate(self.open[nth], booking, ask, now_ms);
+            if best.is_none_or(|best| candidate.order() < best.order()) {
+                best = Some(candidate);
+            }
+        }
+        best
+    }
+
     /// Who dispatches for a group: the first in its order that answers.
     fn dispatcher(&self, group: usize, idempotent: bool, now_ms: Millis) -> Who {
         let usable = |who: &Who| match *who {
