--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -250,6 +250,11 @@
         self.peers.id(hand_over.peer)
     }
 
+    /// The name of another instance, by the index that [`Dispatch::tick`] gives.
+    pub fn peer_id(&self, peer: usize) -> &InstanceId {
+        self.peers.id(peer)
+    }
+
     /// Takes in what a server said of its load.
     pub fn report(&mut self, slot: &Slot, report: crate::route::LoadReport) {
         self.groups[slot.group].router.report(slot.key, report);
--- a/crates/azuregate/src/selector/task.rs
+++ b/crates/azuregate/src/selector/task.rs
@@ -185,13 +185,20 @@
     /// Tells the requests in progress there, so that those that may be sent
     /// again need not wait for their deadline.
     fn lose(&mut self, peer: usize) {
-        log::warn!(service:% = self.service; "a dispatcher has gone silent");
         let lost: Vec<u64> = self
             .out
             .iter()
             .filter(|(_, out)| out.peer == peer)
             .map(|(&ticket, _)| ticket)
             .collect();
+        if lost.is_empty() {
+            return;
+        }
+        log::warn!(
+            service:% = self.service, instance:% = self.dispatch.peer_id(peer),
+            requests = lost.len();
+            "a dispatcher has gone silent"
+        );
         for ticket in lost {
             if let Some(out) = self.out.remove(&ticket) {
                 let _ = out.lost.send(());
