Finish orders whose callers have left before a planned stop ends

Cause: a keyed order runs on when its caller leaves, as a task that the planned stop did not wait for. A process test with a caller that drops its connection and a SIGTERM saw the repeat get 409 claim-in-progress instead of 200, three of three runs; after the change 200, three of three.

Change: the gateway tracks orders, and the stop waits for them and, for up to 10 s, for what the platform is to keep. Catching up with the platform goes round instead of retrying its first write for up to an hour, and holds at most 16 MiB of large answers; of more, only the outcome.

--- a/crates/azuregate-lab/tests/processes/outcomes.rs
+++ b/crates/azuregate-lab/tests/processes/outcomes.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response};
 use serde_json::json;
-use tokio::{task::JoinHandle, time};
+use tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinHandle, time};
 
 use crate::deployment::Deployment;
 
@@ -114,6 +114,27 @@
     assert_eq!(deployment.runs("o1").await, 1);
 }
 
+// The caller of an order loses its connection, and then the entry instance is told
+// to stop. The order is in progress though nobody waits for it: the instance must
+// finish it and keep its answer, which the caller gets from another instance.
+#[tokio::test]
+async fn a_planned_stop_finishes_orders_whose_callers_have_left() {
+    let mut deployment = Deployment::start("stop_with_orders").await;
+    backends(&deployment, json!({ "service_ms": 1_500 })).await;
+    let mut caller = TcpStream::connect(deployment.traffic(0)).await.unwrap();
+    let order_in_bytes = "POST /orders HTTP/1.1\r\nhost: starter-desk\r\n\
+        idempotency-key: k1\r\nazuregate-request-id: o1\r\ncontent-length: 11\r\n\r\none starter";
+    caller.write_all(order_in_bytes.as_bytes()).await.unwrap();
+    let mut waiting = tokio::spawn(std::future::pending());
+    wait_for_run(&deployment, &mut waiting).await;
+    drop(caller);
+    signal("-TERM", &deployment.entries[0]);
+    assert!(deployment.entries[0].wait().unwrap().success());
+    let again = deployment.send(1, order(None, 10_000)).await;
+    assert_eq!(told(&again), (200, "-"), "{again:?}");
+    assert_eq!(deployment.runs("o1").await, 1);
+}
+
 // The entry instance is paused while the platform takes its claim, and wakes
 // long past the caller's deadline. Meanwhile the caller tried another instance.
 // The woken owner holds a good claim, but must not send: its caller has left.
--- a/crates/azuregate/src/callers.rs
+++ b/crates/azuregate/src/callers.rs
@@ -67,6 +67,7 @@
         drop(listener);
         log::info!(instance:% = self.instance, in_progress = graceful.count(); "port closed");
         graceful.shutdown().await;
+        self.gateway.finish().await;
     }
 
     async fn wait_for_stop(&self, stop_delay_ms: u64) {
--- a/crates/azuregate/src/claims/mod.rs
+++ b/crates/azuregate/src/claims/mod.rs
@@ -12,15 +12,17 @@
 mod rows;
 mod upkeep;
 
+use std::{sync::Arc, time::Duration};
+
 use azuregate_core::{
     claim::{KeptAnswer, Settled, Verdict},
     error::{Error, ErrorKind, Outcome},
     home::HomeToken,
     names::{InstanceId, ServiceName, StartNumber},
     snapshot::Snapshot,
-    time::Millis,
 };
 use hyper::Response;
+use tokio::time;
 
 use crate::{body::Body, clock::SharedClock, config::Snapshots, platform::SharedPlatform};
 
@@ -28,6 +30,9 @@
 
 use self::{home::Home, rows::Rows};
 
+/// How long a planned stop waits for the platform.
+const FINISH_LIMIT: Duration = Duration::from_secs(10);
+
 /// Makes and settles claims.
 pub struct Claims {
     instance: InstanceId,
@@ -80,7 +85,7 @@
         start: StartNumber,
     ) -> Claims {
         let owner = rows::Owner { instance: instance.clone(), start };
-        let rows = Rows::start(std::sync::Arc::clone(&platform), clock.clone(), snapshots, owner);
+        let rows = Rows::start(Arc::clone(&platform), clock.clone(), snapshots, owner);
         let home = Home::start(start, clock.clone());
         Claims { instance: instance.clone(), start, clock, platform, rows, home }
     }
@@ -181,6 +186,13 @@
         answer::replay(self.platform.as_ref(), kept).await
     }
 
+    /// Waits until the platform has what it is to keep, for a limited time.
+    pub async fn finish(&self) {
+        if time::timeout(FINISH_LIMIT, self.rows.finish()).await.is_err() {
+            log::warn!("claims left that the platform did not take");
+        }
+    }
+
     async fn record(&self, held: HeldClaim, settled: Settled, body: Option<bytes::Bytes>) {
         match held.0 {
             Held::Row(row) => self.rows.settle(row, settled, body).await,
@@ -195,8 +207,3 @@
         }
     }
 }
-
-/// When an owner that has `remaining_ms` left at `now_ms` has certainly stopped.
-fn until(now_ms: Millis, remaining_ms: u64) -> Millis {
-    now_ms + Millis(remaining_ms)
-}
--- a/crates/azuregate/src/claims/rows.rs
+++ b/crates/azuregate/src/claims/rows.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     claims::{
-        Wanted, until,
+        Wanted,
         upkeep::{Upkeep, Work},
     },
     clock::SharedClock,
@@ -79,7 +79,7 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         };
         let made_at_ms = self.clock.epoch();
-        let until_ms = until(made_at_ms, wanted.remaining_ms + SETTLE_GRACE_MS);
+        let until_ms = made_at_ms + Millis(wanted.remaining_ms + SETTLE_GRACE_MS);
         let fingerprint = wanted.fingerprint;
         let claim = Claim { attempt, fingerprint, made_at_ms, until_ms, settled: None };
         let key = format!("{}/{}", wanted.service, wanted.key);
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Waits until all that was to be caught up with is written.
+    pub(crate) async fn finish(&self) {
+        self.upkeep.finish().await;
+    }
+
     /// Gives up a claim whose request certainly did not run, without keeping its
     /// caller waiting.
     pub(crate) fn release(&self, held: HeldRow) {
--- a/crates/azuregate/src/claims/upkeep.rs
+++ b/crates/azuregate/src/claims/upkeep.rs
@@ -1,10 +1,20 @@
 //! Writes to claim rows that nobody waits for, tried until they are through.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use azuregate_core::claim::Claim;
+use azuregate_core::claim::{Claim, Settled};
 use bytes::Bytes;
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
 
 use crate::{
     claims::rows::HeldRow,
@@ -15,6 +25,9 @@
 /// How many writes wait at the most. One more is dropped: its repeat is told
 /// `unknown`, which is less than could be known, and not false.
 const WAITING_LIMIT: usize = 4_096;
+/// How much the large answers among them take at the most, in bytes. Of one more
+/// only the outcome is kept.
+const ANSWERS_LIMIT_BYTES: usize = 16 << 20;
 /// For how long a claim is caught up with.
 const PATIENCE_MS: u64 = 3_600_000;
 /// How long to wait after a write that failed.
@@ -28,37 +41,106 @@
     Settle { held: HeldRow, object: Option<(String, Bytes)> },
 }
 
+enum Message {
+    Work(Work),
+    /// The sender is dropped when no work waits any more.
+    Finish(oneshot::Sender<()>),
+}
+
 /// A handle to the task that does the work.
 pub(crate) struct Upkeep {
-    sender: mpsc::Sender<Work>,
+    sender: mpsc::Sender<Message>,
+    answer_bytes: Arc<AtomicUsize>,
 }
 
 impl Upkeep {
     /// Starts the task; it ends when the handle is dropped and the work is done.
     pub(crate) fn start(platform: SharedPlatform, clock: SharedClock) -> Upkeep {
         let (sender, receiver) = mpsc::channel(WAITING_LIMIT);
-        tokio::spawn(serve(platform, clock, receiver));
-        Upkeep { sender }
+        let answer_bytes = Arc::new(AtomicUsize::new(0));
+        let task = Task {
+            platform,
+            clock,
+            receiver,
+            answer_bytes: Arc::clone(&answer_bytes),
+            waiting: VecDeque::new(),
+            finishes: Vec::new(),
+        };
+        tokio::spawn(task.serve());
+        Upkeep { sender, answer_bytes }
     }
 
     /// Adds work, unless too much waits already.
-    pub(crate) fn add(&self, work: Work) {
-        if self.sender.try_send(work).is_err() {
+    pub(crate) fn add(&self, mut work: Work) {
+        let held_bytes = self.answer_bytes.load(Ordering::Relaxed);
+        if held_bytes + work.answer_bytes() > ANSWERS_LIMIT_BYTES {
+            work.forget_answer();
+        }
+        let answer_bytes = work.answer_bytes();
+        if self.sender.try_send(Message::Work(work)).is_err() {
             log::warn!("too many claims wait for the platform; one is left as it is");
+            return;
+        }
+        self.answer_bytes.fetch_add(answer_bytes, Ordering::Relaxed);
+    }
+
+    /// Waits until all work is done.
+    pub(crate) async fn finish(&self) {
+        let (sender, finished) = oneshot::channel();
+        if self.sender.send(Message::Finish(sender)).await.is_ok() {
+            let _ = finished.await;
         }
     }
 }
 
-async fn serve(platform: SharedPlatform, clock: SharedClock, mut receiver: mpsc::Receiver<Work>) {
-    while let Some(work) = receiver.recv().await {
-        while let Err(e) = work.run(platform.as_ref()).await {
-            if clock.epoch() > work.held().give_up_at_ms(PATIENCE_MS) {
+struct Task {
+    platform: SharedPlatform,
+    clock: SharedClock,
+    receiver: mpsc::Receiver<Message>,
+    answer_bytes: Arc<AtomicUsize>,
+    waiting: VecDeque<Work>,
+    finishes: Vec<oneshot::Sender<()>>,
+}
+
+impl Task {
+    async fn serve(mut self) {
+        while let Some(work) = self.next().await {
+            let Err(e) = work.run(self.platform.as_ref()).await else {
+                self.answer_bytes.fetch_sub(work.answer_bytes(), Ordering::Relaxed);
+                continue;
+            };
+            if self.clock.epoch() > work.held().give_up_at_ms(PATIENCE_MS) {
                 log::warn!(key:% = work.held().key, error:% = e; "claim left as it is");
-                break;
+                self.answer_bytes.fetch_sub(work.answer_bytes(), Ordering::Relaxed);
+                continue;
             }
+            // To the end of the queue: a write that the platform never takes must
+            // not keep the others waiting for an hour.
+            self.waiting.push_back(work);
             time::sleep(PAUSE).await;
         }
     }
+
+    /// The work to do next; waits for some.
+    async fn next(&mut self) -> Option<Work> {
+        while self.waiting.len() < WAITING_LIMIT {
+            let Ok(message) = self.receiver.try_recv() else { break };
+            self.take(message);
+        }
+        while self.waiting.is_empty() {
+            self.finishes.clear();
+            let message = self.receiver.recv().await?;
+            self.take(message);
+        }
+        self.waiting.pop_front()
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Work(work) => self.waiting.push_back(work),
+            Message::Finish(sender) => self.finishes.push(sender),
+        }
+    }
 }
 
 impl Work {
@@ -68,6 +150,21 @@
         }
     }
 
+    fn answer_bytes(&self) -> usize {
+        match self {
+            Work::Settle { object: Some((_, bytes)), .. } => bytes.len(),
+            _ => 0,
+        }
+    }
+
+    /// Keeps the outcome alone.
+    fn forget_answer(&mut self) {
+        if let Work::Settle { held, object } = self {
+            held.claim.settled = Some(Settled::NotKept);
+            *object = None;
+        }
+    }
+
     /// Does the work; doing it again changes nothing.
     pub(crate) async fn run(&self, platform: &dyn Platform) -> Result<(), PlatformError> {
         match self {
--- a/crates/azuregate/src/gateway/keyed.rs
+++ b/crates/azuregate/src/gateway/keyed.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, header::HeaderValue, http::request};
 use tokio::time;
+use tokio_util::task::TaskTracker;
 
 use crate::{
     backend::BackendConn,
@@ -35,13 +36,15 @@
     ///
     /// It runs on when its caller leaves: a caller whose connection broke sends
     /// the same key again, and finds the answer that was kept meanwhile. A
-    /// cancelled request would leave it with `unknown` for good.
+    /// cancelled request would leave it with `unknown` for good. A planned stop
+    /// waits for all that `orders` tracks, callers or not.
     pub(crate) async fn run(
         self,
+        orders: &TaskTracker,
         head: request::Parts,
         payload: Payload,
     ) -> Result<Response<Body>, Error> {
-        let running = tokio::spawn(async move {
+        let running = orders.spawn(async move {
             match &self.home {
                 Some(home) if !self.forward.parts.claims.is_here(home) => {
                     pass_on(&self.forward.parts, home, head, payload, self.forward.remaining_ms())
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -27,6 +27,7 @@
     Method, Request, Response,
     header::{self, HeaderValue},
 };
+use tokio_util::task::TaskTracker;
 
 use crate::{
     backend::{Pool, SharedDialer},
@@ -74,13 +75,23 @@
     parts: Arc<Parts>,
     answers: EntryAnswers,
     retries: AllRetries,
+    /// Requests with a key, which run on when their callers leave.
+    orders: TaskTracker,
 }
 
 impl Gateway {
     /// Makes a gateway.
     pub fn new(parts: Parts) -> Gateway {
         let (answers, retries) = (EntryAnswers::default(), AllRetries::default());
-        Gateway { parts: Arc::new(parts), answers, retries }
+        Gateway { parts: Arc::new(parts), answers, retries, orders: TaskTracker::new() }
+    }
+
+    /// Waits for the requests whose callers have left, and for what the platform
+    /// is to keep of them.
+    pub async fn finish(&self) {
+        self.orders.close();
+        self.orders.wait().await;
+        self.parts.claims.finish().await;
     }
 
     /// Answers one request of the caller at `caller`.
@@ -182,6 +193,6 @@
             return forward.run(&head, payload).await;
         };
         let home = attributes.home.clone();
-        Keyed { forward, key, home }.run(head, payload).await
+        Keyed { forward, key, home }.run(&self.orders, head, payload).await
     }
 }
--- a/crates/azuregate/tests/outcomes/claims.rs
+++ b/crates/azuregate/tests/outcomes/claims.rs
@@ -261,6 +261,40 @@
     }
 }
 
+// The platform never takes the answer of one order, too large for it perhaps. The
+// answers of others that have to be caught up with must not wait for it.
+#[tokio::test]
+async fn an_answer_that_is_never_taken_holds_up_no_other() {
+    let world = World::start(Border::Fake, Script::new(&[])).await;
+    world.platform.state().refuses_updates_of = Some("stuck".to_owned());
+    assert_eq!(world.send(order("stuck", None)).await.status, 200);
+    world.platform.state().faults.extend([Fault::Ok, Fault::Refused]);
+    assert_eq!(world.send(order("k", None)).await.status, 200);
+    let platform = world.platform.clone();
+    eventually("kept", || !platform.state().rows["svc/k"].value["settled"].is_null()).await;
+}
+
+// The platform takes no answers for a while, and these are large. What waits in
+// memory is bounded: of some orders only the outcome is kept.
+#[tokio::test]
+async fn answers_that_wait_for_the_platform_are_bounded() {
+    let world = World::start(Border::Fake, Script::new(&[])).await;
+    world.script.state().answer_bytes = 1 << 20;
+    world.platform.state().refuses_updates_of = Some("large".to_owned());
+    for index in 0..20 {
+        let seen = world.send(order(&format!("large-{index}"), None)).await;
+        assert_eq!(seen.status, 200);
+    }
+    world.platform.state().refuses_updates_of = None;
+    let platform = world.platform.clone();
+    let settled = || {
+        let state = platform.state();
+        state.rows.values().filter(|row| !row.value["settled"].is_null()).count()
+    };
+    eventually("all are settled", || settled() == 20).await;
+    assert_eq!(platform.state().objects.len(), 16);
+}
+
 // Nothing ran, so the row must go, or the repeat could never run.
 #[tokio::test]
 async fn a_claim_is_given_up_when_nothing_ran() {
--- a/crates/azuregate/tests/outcomes/fake_platform.rs
+++ b/crates/azuregate/tests/outcomes/fake_platform.rs
@@ -41,6 +41,8 @@
     pub(crate) faults: VecDeque<Fault>,
     /// Refuses everything once the faults have been gone through.
     pub(crate) down: bool,
+    /// Refuses updates of rows, and objects, whose name holds this.
+    pub(crate) refuses_updates_of: Option<String>,
     pub(crate) rows: BTreeMap<String, Row>,
     pub(crate) objects: BTreeMap<String, Bytes>,
     pub(crate) writes: usize,
@@ -52,6 +54,12 @@
         self.0.lock().unwrap()
     }
 
+    fn check_update(&self, name: &str) -> Result<()> {
+        let state = self.state();
+        let refused = state.refuses_updates_of.as_ref().is_some_and(|part| name.contains(part));
+        if refused { Err(PlatformError::new(Effect::None, "refused")) } else { Ok(()) }
+    }
+
     fn fault(&self) -> Fault {
         let mut state = self.state();
         let down = if state.down { Fault::Refused } else { Fault::Ok };
@@ -123,11 +131,15 @@
     }
 
     async fn transact(&self, writes: &[Write]) -> Result<Commit> {
+        for write in writes.iter().filter(|write| write.expect != Expect::Absent) {
+            self.check_update(&write.key)?;
+        }
         let writes = writes.to_vec();
         self.write(move |state| state.commit(&writes)).await
     }
 
     async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
+        self.check_update(name)?;
         let name = name.to_owned();
         self.write(move |state| drop(state.objects.insert(name, bytes))).await
     }
