--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -27,16 +27,19 @@
 //! });
 //! // No server is listed yet.
 //! let plan = [ZoneName::new("sofia-a")];
-//! let ask = Ask { ticket: 1, plan: &plan, wait_ms: 100, left_ms: 1_000, up_bytes: 0 };
+//! let ask = Ask { ticket: 1, plan: &plan, wait_ms: 100, left_ms: 1_000, up_bytes: 0, idempotent: true };
 //! let step = dispatch.place(&ask, Millis(0), &mut fastrand::Rng::with_seed(1));
 //! assert!(matches!(step, Step::Refuse(_)));
 //! ```
 
+mod end;
+mod group_state;
 mod list;
 mod place;
+mod refusal;
 mod words;
 
-use std::{collections::HashMap, fmt};
+use std::{collections::HashMap, fmt, ops::Range};
 
 use crate::{
     error::ErrorKind,
@@ -94,6 +97,8 @@
     pub left_ms: u64,
     /// The length of its body, as far as it is known.
     pub up_bytes: u64,
+    /// Whether it may be sent twice.
+    pub idempotent: bool,
 }
 
 /// What becomes of a request.
@@ -151,8 +156,10 @@
     config: Config,
     groups: Vec<Group>,
     by_id: HashMap<GroupId, usize>,
-    /// Groups with open servers.
-    by_zone: HashMap<ZoneName, Vec<usize>>,
+    /// Groups with open servers, those of one zone beside each other.
+    open: Vec<usize>,
+    /// Which of them are a zone's.
+    by_zone: HashMap<ZoneName, Range<usize>>,
     peers: Peers,
     links: Links,
     /// Live instances, this one included.
@@ -192,6 +199,7 @@
     active: u32,
     heard_at_ms: Millis,
     said: Option<(GroupLoad, Millis)>,
+    framed_at_ms: Option<Millis>,
 }
 
 impl fmt::Debug for Dispatch {
@@ -208,6 +216,7 @@
             config,
             groups: Vec::new(),
             by_id: HashMap::new(),
+            open: Vec::new(),
             by_zone: HashMap::new(),
             peers: Peers::default(),
             links: Links::default(),
--- a/crates/azuregate-core/tests/routing/handing_over.rs
+++ b/crates/azuregate-core/tests/routing/handing_over.rs
@@ -3,11 +3,12 @@
 use std::collections::VecDeque;
 
 use azuregate_core::{
-    names::InstanceId,
+    error::ErrorKind,
+    names::{InstanceId, StartNumber},
     route::{
         Ending,
-        dispatch::{Slot, Step},
-        group::GroupId,
+        dispatch::{Ask, Slot, Step},
+        group::{GroupId, GroupLoad},
     },
     snapshot::Snapshot,
     time::Millis,
@@ -76,13 +77,13 @@
     let mut first = Node::new("old_word", "entry-1", "sofia-a", &snapshot);
     let mut second = Node::new("old_word_2", "entry-2", "sofia-b", &snapshot);
     let probe = first.hand_over(&["sofia-b"]);
-    arrive("entry-1", &mut second, "sofia-b");
-    answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
+    let Step::Serve(slot) = arrive("entry-1", &mut second, "sofia-b") else { panic!("refused") };
     let ending = Ending::Answered { latency_ms: 20 };
+    second.dispatch.finish(&slot, ending, second.now_ms);
+    answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
     first.dispatch.finish_hand_over(&probe, ending, first.now_ms);
     first.now_ms = first.now_ms + Millis(1_000);
-    // Two of the three slots are an even share of two instances; the word says
-    // that two are free.
+    // The word says that all three are free; two are an even share.
     for _ in 0..2 {
         first.hand_over(&["sofia-b", "sofia-a"]);
     }
@@ -162,6 +163,22 @@
     first.serve(&["sofia-b"]);
 }
 
+// Answers come every few milliseconds and carry all words, so no frame is due for
+// news. Without one the other instance would not know that this one speaks by
+// frames, and would take its silence for that of an instance that never does.
+#[test]
+fn a_busy_dispatcher_speaks_by_frames_as_well() {
+    let mut second = Node::new("busy", "entry-2", "sofia-b", &pair());
+    let mut frames = 0;
+    for _ in 0..400 {
+        arrive("entry-1", &mut second, "sofia-b");
+        second.dispatch.word_for(&id("entry-1"), &group("sofia-b"), second.now_ms).unwrap();
+        second.now_ms = second.now_ms + Millis(10);
+        frames += second.dispatch.tick(second.now_ms).0.len();
+    }
+    assert_eq!(frames, 8, "in four seconds");
+}
+
 // This process was paused. On waking, all others look silent, since what they
 // said is still unread; passing them over would make it dispatch for everybody.
 #[test]
@@ -179,6 +196,21 @@
     first.hand_over(&["sofia-b"]);
 }
 
+// The dispatcher said that its queue is full. Handing more over would only bring
+// back the same answer a round trip later; the caller gets it at once.
+#[test]
+fn nothing_is_handed_over_to_a_full_queue() {
+    let snapshot = pair();
+    let mut first = Node::new("full_queue", "entry-1", "sofia-a", &snapshot);
+    first.hand_over(&["sofia-b"]);
+    let load = GroupLoad { queued: 12, slots: 3, service_ms: 1, seen: 1, ..Default::default() };
+    first.dispatch.hear(&id("entry-2"), &group("sofia-b"), load, true, first.now_ms);
+    let Step::Refuse(refusal) = first.place(&["sofia-b"]) else { panic!("not refused") };
+    assert_eq!(refusal.kind, ErrorKind::QueueFull);
+    first.now_ms = first.now_ms + Millis(301);
+    first.hand_over(&["sofia-b"]);
+}
+
 // The dispatcher is replaced by a new start that has seen none of what was sent
 // to the old one. Comparing the counts would make it look full for ever.
 #[test]
@@ -190,8 +222,8 @@
         held.push(first.hand_over(&["sofia-b"]));
     }
     for (start, seen) in [(1, 2), (2, 0)] {
-        let load = azuregate_core::route::group::GroupLoad {
-            start: azuregate_core::names::StartNumber(start),
+        let load = GroupLoad {
+            start: StartNumber(start),
             free: 2,
             slots: 3,
             service_ms: 20,
@@ -206,6 +238,25 @@
     first.serve(&["sofia-b", "sofia-a"]);
 }
 
+// The probe of a frozen dispatcher is lost as well: it is told after 500 ms, not
+// left to its deadline. A request that may not be sent twice does not ask.
+#[test]
+fn a_probe_of_a_frozen_dispatcher_is_told_of_its_silence() {
+    let snapshot = pair();
+    let mut first = Node::new("probe", "entry-1", "sofia-a", &snapshot);
+    pass(&mut first, 50);
+    first.hand_over(&["sofia-b"]);
+    first.dispatch.hear(&id("entry-2"), &group("sofia-b"), Default::default(), true, first.now_ms);
+    assert!(pass(&mut first, 600));
+    assert!(!pass(&mut first, 1_000), "it is told once");
+    let plan = [zone("sofia-b")];
+    let order = Ask { idempotent: false, ..first.ask(&plan) };
+    let step = first.dispatch.place(&order, first.now_ms, &mut first.rng);
+    assert!(matches!(step, Step::Serve(_)), "{step:?}");
+    first.hand_over(&["sofia-b"]);
+    assert!(pass(&mut first, 600));
+}
+
 /// A backend server of three slots that refuses what does not fit.
 #[derive(Default)]
 struct Backend {
--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -4,7 +4,9 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 mod bad_input;
+mod configuration;
 mod deployment;
+mod dispatchers;
 mod operators;
 mod outcomes;
 mod path;
