--- a/crates/azuregate/tests/outcomes/pool.rs
+++ b/crates/azuregate/tests/outcomes/pool.rs
@@ -70,7 +70,8 @@
     assert_eq!(seen.status, 200);
     // The second attempt always has a new connection; the first went back.
     assert_eq!(world.script.state().opened, 1);
-    // So there are two for two requests at once.
+    // So there are two for two requests at once, when the server is given two again.
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
     world.script.state().steps.extend([Step::Slow, Step::Slow]);
     let order = || world.send(post("/orders").body(body::full("one")).unwrap());
     tokio::join!(order(), order());
