Leave a key alone that was claimed anew while this instance was paused

Cause: a deleted row that is written again starts from version 1, so a write that expects a version can meet the row of another claim.

Change: the cleaner compares the clock before it deletes, and a claim is written to for two hours at the most.

--- a/crates/azuregate-lab/tests/platform/contract.rs
+++ b/crates/azuregate-lab/tests/platform/contract.rs
@@ -99,6 +99,8 @@
     }
     let changes = platform.changes(table, before.sequence).await.unwrap();
     assert_eq!(changes.rows, [row("b", 1, 2), row("a", 2, 3)], "the newest of each, in order");
+    let page = platform.page(table, before.sequence, 1).await.unwrap();
+    assert_eq!(page.rows, [row("b", 1, 2)], "the first of them");
     let after = platform.changes(table, changes.sequence).await.unwrap();
     assert_eq!((after.rows.len(), after.sequence), (0, changes.sequence));
 }
--- a/crates/azuregate/src/claims/cleanup.rs
+++ b/crates/azuregate/src/claims/cleanup.rs
@@ -16,6 +16,8 @@
 const EVERY_MS: u64 = 10_000;
 /// How many rows are read and deleted at once.
 const PAGE_ROWS: usize = 200;
+/// How old a page may be when its rows are deleted, in milliseconds.
+const PAGE_AGE_MS: u64 = 2_000;
 /// How many pages are gone through at each look: 100 rows a second at the most.
 const PAGES: usize = 5;
 
@@ -66,6 +68,7 @@
 
     /// Returns how many rows were deleted.
     async fn delete_page(&self) -> Result<usize> {
+        let asked_at_ms = self.clock.now();
         let page = self.platform.page(Table::Claim, 0, PAGE_ROWS).await?;
         let now_ms = self.clock.epoch();
         let is_old = |row: &Row| {
@@ -80,6 +83,12 @@
         if writes.is_empty() {
             return Ok(0);
         }
+        // The failure: the process is paused here, another instance deletes a row,
+        // its key is claimed anew, and the new row gets the version of the old
+        // one. On waking, this delete would take the new claim away.
+        if self.clock.now().since(asked_at_ms).0 > PAGE_AGE_MS {
+            return Ok(0);
+        }
         match self.platform.transact(&writes).await? {
             Commit::Done(_) => Ok(writes.len()),
             // Another instance was here at the same time.
--- a/crates/azuregate/src/claims/rows.rs
+++ b/crates/azuregate/src/claims/rows.rs
@@ -160,6 +160,9 @@
         }
         held.claim.settled = Some(settled);
         let work = Work::Settle { held, object };
+        if work.is_too_late(self.clock.epoch()) {
+            return;
+        }
         if let Err(e) = work.run(self.platform.as_ref()).await {
             // The request ran, and its caller gets the answer. Until the write
             // is caught up with, a repeat is told that it is in progress.
@@ -192,11 +195,6 @@
         let expect = Expect::Version(row_version);
         Write { table: Table::Claim, key: self.key.clone(), expect, value: None }
     }
-
-    /// Until when a write that failed is tried again.
-    pub(crate) fn give_up_at_ms(&self, patience_ms: u64) -> Millis {
-        self.claim.made_at_ms + Millis(patience_ms)
-    }
 }
 
 /// An error before the claim was read: an earlier request may have used the key.
--- a/crates/azuregate/src/claims/upkeep.rs
+++ b/crates/azuregate/src/claims/upkeep.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use azuregate_core::claim::{Claim, Settled};
+use azuregate_core::{
+    claim::{Claim, Settled},
+    time::Millis,
+};
 use bytes::Bytes;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -28,8 +31,9 @@
 /// How much the large answers among them take at the most, in bytes. Of one more
 /// only the outcome is kept.
 const ANSWERS_LIMIT_BYTES: usize = 16 << 20;
-/// For how long a claim is caught up with.
-const PATIENCE_MS: u64 = 3_600_000;
+/// For how long a claim is caught up with: longer than any deadline, and far
+/// shorter than the retention of claims.
+const PATIENCE_MS: u64 = 2 * 3_600_000;
 /// How long to wait after a write that failed.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -105,12 +109,11 @@
 impl Task {
     async fn serve(mut self) {
         while let Some(work) = self.next().await {
-            let Err(e) = work.run(self.platform.as_ref()).await else {
-                self.answer_bytes.fetch_sub(work.answer_bytes(), Ordering::Relaxed);
-                continue;
+            let is_through = match work.is_too_late(self.clock.epoch()) {
+                true => true,
+                false => work.run(self.platform.as_ref()).await.is_ok(),
             };
-            if self.clock.epoch() > work.held().give_up_at_ms(PATIENCE_MS) {
-                log::warn!(key:% = work.held().key, error:% = e; "claim left as it is");
+            if is_through {
                 self.answer_bytes.fetch_sub(work.answer_bytes(), Ordering::Relaxed);
                 continue;
             }
@@ -144,10 +147,18 @@
 }
 
 impl Work {
-    fn held(&self) -> &HeldRow {
-        match self {
-            Work::Release(held) | Work::Settle { held, .. } => held,
+    /// Whether the row may not be touched any more.
+    ///
+    /// The failure: a process is paused for more than a day, its row is deleted
+    /// as old, and the key is claimed anew by a row of the same version. On
+    /// waking, this write would change the new claim.
+    pub(crate) fn is_too_late(&self, now_ms: Millis) -> bool {
+        let (Work::Release(held) | Work::Settle { held, .. }) = self;
+        let too_late = now_ms.since(held.claim.made_at_ms).0 > PATIENCE_MS;
+        if too_late {
+            log::warn!(key:% = held.key; "claim left as it is");
         }
+        too_late
     }
 
     fn answer_bytes(&self) -> usize {
--- a/crates/azuregate/tests/outcomes/claims.rs
+++ b/crates/azuregate/tests/outcomes/claims.rs
@@ -261,6 +261,38 @@
     }
 }
 
+// An instance is paused between reading old claims and deleting them. Meanwhile
+// another deletes them, and one key is used again. The new claim has the version of
+// the old one, and must stay.
+#[tokio::test]
+async fn a_cleaner_that_was_paused_deletes_nothing() {
+    let world = World::start(Border::Fake, Script::new(&[])).await;
+    world.send(order("k", None)).await;
+    world.clock.jump(25 * 3_600_000);
+    let clock = std::sync::Arc::clone(&world.clock);
+    world.platform.state().in_read = Some(Box::new(move || clock.jump(60_000)));
+    for instance in ["entry-1", "entry-2"] {
+        let cleaner = world.cleaner(instance);
+        cleaner.look().await;
+        if world.platform.state().in_read.is_none() {
+            break;
+        }
+    }
+    assert_eq!(world.platform.state().rows.len(), 1);
+}
+
+// An owner gets its answer, is paused for more than a day, and wakes. Its row was
+// deleted as old and the key claimed anew, at the same version.
+#[tokio::test]
+async fn an_owner_that_wakes_after_a_day_leaves_the_key_alone() {
+    let world = World::start(Border::Fake, Script::new(&[])).await;
+    let clock = std::sync::Arc::clone(&world.clock);
+    world.script.state().in_answer = Some(Box::new(move || clock.jump(25 * 3_600_000)));
+    world.send(order("k", None)).await;
+    let state = world.platform.state();
+    assert_eq!((state.rows["svc/k"].version, state.writes), (1, 1));
+}
+
 // The platform never takes the answer of one order, too large for it perhaps. The
 // answers of others that have to be caught up with must not wait for it.
 #[tokio::test]
--- a/crates/azuregate/tests/outcomes/fake_dialer.rs
+++ b/crates/azuregate/tests/outcomes/fake_dialer.rs
@@ -57,6 +57,10 @@
         }
         self.script.ran();
         let whole = body::full(self.script.answer());
+        let in_answer = self.script.state().in_answer.take();
+        if let Some(in_answer) = in_answer {
+            in_answer();
+        }
         match step {
             Step::CutBeforeAnswer => return Err(lost()),
             Step::Garbage => {
--- a/crates/azuregate/tests/outcomes/fake_platform.rs
+++ b/crates/azuregate/tests/outcomes/fake_platform.rs
@@ -33,16 +33,18 @@
     Paused(u64),
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub(crate) struct FakePlatform(Arc<Mutex<State>>);
 
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct State {
     pub(crate) faults: VecDeque<Fault>,
     /// Refuses everything once the faults have been gone through.
     pub(crate) down: bool,
     /// Refuses updates of rows, and objects, whose name holds this.
     pub(crate) refuses_updates_of: Option<String>,
+    /// What happens once, between a read and its answer.
+    pub(crate) in_read: Option<Box<dyn FnOnce() + Send>>,
     pub(crate) rows: BTreeMap<String, Row>,
     pub(crate) objects: BTreeMap<String, Bytes>,
     pub(crate) writes: usize,
@@ -127,6 +129,10 @@
 
     async fn changes(&self, _table: Table, _since_sequence: u64) -> Result<Changes> {
         let rows = self.state().rows.values().cloned().collect();
+        let in_read = self.state().in_read.take();
+        if let Some(in_read) = in_read {
+            in_read();
+        }
         Ok(Changes { sequence: 0, rows })
     }
 
--- a/crates/azuregate/tests/outcomes/script.rs
+++ b/crates/azuregate/tests/outcomes/script.rs
@@ -53,6 +53,8 @@
     pub(crate) cancelled: usize,
     /// Length of the answer to a request that is answered, in bytes.
     pub(crate) answer_bytes: usize,
+    /// What happens once, while the fake makes its answer.
+    pub(crate) in_answer: Option<Box<dyn FnOnce() + Send>>,
     /// What happens while a connection is opened by the fake.
     pub(crate) in_dial: Option<Box<dyn Fn() + Send>>,
 }
