--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod configuration;
 mod deployment;
+mod dispatchers;
 mod operators;
 mod outcomes;
 mod path;
