Revert "Do not let peers make an instance ready before it has the list"

An instance without a list takes no peer's word in the first place (Membership keeps only listed peers), so the check guards nothing.

--- a/crates/azuregate/src/membership.rs
+++ b/crates/azuregate/src/membership.rs
@@ -190,10 +190,7 @@
     fn get_ready(&self, snapshot: &Snapshot, now_ms: Millis) {
         let needed = READY_PEERS.min(self.listed.len().saturating_sub(1)).max(1);
         let agreeing = self.membership.agreeing(now_ms);
-        // The word of peers is about policies. An instance that has no list yet
-        // knows of no backend server, and would refuse every request.
-        let has_list = !snapshot.listed.is_empty();
-        if self.platform_down && has_list && !snapshot.ready && agreeing >= needed {
+        if self.platform_down && !snapshot.ready && agreeing >= needed {
             self.parts.config.change(Change::ConfirmedByPeers(agreeing));
         }
     }
--- a/crates/azuregate/tests/configuration/poll.rs
+++ b/crates/azuregate/tests/configuration/poll.rs
@@ -155,19 +155,3 @@
     time::sleep(Duration::from_millis(600)).await;
     assert_eq!(world.snapshots.current().readiness, Readiness::Peers(2));
 }
-
-// Peers confirm the policies before the instance has the list of instances and
-// backend servers. Were it ready, it would refuse every request for want of one.
-#[tokio::test(start_paused = true)]
-async fn peers_do_not_make_ready_without_the_list() {
-    let world = start(&[], &[Reading::Down]);
-    time::sleep(Duration::from_secs(1)).await;
-    let digest = world.snapshots.current().digest();
-    let beat = Heartbeat { ready: true, confirmed_age_ms: Some(0), digest };
-    for index in 1..=3 {
-        let id = InstanceId::new(&format!("entry-{index}"));
-        world.members.heard(&id, StartNumber(1), beat);
-    }
-    time::sleep(Duration::from_millis(600)).await;
-    assert!(!world.snapshots.current().ready);
-}
