Log a failed start as one line

With a port that was taken, run wrote an error report with a backtrace of 40 frames to the log (seen by hand; the new test a_port_that_is_taken_is_one_line_of_the_log allows one line). 13 tests of the command line pass.

--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -16,7 +16,7 @@
 
 use std::{env, fs, path::Path, process::ExitCode};
 
-use error_stack::Report;
+use error_stack::{AttachmentKind, FrameKind, Report};
 use gumdrop::Options;
 use serde::Serialize;
 
@@ -168,13 +168,30 @@
         match run::run(settings, stop).await {
             Ok(()) => Exit::Done,
             Err(e) => {
-                eprintln!("{e:?}");
+                log_report(&e);
                 Exit::Failed
             }
         }
     })
 }
 
+/// Makes a report one event of the log; its own form takes many lines, with a
+/// backtrace that says nothing to whoever reads the log.
+fn log_report(e: &Report<run::RunError>) {
+    let mut errors = Vec::new();
+    let mut details = Vec::new();
+    for frame in e.frames() {
+        match frame.kind() {
+            FrameKind::Context(context) => errors.push(context.to_string()),
+            FrameKind::Attachment(AttachmentKind::Printable(detail)) => {
+                details.push(detail.to_string());
+            }
+            FrameKind::Attachment(_) => {}
+        }
+    }
+    log::error!(error = errors.join(": "), detail = details.join("; "); "cannot start");
+}
+
 /// The first SIGTERM or SIGINT starts a planned stop, the second ends the
 /// process at once.
 async fn stop_on_signal(stopper: stop::Stopper) {
--- a/crates/azuregate/tests/cli/help.rs
+++ b/crates/azuregate/tests/cli/help.rs
@@ -58,6 +58,25 @@
     insta::assert_snapshot!(seen);
 }
 
+#[tokio::test]
+async fn a_port_that_is_taken_is_one_line_of_the_log() {
+    let taken = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let port = taken.local_addr().unwrap().port();
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/entry.jsonc");
+    let text = std::fs::read_to_string(example).unwrap();
+    let text = text.replace("127.0.10.1\"", "127.0.0.1\"").replace(": 8080", &format!(": {port}"));
+    let file = format!("{}/taken.jsonc", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&file, text).unwrap();
+    let run = azuregate(&format!("run --settings {file}")).await;
+    assert_eq!(run.exit, 1, "{}", run.stderr);
+    let [line] = run.stderr.lines().collect::<Vec<_>>()[..] else { panic!("{}", run.stderr) };
+    assert!(
+        line.contains(r#"level=ERROR"#) && line.contains(r#"message="cannot start""#),
+        "{line}"
+    );
+    assert!(line.contains(&format!("cannot listen on 127.0.0.1:{port}")), "{line}");
+}
+
 #[tokio::test]
 async fn wrong_command_lines_say_what_is_wrong() {
     let lines = [
