--- a/crates/azuregate/src/claims/rows.rs
+++ b/crates/azuregate/src/claims/rows.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     claims::{
-        Wanted, until,
+        Wanted,
         upkeep::{Upkeep, Work},
     },
     clock::SharedClock,
@@ -79,7 +79,7 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         };
         let made_at_ms = self.clock.epoch();
-        let until_ms = until(made_at_ms, wanted.remaining_ms + SETTLE_GRACE_MS);
+        let until_ms = made_at_ms + Millis(wanted.remaining_ms + SETTLE_GRACE_MS);
         let fingerprint = wanted.fingerprint;
         let claim = Claim { attempt, fingerprint, made_at_ms, until_ms, settled: None };
         let key = format!("{}/{}", wanted.service, wanted.key);
@@ -160,6 +160,9 @@
         }
         held.claim.settled = Some(settled);
         let work = Work::Settle { held, object };
+        if work.is_too_late(self.clock.epoch()) {
+            return;
+        }
         if let Err(e) = work.run(self.platform.as_ref()).await {
             // The request ran, and its caller gets the answer. Until the write
             // is caught up with, a repeat is told that it is in progress.
@@ -168,6 +171,11 @@
         }
     }
 
+    /// Waits until all that was to be caught up with is written.
+    pub(crate) async fn finish(&self) {
+        self.upkeep.finish().await;
+    }
+
     /// Gives up a claim whose request certainly did not run, without keeping its
     /// caller waiting.
     pub(crate) fn release(&self, held: HeldRow) {
@@ -187,11 +195,6 @@
         let expect = Expect::Version(row_version);
         Write { table: Table::Claim, key: self.key.clone(), expect, value: None }
     }
-
-    /// Until when a write that failed is tried again.
-    pub(crate) fn give_up_at_ms(&self, patience_ms: u64) -> Millis {
-        self.claim.made_at_ms + Millis(patience_ms)
-    }
 }
 
 /// An error before the claim was read: an earlier request may have used the key.
