--- a/crates/azuregate-core/src/membership.rs
+++ b/crates/azuregate-core/src/membership.rs
@@ -50,6 +50,7 @@
     start: StartNumber,
     heard_at_ms: Millis,
     confirmed_at_ms: Option<Millis>,
+    ready: bool,
     agrees: bool,
 }
 
@@ -74,6 +75,7 @@
                 start: StartNumber(0),
                 heard_at_ms: now_ms,
                 confirmed_at_ms: Some(now_ms),
+                ready: true,
                 agrees: false,
             });
         }
@@ -104,6 +106,7 @@
         // cannot tell of it, and would make it look young.
         let at_ms = heartbeat.confirmed_age_ms.and_then(|age_ms| now_ms.0.checked_sub(age_ms));
         peer.confirmed_at_ms = at_ms.map(Millis);
+        peer.ready = heartbeat.ready;
         peer.agrees = heartbeat.ready && same;
         if same {
             self.confirmed_at_ms = self.confirmed_at_ms.max(peer.confirmed_at_ms);
@@ -140,11 +143,13 @@
         self.peers.values().filter(|peer| peer.agrees && !is_silent(peer, now_ms)).count()
     }
 
-    /// The instances that get no new work: those that stop, have gone silent, or
-    /// may have missed a change.
+    /// The instances that get no new work: those that stop, have gone silent, may
+    /// have missed a change, or say that they are not ready.
     pub fn away(&self, now_ms: Millis) -> BTreeSet<InstanceId> {
         let mut away: BTreeSet<_> = self.silent(now_ms).collect();
         away.extend(self.unconfirmed(now_ms));
+        let not_ready = self.peers.iter().filter(|(_, peer)| !peer.ready);
+        away.extend(not_ready.map(|(id, _)| id.clone()));
         for (id, start) in &self.stopping {
             let heard = self.peers.get(id).map(|peer| peer.start);
             if heard.is_none_or(|heard| heard <= *start) {
--- a/crates/azuregate-core/tests/membership.rs
+++ b/crates/azuregate-core/tests/membership.rs
@@ -112,6 +112,26 @@
     assert_eq!(membership.away(Millis(3)), ids(&[]));
 }
 
+// The platform is down, and an instance has just started: it knows of nothing,
+// and says so. It is named to callers once it serves.
+#[test]
+fn an_instance_that_is_not_ready_is_away() {
+    let mut membership = five();
+    let starting = Heartbeat { ready: false, confirmed_age_ms: None, digest: 0 };
+    membership.heard(&id(4), StartNumber(2), starting, DIGEST, Millis(1));
+    assert_eq!(membership.away(Millis(1)), ids(&[4]));
+    membership.heard(&id(4), StartNumber(2), beat(0), DIGEST, Millis(2));
+    assert_eq!(membership.away(Millis(2)), ids(&[]));
+
+    let mut all_down = five();
+    let later = Millis(100_000);
+    for index in 1..4 {
+        all_down.heard(&id(index), StartNumber(1), beat(100_000), DIGEST, later);
+    }
+    all_down.heard(&id(4), StartNumber(2), starting, DIGEST, later);
+    assert_eq!(all_down.away(later), ids(&[4]));
+}
+
 // A process is paused. On waking, the others seem silent, and what it had
 // confirmed and they had agreed to is of no use.
 #[test]
--- a/crates/azuregate/tests/configuration/main.rs
+++ b/crates/azuregate/tests/configuration/main.rs
@@ -7,4 +7,5 @@
 mod links;
 mod mesh;
 mod poll;
+mod probe;
 mod world;
