Let a shift use its cap; send small answers at once

Cause of 0.81 to 0.83 of the cap used (measure shift): the limiter's window was counted in 32 parts, so what is counted reached back 1.037 windows and the ramp of 0.92 met the bound of 0.95; and overflow of the standing shares was taken off the first two windows. Ruled out: the one request a window that may overflow (0.81 without it while moving).

--- a/crates/azuregate-core/src/shift.rs
+++ b/crates/azuregate-core/src/shift.rs
@@ -19,8 +19,10 @@
 /// sixtieth of the window, and for requests that overflow.
 pub const RAMP_PPM: u64 = 920_000;
 
-/// How many parts a window is counted in.
-const PARTS: u64 = 32;
+/// How many parts a window is counted in. What is counted reaches back over one
+/// part and one gap between requests more than the window; with few parts the
+/// ramp itself would meet the bound.
+const PARTS: u64 = 64;
 
 impl Cap {
     /// The cap for weights that callers keep for `max_age_ms`.
--- a/crates/azuregate-core/src/steer/capped.rs
+++ b/crates/azuregate-core/src/steer/capped.rs
@@ -19,7 +19,10 @@
     route::hash,
     shift::Limiter,
     snapshot::Snapshot,
-    steer::{Steer, ZonePlan, overflow::Overflow},
+    steer::{
+        Steer, ZonePlan,
+        overflow::{Allowed, Overflow},
+    },
     time::Millis,
     topology::Topology,
 };
@@ -184,7 +187,7 @@
     }
 
     /// Moves the shares towards what is wanted; returns what may overflow.
-    fn advance(&mut self, policy: &Policy, epoch_ms: Millis, now_ms: Millis) -> f64 {
+    fn advance(&mut self, policy: &Policy, epoch_ms: Millis, now_ms: Millis) -> Allowed {
         let cap = cap_of(policy);
         let whole = f64::from(cap.share_ppm) / f64::from(WHOLE_PPM);
         if !self.started {
@@ -207,13 +210,14 @@
         let taken = if overflow > whole * OVERFLOW_PART { overflow } else { 0.0 };
         let budget = self.limiter.budget(scaled(cap, SHARES_PART), now_ms) - taken;
         let way: f64 = self.way(&wanted);
-        if way < NEAR {
+        if way < NEAR && !is_due(policy, epoch_ms) {
             let used = self.limiter.used();
             let left = (whole * SHARES_PART - used).min(whole * STEADY_OVERFLOW_PART);
-            return left.max(whole * OVERFLOW_PART);
+            // At low rates no request ever could, if not one in a window.
+            return Allowed { share: left.max(whole * OVERFLOW_PART), at_least: 1.0 };
         }
         let moved = way.min(budget.max(0.0));
-        if moved > 0.0 {
+        if moved > NEAR {
             let part = moved / way;
             let shares: Vec<f64> = self
                 .zones
@@ -224,7 +228,9 @@
             self.set_shares(&shares);
             self.limiter.spend(scaled(cap, SHARES_PART), moved);
         }
-        whole * OVERFLOW_PART
+        // One request of few is a larger share than this; the movement would have
+        // to wait for it.
+        Allowed { share: whole * OVERFLOW_PART, at_least: 0.0 }
     }
 
     fn set_shares(&mut self, shares: &[f64]) {
@@ -321,6 +327,15 @@
     policy.shift.is_none() && policy.zone_share_ppm.is_empty()
 }
 
+/// Whether a shift starts within two windows, or runs. What overflowed then would
+/// be taken off what may move.
+fn is_due(policy: &Policy, epoch_ms: Millis) -> bool {
+    policy.shift.as_ref().is_some_and(|shift| {
+        let soon = epoch_ms + Millis(2 * shift.cap.window_ms);
+        soon >= shift.start_at_ms && epoch_ms < shift.end_at_ms()
+    })
+}
+
 fn cap_of(policy: &Policy) -> Cap {
     policy.shift.as_ref().map_or(policy.cap, |shift| shift.cap)
 }
--- a/crates/azuregate-core/src/steer/overflow.rs
+++ b/crates/azuregate-core/src/steer/overflow.rs
@@ -14,6 +14,15 @@
     reserved: u64,
 }
 
+/// What may overflow in a window.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Allowed {
+    /// As a share of the requests.
+    pub(super) share: f64,
+    /// So many requests in any case.
+    pub(super) at_least: f64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Part {
     at_ms: Millis,
@@ -31,12 +40,11 @@
     /// the last window leaves any.
     ///
     /// Room is kept from the plan on: requests that are planned together would
-    /// otherwise all take the same room. One request a window may always
-    /// overflow, or at low rates none ever could.
-    pub(super) fn reserve(&mut self, allowed: f64, window_ms: u64, now_ms: Millis) -> bool {
+    /// otherwise all take the same room.
+    pub(super) fn reserve(&mut self, allowed: Allowed, window_ms: u64, now_ms: Millis) -> bool {
         let last = |part: &&Part| now_ms.since(part.at_ms).0 < window_ms;
         let (requests, overflowed) = sums(self.parts.iter().filter(last));
-        let room = (allowed * requests as f64).max(1.0);
+        let room = (allowed.share * requests as f64).max(allowed.at_least);
         let fits = (overflowed + self.reserved + 1) as f64 <= room;
         self.reserved += u64::from(fits);
         fits
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -5,6 +5,7 @@
 use azuregate_core::{names::StartNumber, snapshot::Snapshot};
 use azuregate_schema::v1::operators_server::OperatorsServer;
 use error_stack::{Report, ResultExt};
+use futures_util::TryStreamExt;
 use tokio::{net::TcpListener, sync::oneshot, time};
 use tokio_stream::wrappers::TcpListenerStream;
 
@@ -140,10 +141,14 @@
         stop: stop.clone(),
     });
     let (operators_open, operators_closed) = oneshot::channel::<()>();
+    // Small answers would wait for the acknowledgement of the one before.
+    let incoming = TcpListenerStream::new(operators).inspect_ok(|stream| {
+        let _ = stream.set_nodelay(true);
+    });
     let operators = tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(OperatorsServer::new(operators_service))
-            .serve_with_incoming_shutdown(TcpListenerStream::new(operators), async {
+            .serve_with_incoming_shutdown(incoming, async {
                 let _ = operators_closed.await;
             }),
     );
--- a/crates/azuregate/src/status.rs
+++ b/crates/azuregate/src/status.rs
@@ -25,6 +25,7 @@
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
+        let _ = stream.set_nodelay(true);
         let status = Arc::clone(&status);
         tokio::spawn(async move {
             let service = service_fn(|request| answer(&status, request));
