--- a/crates/azuregate/tests/outcomes/fake_platform.rs
+++ b/crates/azuregate/tests/outcomes/fake_platform.rs
@@ -33,14 +33,18 @@
     Paused(u64),
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub(crate) struct FakePlatform(Arc<Mutex<State>>);
 
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct State {
     pub(crate) faults: VecDeque<Fault>,
     /// Refuses everything once the faults have been gone through.
     pub(crate) down: bool,
+    /// Refuses updates of rows, and objects, whose name holds this.
+    pub(crate) refuses_updates_of: Option<String>,
+    /// What happens once, between a read and its answer.
+    pub(crate) in_read: Option<Box<dyn FnOnce() + Send>>,
     pub(crate) rows: BTreeMap<String, Row>,
     pub(crate) objects: BTreeMap<String, Bytes>,
     pub(crate) writes: usize,
@@ -52,6 +56,12 @@
         self.0.lock().unwrap()
     }
 
+    fn check_update(&self, name: &str) -> Result<()> {
+        let state = self.state();
+        let refused = state.refuses_updates_of.as_ref().is_some_and(|part| name.contains(part));
+        if refused { Err(PlatformError::new(Effect::None, "refused")) } else { Ok(()) }
+    }
+
     fn fault(&self) -> Fault {
         let mut state = self.state();
         let down = if state.down { Fault::Refused } else { Fault::Ok };
@@ -119,15 +129,23 @@
 
     async fn changes(&self, _table: Table, _since_sequence: u64) -> Result<Changes> {
         let rows = self.state().rows.values().cloned().collect();
+        let in_read = self.state().in_read.take();
+        if let Some(in_read) = in_read {
+            in_read();
+        }
         Ok(Changes { sequence: 0, rows })
     }
 
     async fn transact(&self, writes: &[Write]) -> Result<Commit> {
+        for write in writes.iter().filter(|write| write.expect != Expect::Absent) {
+            self.check_update(&write.key)?;
+        }
         let writes = writes.to_vec();
         self.write(move |state| state.commit(&writes)).await
     }
 
     async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
+        self.check_update(name)?;
         let name = name.to_owned();
         self.write(move |state| drop(state.objects.insert(name, bytes))).await
     }
