Send small answers at once at the operators' port and on accepted links

Cause: 'measure config' gave 42 ms at the least from accepted to in force everywhere, whatever the platform did. Each call to the operators' port took 40 ms more than its work, since an answer is several small writes and the accepted socket had Nagle's algorithm on ('time azuregate status': 47 to 53 ms).

Change: TcpIncoming with nodelay for operators, set_nodelay on accepted links.

--- a/crates/azuregate-lab/src/measure/config.rs
+++ b/crates/azuregate-lab/src/measure/config.rs
@@ -16,6 +16,8 @@
 
 /// How long a change may take before it is given up.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// How long the instances run before the first change.
+const SETTLE: Duration = Duration::from_secs(3);
 /// How long each call takes when the platform is slow.
 const SLOW_MS: u64 = 300;
 
@@ -51,6 +53,8 @@
     for entry in &example.entries {
         operators.push(Operator::connect(example.operators_addr(entry)).await?);
     }
+    // Instances link up within a second of their start.
+    time::sleep(SETTLE).await;
     let mut cases = Vec::new();
     for (platform, rounds) in
         [(Platform::Up, 40), (Platform::Slow, 10), (Platform::DownAfterCommit, 15)]
--- a/crates/azuregate/src/peer/ws.rs
+++ b/crates/azuregate/src/peer/ws.rs
@@ -54,6 +54,9 @@
     ///
     /// When the other side does not speak the protocol.
     pub async fn accept(stream: TcpStream) -> Result<WsLink, LinkError> {
+        // Without it a frame waits for the acknowledgement of the one before,
+        // which the other end holds back for 40 ms.
+        stream.set_nodelay(true).map_err(broken)?;
         let stream = MaybeTlsStream::Plain(stream);
         let accepting = tokio_tungstenite::accept_async_with_config(stream, Some(config()));
         let accepted = time::timeout(Duration::from_millis(OPEN_MS), accepting).await;
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -6,7 +6,7 @@
 use azuregate_schema::v1::operators_server::OperatorsServer;
 use error_stack::{Report, ResultExt};
 use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 use crate::{
     backend::{HttpDialer, Pool, SharedDialer},
@@ -128,7 +128,7 @@
     let operators = tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(OperatorsServer::new(operators_service))
-            .serve_with_incoming(TcpListenerStream::new(operators)),
+            .serve_with_incoming(incoming(operators)),
     );
     let status =
         Status { snapshots: snapshots.clone(), recorder: recorder.clone(), stop: stop.clone() };
@@ -166,6 +166,12 @@
     Ok(())
 }
 
+/// Operators' connections. An answer is several small writes; without nodelay the
+/// later ones wait 40 ms for the acknowledgement of the first.
+fn incoming(operators: TcpListener) -> TcpIncoming {
+    TcpIncoming::from(operators).with_nodelay(Some(true))
+}
+
 async fn bind(settings: &Settings, port: u16) -> Result<TcpListener, Report<RunError>> {
     let addr = SocketAddr::new(settings.ip, port);
     TcpListener::bind(addr)
