--- a/crates/azuregate-core/src/snapshot/mod.rs
+++ b/crates/azuregate-core/src/snapshot/mod.rs
@@ -38,6 +38,8 @@
     pub listed: Arc<[Instance]>,
     /// Instances that get no new work by any sign but the list.
     pub away: BTreeSet<InstanceId>,
+    /// The latest start of each entry instance that a neighbour told of.
+    pub starts: BTreeMap<InstanceId, StartNumber>,
     /// Instances that told of their planned stop, with their start numbers.
     pub stopping: BTreeSet<(InstanceId, StartNumber)>,
     /// The backend servers of each service, ordered by name.
@@ -65,6 +67,7 @@
             instances: Arc::from([]),
             listed: Arc::from([]),
             away: BTreeSet::new(),
+            starts: BTreeMap::new(),
             stopping: BTreeSet::new(),
             backends: BTreeMap::new(),
             leaving: BTreeSet::new(),
@@ -75,6 +78,15 @@
         }
     }
 
+    /// Whether both have the same lists of instances and backend servers, by
+    /// identity: what was worked out from the one holds for the other.
+    pub fn has_lists_of(&self, other: &Snapshot) -> bool {
+        let same = |(a, b): (&Arc<[BackendServer]>, &Arc<[BackendServer]>)| Arc::ptr_eq(a, b);
+        Arc::ptr_eq(&self.instances, &other.instances)
+            && self.backends.len() == other.backends.len()
+            && self.backends.values().zip(other.backends.values()).all(same)
+    }
+
     /// Replaces the lists of instances and backend servers.
     ///
     /// Returns whether anything changed. An empty list is ignored: a platform
@@ -139,6 +151,15 @@
         self.backends.values().flat_map(|servers| servers.iter()).find(|server| server.id == *id)
     }
 
+    /// Notes a start of an entry instance; returns whether it is news.
+    pub fn add_start(&mut self, id: &InstanceId, start: StartNumber) -> bool {
+        let is_news = self.starts.get(id).is_none_or(|known| *known < start);
+        if is_news {
+            self.starts.insert(id.clone(), start);
+        }
+        is_news
+    }
+
     /// Notes a sign that a server is leaving; returns whether it is news.
     ///
     /// Servers that are not listed, and starts before the listed one, are
@@ -177,6 +198,7 @@
         self.leaving = leaving;
         let listed = |id: &InstanceId| self.listed.iter().any(|instance| instance.id == *id);
         self.stopping.retain(|(id, _)| listed(id));
+        self.starts.retain(|id, _| listed(id));
         let mut probes = std::mem::take(&mut self.probes);
         probes.retain(|id, _| self.listed.iter().any(|instance| instance.id == *id));
         self.probes = probes;
--- a/crates/azuregate-lab/tests/processes/deployment.rs
+++ b/crates/azuregate-lab/tests/processes/deployment.rs
@@ -27,7 +27,13 @@
 impl Deployment {
     /// Starts stand-ins and entry instances; `test` names the deployment.
     pub(crate) async fn start(test: &str) -> Deployment {
-        let example = example(test);
+        Deployment::start_with(test, |_| {}).await
+    }
+
+    /// The same, with changes to the example.
+    pub(crate) async fn start_with(test: &str, change: impl FnOnce(&mut Example)) -> Deployment {
+        let mut example = example(test);
+        change(&mut example);
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
         fs::create_dir_all(&dir).unwrap();
         let file = dir.join("example.jsonc");
@@ -126,7 +132,9 @@
 fn example(test: &str) -> Example {
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/kvas.jsonc");
     let mut example = Example::load(file.as_ref()).unwrap();
-    let [.., second, third] = hash::score(&[test]).to_be_bytes();
+    // Two checkouts may test at once on one machine, so the folder counts too.
+    let checkout = env!("CARGO_TARGET_TMPDIR");
+    let [.., second, third] = hash::score(&[test, checkout]).to_be_bytes();
     let ip = |last: u8| IpAddr::V4(Ipv4Addr::new(127, 64 + second / 2, third, last));
     example.entries.truncate(3);
     for (entry, last) in example.entries.iter_mut().zip(1..) {
--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -1,17 +1,17 @@
 //! Runs an entry instance: opens its ports and starts its tasks.
 
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use azuregate_core::{names::StartNumber, snapshot::Snapshot};
 use azuregate_schema::v1::operators_server::OperatorsServer;
 use error_stack::{Report, ResultExt};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::oneshot, time};
 use tonic::transport::server::TcpIncoming;
 
 use crate::{
     backend::{HttpDialer, Pool, SharedDialer},
     callers::Callers,
-    claims::Claims,
+    claims::{Claims, Cleaner},
     clock::{SharedClock, SystemClock},
     config::Config,
     dispatch::{Exchange, Rule},
@@ -30,6 +30,9 @@
     timer::Timer,
 };
 
+/// How long a planned stop waits for operators' calls in progress.
+const OPERATORS_STOP_LIMIT_MS: u64 = 5_000;
+
 /// An instance that could not start.
 #[derive(Debug)]
 pub struct RunError;
@@ -66,8 +69,11 @@
     let clock: SharedClock = Arc::new(SystemClock::new());
     let start = StartNumber(clock.epoch().0);
     let timer = Timer::start();
-    let platform: SharedPlatform =
-        Arc::new(HttpPlatform::new(settings.platform.addr, settings.platform.timeout_ms));
+    let platform: SharedPlatform = Arc::new(HttpPlatform::from_ip(
+        settings.ip,
+        settings.platform.addr,
+        settings.platform.timeout_ms,
+    ));
     let first = Snapshot::empty(Arc::new(settings.topology.clone()));
     let (config, snapshots) = Config::start_with_clock(first, Arc::clone(&clock));
     let recorder = Recorder::start(metric_sink(&settings)?);
@@ -101,6 +107,14 @@
     };
     let prober = tokio::spawn(prober.serve());
     let closer = tokio::spawn(probe::close_idle(pool.clone(), snapshots.clone()));
+    let cleaner = Cleaner {
+        instance: settings.instance.clone(),
+        platform: Arc::clone(&platform),
+        clock: Arc::clone(&clock),
+        snapshots: snapshots.clone(),
+        timer: timer.clone(),
+    };
+    let cleaner = tokio::spawn(cleaner.serve());
     let exchange = Exchange::default();
     let mesh = Mesh {
         instance: settings.instance.clone(),
@@ -125,10 +139,13 @@
         recorder: recorder.clone(),
         stop: stop.clone(),
     });
+    let (operators_open, operators_closed) = oneshot::channel::<()>();
     let operators = tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(OperatorsServer::new(operators_service))
-            .serve_with_incoming(incoming(operators)),
+            .serve_with_incoming_shutdown(incoming(operators), async {
+                let _ = operators_closed.await;
+            }),
     );
     let status =
         Status { snapshots: snapshots.clone(), recorder: recorder.clone(), stop: stop.clone() };
@@ -159,10 +176,12 @@
     let callers = Callers { gateway, config, instance: settings.instance.clone(), start, stop };
     callers.serve(traffic, settings.stop_delay_ms).await;
     log::info!(instance:% = settings.instance; "entry instance stopped");
-    for task in [poller, prober, closer, mesh, status] {
+    for task in [poller, prober, closer, cleaner, mesh, status] {
         task.abort();
     }
-    operators.abort();
+    // An operator's change that is in progress is settled, and its outcome told.
+    drop(operators_open);
+    let _ = time::timeout(Duration::from_millis(OPERATORS_STOP_LIMIT_MS), operators).await;
     Ok(())
 }
 
--- a/crates/azuregate/src/selector/mod.rs
+++ b/crates/azuregate/src/selector/mod.rs
@@ -5,6 +5,7 @@
 
 mod lease;
 mod meter;
+mod reply;
 mod task;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -70,6 +71,8 @@
     pub left_ms: u64,
     /// The length of its body, as far as it is known.
     pub up_bytes: u64,
+    /// Whether it may be sent twice.
+    pub idempotent: bool,
     /// Who handed it over, if it is here on its second hop.
     pub handed: Option<Handed>,
 }
