Let callers come from addresses of their own, and kill an instance that is used

Cause: 'measure recovery' showed no read lost when an instance was killed or frozen. All callers near a zone came from one address, and the answer of /v1/entries orders instances by the caller's address, so all of them used the other instance of that zone.

Change: ten addresses for each zone; the instance that fails is the only one of its zone, so callers near it use it and it dispatches there. The failure of a region is watched for 12 s more. JSON holds the share of bad reads by 250 ms.

--- a/crates/azuregate-lab/src/example.rs
+++ b/crates/azuregate-lab/src/example.rs
@@ -23,9 +23,11 @@
     network::{Network, Party},
 };
 
-/// The last part of the IP number of the clients in the first availability zone;
-/// those of the other zones follow.
-const FIRST_CLIENT: u8 = 150;
+/// How many clients near each availability zone have an IP number of their own.
+pub const CLIENTS: u8 = 10;
+/// How far the third part of the clients' IP numbers is from the platform's, for
+/// the first availability zone; those of the other zones follow.
+const CLIENT_NETS: u8 = 100;
 
 /// A deployment.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -206,19 +208,22 @@
     pub fn network(&self) -> Network {
         let entries = self.entries.iter().map(|e| (e.ip, Party::Entry(e.zone.clone())));
         let zones = self.topology.zones();
-        let clients = zones.map(|zone| (self.client_ip(zone), Party::Clients(zone.clone())));
+        let clients = zones.flat_map(|zone| {
+            let ips = (0..CLIENTS).map(|rank| self.client_ip(zone, rank));
+            ips.map(|ip| (ip, Party::Clients(zone.clone())))
+        });
         Network::new(self.topology.clone(), entries.chain(clients).collect())
     }
 
-    /// The IP number that clients near an availability zone come from.
-    pub fn client_ip(&self, zone: &ZoneName) -> IpAddr {
+    /// The IP number of one of the [`CLIENTS`] near an availability zone.
+    pub fn client_ip(&self, zone: &ZoneName, rank: u8) -> IpAddr {
         let index = self.topology.zones().position(|z| z == zone).unwrap_or(0);
         let IpAddr::V4(platform) = self.platform_addr.ip() else {
             return self.platform_addr.ip();
         };
         let [a, b, c, _] = platform.octets();
-        let last = FIRST_CLIENT.saturating_add(u8::try_from(index).unwrap_or(u8::MAX));
-        IpAddr::from([a, b, c, last])
+        let net = CLIENT_NETS.wrapping_add(u8::try_from(index).unwrap_or(u8::MAX));
+        IpAddr::from([a, b, c.wrapping_add(net), 1 + rank % CLIENTS])
     }
 
     /// The same example on other IP numbers of loopback.
--- a/crates/azuregate-lab/src/load/caller.rs
+++ b/crates/azuregate-lab/src/load/caller.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -19,7 +19,7 @@
 use crate::{
     client::ClientError,
     load::{
-        Class, Ending, Place,
+        Class, Ending,
         conn::{Conn, Lost},
     },
 };
@@ -29,7 +29,8 @@
 
 /// One caller.
 pub struct Caller {
-    place: Place,
+    ip: Option<IpAddr>,
+    ask: SocketAddr,
     favoured: Option<SocketAddr>,
     service: ServiceName,
     timeout_ms: u64,
@@ -47,15 +48,18 @@
 }
 
 impl Caller {
-    /// A caller at a place; it uses `favoured` while that takes requests.
+    /// A caller that comes from `ip` and asks `ask` first; it uses `favoured`
+    /// while that takes requests.
     pub fn new(
-        place: Place,
+        ip: Option<IpAddr>,
+        ask: SocketAddr,
         favoured: Option<SocketAddr>,
         service: &ServiceName,
         timeout_ms: u64,
     ) -> Caller {
         Caller {
-            place,
+            ip,
+            ask,
             favoured,
             service: service.clone(),
             timeout_ms,
@@ -73,8 +77,8 @@
     pub async fn learn(&self) -> Result<(), ClientError> {
         let mut last: ClientError = "there is no entry instance to ask".into();
         let known = lock(&self.known).clone();
-        for at in known.into_iter().chain([self.place.ask]) {
-            match self.ask(at).await {
+        for at in known.into_iter().chain([self.ask]) {
+            match self.list_of(at).await {
                 Ok(addrs) => {
                     *lock(&self.known) = addrs;
                     return Ok(());
@@ -85,7 +89,7 @@
         Err(last)
     }
 
-    async fn ask(&self, at: SocketAddr) -> Result<Vec<SocketAddr>, ClientError> {
+    async fn list_of(&self, at: SocketAddr) -> Result<Vec<SocketAddr>, ClientError> {
         let request = Request::get(format!("/v1/entries?service={}", self.service))
             .header(header::HOST, at.to_string())
             .body(Full::default())?;
@@ -205,7 +209,7 @@
                 Err(lost) => return Err(lost),
             }
         }
-        let Ok(mut conn) = Conn::open(self.place.ip, addr).await else {
+        let Ok(mut conn) = Conn::open(self.ip, addr).await else {
             return Err(Lost::Unsent(Box::new(request)));
         };
         let answer = conn.send(request).await?;
--- a/crates/azuregate-lab/src/load/mod.rs
+++ b/crates/azuregate-lab/src/load/mod.rs
@@ -24,7 +24,10 @@
 use azuregate_core::names::ServiceName;
 use tokio::{sync::mpsc, time};
 
-use crate::{client::ClientError, example::Example};
+use crate::{
+    client::ClientError,
+    example::{CLIENTS, Example},
+};
 
 pub(crate) use conn::{Conn, Lost};
 
@@ -35,13 +38,13 @@
 pub use report::{Latency, Report};
 
 /// How many callers there are near each place.
-const CALLERS_PER_PLACE: usize = 10;
+const CALLERS_PER_PLACE: usize = CLIENTS as usize;
 
 /// Where some of the callers stand.
 #[derive(Clone, Debug)]
 pub struct Place {
-    /// The IP number that they come from; any if not given.
-    pub ip: Option<IpAddr>,
+    /// The IP numbers that they come from, one after the other; any if empty.
+    pub ips: Vec<IpAddr>,
     /// The entry instance that they ask first.
     pub ask: SocketAddr,
 }
@@ -80,7 +83,7 @@
     /// Reads and a few orders for a service, from callers that ask `at`.
     pub fn new(at: SocketAddr, service: &ServiceName) -> Config {
         Config {
-            places: vec![Place { ip: None, ask: at }],
+            places: vec![Place { ips: Vec::new(), ask: at }],
             favoured: Vec::new(),
             favoured_percent: 0,
             service: service.clone(),
@@ -101,7 +104,7 @@
             let near =
                 example.entries.iter().min_by_key(|e| example.topology.distance(zone, &e.zone));
             near.map(|entry| Place {
-                ip: Some(example.client_ip(zone)),
+                ips: (0..CLIENTS).map(|rank| example.client_ip(zone, rank)).collect(),
                 ask: example.traffic_addr(entry),
             })
         };
@@ -121,13 +124,15 @@
         let count = self.places.len() * CALLERS_PER_PLACE;
         let caller = |index: usize| {
             let place = &self.places[index % self.places.len()];
-            let rank_percent = index / self.places.len() * 100 / CALLERS_PER_PLACE;
+            let rank = index / self.places.len();
+            let ip = place.ips.get(rank % place.ips.len().max(1)).copied();
+            let rank_percent = rank * 100 / CALLERS_PER_PLACE;
             let favoured = if rank_percent < self.favoured_percent {
                 self.favoured.get(index % self.favoured.len().max(1)).copied()
             } else {
                 None
             };
-            Arc::new(Caller::new(place.clone(), favoured, &self.service, self.timeout_ms))
+            Arc::new(Caller::new(ip, place.ask, favoured, &self.service, self.timeout_ms))
         };
         (0..count).map(caller).collect()
     }
--- a/crates/azuregate-lab/src/measure/recovery.rs
+++ b/crates/azuregate-lab/src/measure/recovery.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     client::ClientError,
-    example::ServiceExample,
+    example::{EntryExample, Example, ServiceExample},
     load::{self, Audit, Class, Ended, Ending, Latency, Report},
     measure::{Plan, Section, processes::Entries},
     up::{self, Lab},
@@ -23,6 +23,8 @@
 const AFTER_MS: u64 = 8_000;
 /// How long an instance is frozen.
 const FROZEN_MS: u64 = 10_000;
+/// How long failing over to other regions may take.
+const FAIL_OVER_MS: u64 = 12_000;
 /// How long a caller waits.
 const TIMEOUT_MS: u64 = 2_000;
 /// Reads are judged in bins of this length.
@@ -44,6 +46,18 @@
     InstanceFrozen,
 }
 
+impl Failure {
+    /// How long it lasts: a lost region moves at the pace of the policy's cap,
+    /// 10% a second in the examples.
+    fn lasts_ms(self) -> u64 {
+        match self {
+            Failure::InstanceKilled => 0,
+            Failure::RegionGone => FAIL_OVER_MS,
+            Failure::InstanceFrozen => FROZEN_MS,
+        }
+    }
+}
+
 /// One failure.
 #[derive(Clone, Debug, Serialize)]
 struct Run {
@@ -58,6 +72,8 @@
     unserved_reads: u64,
     /// Reads after it, in all.
     reads: u64,
+    /// Share of the reads that were unserved or slow, by bin from the start.
+    bad_shares: Vec<f64>,
     report: Report,
 }
 
@@ -81,8 +97,8 @@
     let mut config = load::Config::new(at, &service.name).with_places_of(&example);
     config.rate_per_s = service.capacity_per_s() * LOAD;
     config.timeout_ms = TIMEOUT_MS;
-    let lasts_ms = if failure == Failure::InstanceFrozen { FROZEN_MS } else { 0 };
-    config.duration_ms = EVENT_MS + lasts_ms + AFTER_MS;
+    let duration_ms = EVENT_MS + failure.lasts_ms() + AFTER_MS;
+    config.duration_ms = duration_ms;
     let loading = tokio::spawn(async move { load::run(&config).await });
     time::sleep(Duration::from_millis(EVENT_MS)).await;
     fail(&lab, &mut entries, service, failure).await?;
@@ -90,7 +106,7 @@
     let audit = load::audit(&ended, &lab.ran());
     drop(entries);
     lab.stop().await;
-    Ok(judge(failure, &ended, EVENT_MS + lasts_ms + AFTER_MS, audit))
+    Ok(judge(failure, &ended, duration_ms, audit))
 }
 
 async fn fail(
@@ -99,21 +115,31 @@
     service: &ServiceExample,
     failure: Failure,
 ) -> Result<(), ClientError> {
+    let target = alone_in_its_zone(&lab.example);
     match failure {
-        Failure::InstanceKilled => entries.kill(0)?,
+        Failure::InstanceKilled => entries.kill(target)?,
         Failure::RegionGone => {
             let region = lab.example.topology.regions.get(1).ok_or("there is no second region")?;
             kill_region(lab, service, &region.name);
         }
         Failure::InstanceFrozen => {
-            entries.freeze(0)?;
+            entries.freeze(target)?;
             time::sleep(Duration::from_millis(FROZEN_MS)).await;
-            entries.thaw(0)?;
+            entries.thaw(target)?;
         }
     }
     Ok(())
 }
 
+/// An entry instance that is the only one of its availability zone: callers near
+/// it use it, and it dispatches for the backend servers there.
+fn alone_in_its_zone(example: &Example) -> usize {
+    let is_alone = |entry: &EntryExample| {
+        example.entries.iter().filter(|other| other.zone == entry.zone).count() == 1
+    };
+    example.entries.iter().position(is_alone).unwrap_or(0)
+}
+
 fn kill_region(lab: &Lab, service: &ServiceExample, region: &RegionName) {
     for backend in lab.backends_of(&service.name) {
         if lab.example.topology.region_of(&backend.server.zone) == Some(region) {
@@ -135,6 +161,10 @@
         let all = due_in(start, end).count().max(1);
         due_in(start, end).filter(is_bad).count() as f64 / all as f64
     };
+    let bad_shares: Vec<_> = (0..duration_ms)
+        .step_by(BIN_MS as usize)
+        .map(|start| bad_share(start, start + BIN_MS))
+        .collect();
     let allowed = bad_share(SETTLED_MS, EVENT_MS) + TOLERANCE;
     let bins = (EVENT_MS..duration_ms).step_by(BIN_MS as usize);
     let last_bad = bins.filter(|&start| bad_share(start, start + BIN_MS) > allowed).last();
@@ -148,6 +178,7 @@
             .filter(|request| request.ending != Ending::Answered)
             .count() as u64,
         reads: due_in(EVENT_MS, duration_ms).count() as u64,
+        bad_shares,
         report: Report::new(ended, duration_ms, Some(audit)),
     }
 }
@@ -177,7 +208,8 @@
             format!(
                 "Each entry instance a process; the backend servers' answers take the delays of \
                  the example. Load at {:.0}% of all slots, a tenth of it keyed orders; callers \
-                 wait {TIMEOUT_MS} ms. One run each.",
+                 wait {TIMEOUT_MS} ms. The instance is the only one of its availability zone. One \
+                 run each.",
                 LOAD * 100.0
             ),
             format!(
--- a/crates/azuregate-lab/tests/lab/examples.rs
+++ b/crates/azuregate-lab/tests/lab/examples.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, path::Path};
 
-use azuregate_lab::example::Example;
+use azuregate_lab::example::{CLIENTS, Example};
 
 /// Name, entry instances, services with their upstreams.
 type Sizes = (&'static str, usize, &'static [(&'static str, u16)]);
@@ -37,7 +37,7 @@
 #[test]
 fn no_two_parties_share_an_address() {
     // Both examples can run at once, so the addresses of both must differ.
-    let mut seen = BTreeSet::new();
+    let (mut seen, mut clients) = (BTreeSet::new(), Vec::new());
     for (name, ..) in EXAMPLES {
         let mut example = load(name);
         let mut addrs = vec![example.platform_addr];
@@ -56,10 +56,15 @@
             assert!(seen.insert(addr), "{addr} is used twice");
         }
         for zone in example.topology.zones() {
-            let ip = example.client_ip(zone);
-            assert!(seen.iter().all(|addr| addr.ip() != ip), "clients share {ip}");
+            for rank in 0..CLIENTS {
+                let client = std::net::SocketAddr::new(example.client_ip(zone, rank), 0);
+                assert!(seen.iter().all(|addr| addr.ip() != client.ip()), "clients share {client}");
+                clients.push(client);
+            }
         }
     }
+    let unique: BTreeSet<_> = clients.iter().collect();
+    assert_eq!(unique.len(), clients.len(), "clients share an address");
 }
 
 #[test]
--- a/crates/azuregate-lab/tests/lab/network.rs
+++ b/crates/azuregate-lab/tests/lab/network.rs
@@ -19,7 +19,7 @@
 fn one_way_delays_are_those_of_the_example() {
     let example = examples::load("kvas");
     let network = example.network();
-    let clients = |zone: &str| example.client_ip(&ZoneName::new(zone)).to_string();
+    let clients = |zone: &str| example.client_ip(&ZoneName::new(zone), 3).to_string();
     let table = [
         ("127.0.10.1".to_owned(), "sofia-a", 0),
         ("127.0.10.1".to_owned(), "sofia-b", 4),
