--- /dev/null
+++ b/crates/azuregate-lab/src/backends/answers.rs
@@ -0,0 +1,64 @@
+//! Answers of a backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    Response, StatusCode,
+    body::Frame,
+    header::{self, HeaderValue},
+};
+use serde::Serialize;
+use tokio::time;
+
+/// How long after its first half an answer is cut.
+const CUT_AFTER: Duration = Duration::from_millis(5);
+
+/// The body of an answer.
+pub(crate) type Body = UnsyncBoxBody<Bytes, CutShort>;
+
+/// An answer that ends in the middle.
+#[derive(Debug)]
+pub(crate) struct CutShort;
+
+impl std::fmt::Display for CutShort {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer is cut short on purpose")
+    }
+}
+
+impl std::error::Error for CutShort {}
+
+/// An answer with this body.
+pub(crate) fn full(text: impl Into<Bytes>) -> Response<Body> {
+    Response::new(Full::new(text.into()).map_err(|never| match never {}).boxed_unsync())
+}
+
+/// An answer in JSON.
+pub(crate) fn json(value: &impl Serialize) -> Response<Body> {
+    full(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// An answer with this status.
+pub(crate) fn status(code: StatusCode, text: &str) -> Response<Body> {
+    let mut response = full(text.to_owned());
+    *response.status_mut() = code;
+    response
+}
+
+/// An answer that promises all of `text` and gives half of it.
+pub(crate) fn cut_short(text: &str) -> Response<Body> {
+    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let first = futures_util::stream::iter([Ok(Frame::data(half))]);
+    // Without the pause the first half would be dropped with the connection.
+    let rest = futures_util::stream::once(async {
+        time::sleep(CUT_AFTER).await;
+        Err(CutShort)
+    });
+    let body = StreamBody::new(first.chain(rest)).boxed_unsync();
+    let mut response = Response::new(body);
+    response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(text.len()));
+    response
+}
--- a/crates/azuregate-lab/src/backends/mod.rs
+++ b/crates/azuregate-lab/src/backends/mod.rs
@@ -7,11 +7,19 @@
 tell what truly ran.
 */
 
+mod answers;
 mod behaviour;
 mod count;
 mod load;
 mod server;
+mod timing;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 pub use behaviour::{Behaviour, Distribution};
 pub use count::{BUCKET_MS, Bucket, Counts, Stats, epoch_ms};
 pub use server::{Backend, serve};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/azuregate-lab/src/backends/server.rs
+++ b/crates/azuregate-lab/src/backends/server.rs
@@ -4,25 +4,22 @@
     convert::Infallible,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use azuregate_core::snapshot::BackendServer;
-use bytes::Bytes;
-use futures_util::StreamExt;
-use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
-    body::{Frame, Incoming},
+    body::Incoming,
     header::{self, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -30,7 +27,13 @@
 };
 
 use crate::{
-    backends::{Behaviour, Counts, Stats, load::Load},
+    backends::{
+        Behaviour, Counts, Stats,
+        answers::{Body, cut_short, full, json, status},
+        load::Load,
+        lock,
+        timing::Timing,
+    },
     network::{self, Network},
 };
 
@@ -42,23 +45,6 @@
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const TIMEOUT_MS: &str = "azuregate-timeout-ms";
 
-/// How long after its first half an answer is cut.
-const CUT_AFTER: Duration = Duration::from_millis(5);
-
-type Body = UnsyncBoxBody<Bytes, CutShort>;
-
-/// An answer that ends in the middle.
-#[derive(Debug)]
-struct CutShort;
-
-impl std::fmt::Display for CutShort {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the answer is cut short on purpose")
-    }
-}
-
-impl std::error::Error for CutShort {}
-
 /// One backend server.
 #[derive(Debug)]
 pub struct Backend {
@@ -67,23 +53,14 @@
     network: Option<Arc<Network>>,
     behaviour: Mutex<Behaviour>,
     load: Mutex<Load>,
-    rng: Mutex<fastrand::Rng>,
     connections: Semaphore,
     /// Connections that were opened under a lower number are silent.
     silence: AtomicU64,
-    warmth: Mutex<Warmth>,
-    /// By how much timers were late so far.
-    late: Mutex<Duration>,
+    timing: Timing,
     dead: watch::Sender<bool>,
     counts: Mutex<Counts>,
 }
 
-#[derive(Debug, Default)]
-struct Warmth {
-    requests: u32,
-    last: Option<Instant>,
-}
-
 /// A slot in use; given back when dropped, also when the connection closed
 /// while the request ran.
 struct Slot<'a> {
@@ -114,10 +91,8 @@
             network: None,
             behaviour: Mutex::new(behaviour),
             load: Mutex::default(),
-            rng: Mutex::new(fastrand::Rng::with_seed(seed)),
             silence: AtomicU64::new(0),
-            warmth: Mutex::default(),
-            late: Mutex::default(),
+            timing: Timing::new(seed),
             dead: watch::Sender::new(false),
             counts: Mutex::default(),
             server,
@@ -187,13 +162,17 @@
         let Some(received_bytes) = receive(body).await else {
             return Ok(status(StatusCode::BAD_REQUEST, "the body ended early\n"));
         };
-        let in_time = self.work(&behaviour, &head.headers).await;
+        let limit_ms = text(&head.headers, TIMEOUT_MS).and_then(|ms| ms.parse().ok());
+        let service = self.timing.draw(&behaviour);
+        let in_time = self.timing.spend(service, limit_ms.map(Duration::from_millis)).await;
         slot.finished = true;
         drop(slot);
         if !in_time {
             self.counts().stats.expired += 1;
             return Ok(status(StatusCode::GATEWAY_TIMEOUT, "the deadline passed\n"));
         }
+        let service_us = u32::try_from(service.as_micros()).unwrap_or(u32::MAX);
+        self.counts().service_us.push(service_us);
         self.counts().stats.completed += 1;
         let text = format!(
             "{} answers {} after {received_bytes} bytes for {name}\n",
@@ -217,61 +196,6 @@
         Some((Slot { backend: self, finished: false }, in_use))
     }
 
-    /// Spends the time of service, but no longer than the deadline allows.
-    async fn work(&self, behaviour: &Behaviour, headers: &HeaderMap) -> bool {
-        let service = behaviour.distribution.draw(behaviour.service_ms, &mut lock(&self.rng))
-            + self.cold_extra(behaviour);
-        let limit = text(headers, TIMEOUT_MS).and_then(|ms| ms.parse().ok());
-        match limit.map(Duration::from_millis).filter(|limit| *limit < service) {
-            Some(limit) => {
-                time::sleep(limit).await;
-                false
-            }
-            None => {
-                self.spend(service).await;
-                let service_us = u32::try_from(service.as_micros()).unwrap_or(u32::MAX);
-                self.counts().service_us.push(service_us);
-                true
-            }
-        }
-    }
-
-    /// Sleeps for `service`, less what earlier sleeps took too long.
-    ///
-    /// Timers are a millisecond late on average. With a service time of 20 ms a
-    /// server would have a twentieth less to give than its example says, and no
-    /// goodput could reach 95%.
-    async fn spend(&self, service: Duration) {
-        let planned = {
-            let mut late = lock(&self.late);
-            let taken_off = (*late).min(service);
-            *late -= taken_off;
-            service - taken_off
-        };
-        if planned.is_zero() {
-            return;
-        }
-        let start = Instant::now();
-        time::sleep(planned).await;
-        *lock(&self.late) += start.elapsed().saturating_sub(planned);
-    }
-
-    fn cold_extra(&self, behaviour: &Behaviour) -> Duration {
-        let mut warmth = lock(&self.warmth);
-        let now = Instant::now();
-        let idle = warmth.last.map_or(Duration::ZERO, |last| now.duration_since(last));
-        let limit = Duration::from_millis(behaviour.cold_after_idle_ms);
-        if !limit.is_zero() && idle > limit {
-            warmth.requests = 0;
-        }
-        warmth.last = Some(now);
-        warmth.requests = warmth.requests.saturating_add(1);
-        if warmth.requests > behaviour.cold_requests {
-            return Duration::ZERO;
-        }
-        Duration::from_millis(behaviour.cold_extra_ms)
-    }
-
     async fn control(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
@@ -286,7 +210,7 @@
             (Method::POST, "/lab/behaviour") => match serde_json::from_slice(&body) {
                 Ok(behaviour) => {
                     *self.behaviour() = behaviour;
-                    *lock(&self.warmth) = Warmth::default();
+                    self.timing.cool();
                     status(StatusCode::OK, "set\n")
                 }
                 Err(e) => status(StatusCode::BAD_REQUEST, &e.to_string()),
@@ -333,10 +257,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -350,35 +270,6 @@
     Some(received_bytes)
 }
 
-fn full(text: impl Into<Bytes>) -> Response<Body> {
-    Response::new(Full::new(text.into()).map_err(|never| match never {}).boxed_unsync())
-}
-
-fn json(value: &impl Serialize) -> Response<Body> {
-    full(serde_json::to_vec(value).unwrap_or_default())
-}
-
-fn status(code: StatusCode, text: &str) -> Response<Body> {
-    let mut response = full(text.to_owned());
-    *response.status_mut() = code;
-    response
-}
-
-/// An answer that promises all of `text` and gives half of it.
-fn cut_short(text: &str) -> Response<Body> {
-    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
-    let first = futures_util::stream::iter([Ok(Frame::data(half))]);
-    // Without the pause the first half would be dropped with the connection.
-    let rest = futures_util::stream::once(async {
-        time::sleep(CUT_AFTER).await;
-        Err(CutShort)
-    });
-    let body = StreamBody::new(first.chain(rest)).boxed_unsync();
-    let mut response = Response::new(body);
-    response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(text.len()));
-    response
-}
-
 /// Serves one backend server until it is killed or the task is aborted.
 pub async fn serve(listener: TcpListener, backend: Arc<Backend>) {
     loop {
--- a/crates/azuregate-lab/tests/lab/main.rs
+++ b/crates/azuregate-lab/tests/lab/main.rs
@@ -6,6 +6,7 @@
 mod backends;
 mod callers;
 mod examples;
+mod measure;
 mod network;
 mod platform;
 mod reports;
--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod deployment;
 mod dispatchers;
+mod load;
 mod operators;
 mod outcomes;
 mod path;
