Run the platform's and the backend servers' stand-ins by themselves

Cause: docs/PLATFORM.md names 'azuregate-lab platform', which did not exist.

Change: 'platform' and 'backends' beside 'stand-ins'. Both were started with the Kvas example and ended by SIGINT.

--- a/crates/azuregate-lab/src/cli/mod.rs
+++ b/crates/azuregate-lab/src/cli/mod.rs
@@ -27,6 +27,10 @@
 enum Command {
     #[options(help = "run all of an example in one process, under a light load")]
     Up(up::UpArgs),
+    #[options(help = "run the platform of an example")]
+    Platform(ExampleArgs),
+    #[options(help = "run the backend servers of an example")]
+    Backends(ExampleArgs),
     #[options(help = "run the platform and the backend servers of an example, without entries")]
     StandIns(ExampleArgs),
     #[options(help = "write the settings file of each entry instance of an example")]
@@ -81,6 +85,8 @@
 async fn run(command: Command) -> Result<(), ClientError> {
     match command {
         Command::Up(args) => up::run(&args).await,
+        Command::Platform(args) => run_platform(&load_example(&args.example)?).await,
+        Command::Backends(args) => run_backends(&load_example(&args.example)?).await,
         Command::StandIns(args) => run_stand_ins(&load_example(&args.example)?).await,
         Command::Settings(args) => write_settings(&args),
         Command::Load(args) => load::run(&args).await,
@@ -92,6 +98,20 @@
     Example::load(path).map_err(|e| format!("{e:?}").into())
 }
 
+async fn run_platform(example: &Example) -> Result<(), ClientError> {
+    let (_server, _task) = crate::up::serve_platform(example, None).await?;
+    println!("platform at {}", example.platform_addr);
+    Ok(signal::ctrl_c().await?)
+}
+
+async fn run_backends(example: &Example) -> Result<(), ClientError> {
+    let (backends, _tasks) = crate::up::serve_backends(example, None, 1).await?;
+    for backend in &backends {
+        println!("{} at {}", backend.server.id, backend.server.addr);
+    }
+    Ok(signal::ctrl_c().await?)
+}
+
 async fn run_stand_ins(example: &Example) -> Result<(), ClientError> {
     let mut lab = crate::up::stand_ins(example).await?;
     println!("platform at {}, {} backend servers", example.platform_addr, lab.backends.len());
--- a/crates/azuregate-lab/src/up.rs
+++ b/crates/azuregate-lab/src/up.rs
@@ -102,34 +102,62 @@
 /// When a port cannot be opened.
 pub async fn stand_ins_with(example: &Example, options: &Options) -> Result<Lab, ClientError> {
     let network = options.delays.then(|| Arc::new(example.network()));
+    let (platform, task) = serve_platform(example, network.as_ref()).await?;
+    let (backends, mut stand_ins) = serve_backends(example, network.as_ref(), options.seed).await?;
+    stand_ins.push(task);
+    if let Some(network) = network.filter(|_| example.relays) {
+        start_relays(example, &network, &mut stand_ins).await?;
+    }
+    Ok(Lab {
+        platform,
+        backends,
+        entries: Vec::new(),
+        example: example.clone(),
+        status_addrs: Vec::new(),
+        stand_ins,
+    })
+}
+
+/// Starts the platform's stand-in of an example.
+///
+/// # Errors
+///
+/// When its port cannot be opened.
+pub async fn serve_platform(
+    example: &Example,
+    network: Option<&Arc<Network>>,
+) -> Result<(Arc<Server>, JoinHandle<()>), ClientError> {
     let mut server = start_platform(example);
-    if let Some(network) = &network {
+    if let Some(network) = network {
         server = server.with_network(Arc::clone(network), example.platform_zone());
     }
     let server = Arc::new(server);
     let listener = TcpListener::bind(example.platform_addr).await?;
-    let mut stand_ins = vec![spawn(platform::serve(listener, Arc::clone(&server)))];
-    let mut backends = Vec::new();
-    for mut backend in make_backends(example, options.seed) {
-        if let Some(network) = &network {
+    let task = spawn(platform::serve(listener, Arc::clone(&server)));
+    Ok((server, task))
+}
+
+/// Starts the backend servers of an example, with a seed for their service times.
+///
+/// # Errors
+///
+/// When a port cannot be opened.
+pub async fn serve_backends(
+    example: &Example,
+    network: Option<&Arc<Network>>,
+    seed: u64,
+) -> Result<(Vec<Arc<Backend>>, Vec<JoinHandle<()>>), ClientError> {
+    let (mut backends, mut tasks) = (Vec::new(), Vec::new());
+    for mut backend in make_backends(example, seed) {
+        if let Some(network) = network {
             backend = backend.with_network(Arc::clone(network));
         }
         let listener = TcpListener::bind(backend.server.addr).await?;
         let backend = Arc::new(backend);
-        stand_ins.push(tokio::spawn(backends::serve(listener, Arc::clone(&backend))));
+        tasks.push(tokio::spawn(backends::serve(listener, Arc::clone(&backend))));
         backends.push(backend);
     }
-    if let Some(network) = network.filter(|_| example.relays) {
-        start_relays(example, &network, &mut stand_ins).await?;
-    }
-    Ok(Lab {
-        platform: server,
-        backends,
-        entries: Vec::new(),
-        example: example.clone(),
-        status_addrs: Vec::new(),
-        stand_ins,
-    })
+    Ok((backends, tasks))
 }
 
 async fn start_relays(
