Count cancelled runs as work in vain, and take service times as drawn

Only runs that ended were counted, and entry instances break off late reads and try them again. The overload of a region was 0.2 at 50% load: its window began before the callers had learnt the entry instances one after the other, half a second.

Change: times count as drawn; a column for cancelled runs; callers learn at once; the overload is taken over all of the measured run.

--- a/crates/azuregate-lab/src/backends/count.rs
+++ b/crates/azuregate-lab/src/backends/count.rs
@@ -57,7 +57,8 @@
     pub keys: HashMap<String, u64>,
     /// By time since the Unix epoch, in units of [`BUCKET_MS`].
     pub buckets: BTreeMap<u64, Bucket>,
-    /// The service time of each request that ran to its end, in microseconds.
+    /// The service time of each request, whether or not it was cancelled later,
+    /// in microseconds.
     pub service_us: Vec<u32>,
     /// Totals.
     pub stats: Stats,
--- a/crates/azuregate-lab/src/backends/server.rs
+++ b/crates/azuregate-lab/src/backends/server.rs
@@ -164,6 +164,8 @@
         };
         let limit_ms = text(&head.headers, TIMEOUT_MS).and_then(|ms| ms.parse().ok());
         let service = self.timing.draw(&behaviour);
+        let service_us = u32::try_from(service.as_micros()).unwrap_or(u32::MAX);
+        self.counts().service_us.push(service_us);
         let in_time = self.timing.spend(service, limit_ms.map(Duration::from_millis)).await;
         slot.finished = true;
         drop(slot);
@@ -171,8 +173,6 @@
             self.counts().stats.expired += 1;
             return Ok(status(StatusCode::GATEWAY_TIMEOUT, "the deadline passed\n"));
         }
-        let service_us = u32::try_from(service.as_micros()).unwrap_or(u32::MAX);
-        self.counts().service_us.push(service_us);
         self.counts().stats.completed += 1;
         let text = format!(
             "{} answers {} after {received_bytes} bytes for {name}\n",
--- a/crates/azuregate-lab/src/load/mod.rs
+++ b/crates/azuregate-lab/src/load/mod.rs
@@ -22,6 +22,7 @@
 };
 
 use azuregate_core::names::ServiceName;
+use futures_util::future;
 use tokio::{sync::mpsc, time};
 
 use crate::{
@@ -160,9 +161,7 @@
         return Err("there is no entry instance to ask".into());
     }
     let callers = config.callers();
-    for caller in &callers {
-        caller.learn().await?;
-    }
+    future::try_join_all(callers.iter().map(|caller| caller.learn())).await?;
     let renewals: Vec<_> =
         callers.iter().map(|caller| tokio::spawn(Arc::clone(caller).renew())).collect();
     let ended = give(config, &callers).await;
--- a/crates/azuregate-lab/src/measure/latency.rs
+++ b/crates/azuregate-lab/src/measure/latency.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    ops::Range,
     time::{Duration, Instant},
 };
 
@@ -10,7 +9,7 @@
 use tokio::time;
 
 use crate::{
-    backends::{BUCKET_MS, epoch_ms},
+    backends::{BUCKET_MS, Backend},
     baselines,
     client::ClientError,
     example::{Example, ServiceExample},
@@ -43,6 +42,8 @@
     goodput: f64,
     /// Refusals by backend servers for each offered request.
     sheds: f64,
+    /// Runs that the entries cancelled, for each offered request.
+    cancelled: f64,
     /// The largest load that any region was given in any second, as a share of
     /// its slots.
     overload: f64,
@@ -55,6 +56,7 @@
     ended: Vec<Ended>,
     service_p99_ms: f64,
     shed: u64,
+    cancelled: u64,
     overload: f64,
     late_ms: u64,
 }
@@ -98,6 +100,7 @@
         unserved_percent: (report.offered - report.answered) as f64 * 100.0 / offered,
         goodput: goodput(&given.ended, plan.run_ms, service),
         sheds: given.shed as f64 / offered,
+        cancelled: given.cancelled as f64 / offered,
         overload: given.overload,
         late_ms: given.late_ms,
         report,
@@ -122,19 +125,28 @@
     config.duration_ms = WARM_UP_MS;
     config.seed = seed + 1_000_000;
     load::run(&config).await?;
-    let shed_before = shed(lab, service);
+    let sum = |count: fn(&Backend) -> u64| -> u64 {
+        lab.backends_of(&service.name).map(|backend| count(backend)).sum()
+    };
+    let (shed, cancelled) = (|b: &Backend| b.stats().shed, |b: &Backend| b.stats().cancelled);
+    let (shed_before, cancelled_before) = (sum(shed), sum(cancelled));
     for backend in &lab.backends {
         backend.counts().forget();
     }
-    let start_ms = epoch_ms();
     config.duration_ms = plan.run_ms;
     config.seed = seed;
     let watch = tokio::spawn(lateness(Duration::from_millis(plan.run_ms)));
     let ended = load::run(&config).await?;
     let late_ms = watch.await?;
-    let overload = overload(lab, service, &(start_ms..start_ms + plan.run_ms));
-    let shed = shed(lab, service) - shed_before;
-    Ok(Given { ended, service_p99_ms: service_p99_ms(lab, service), shed, overload, late_ms })
+    let overload = overload(lab, service);
+    Ok(Given {
+        ended,
+        service_p99_ms: service_p99_ms(lab, service),
+        shed: sum(shed) - shed_before,
+        cancelled: sum(cancelled) - cancelled_before,
+        overload,
+        late_ms,
+    })
 }
 
 fn service_p99_ms(lab: &Lab, service: &ServiceExample) -> f64 {
@@ -143,10 +155,6 @@
     Spread::of(times.into_iter().map(|us| f64::from(us) / 1_000.0)).p99
 }
 
-fn shed(lab: &Lab, service: &ServiceExample) -> u64 {
-    lab.backends_of(&service.name).map(|backend| backend.stats().shed).sum()
-}
-
 /// Answers that came after the first half second, when the queues have filled,
 /// and before the end.
 fn goodput(ended: &[Ended], run_ms: u64, service: &ServiceExample) -> f64 {
@@ -159,14 +167,13 @@
     in_time.count() as f64 / span_s / service.capacity_per_s()
 }
 
-fn overload(lab: &Lab, service: &ServiceExample, window_ms: &Range<u64>) -> f64 {
-    let buckets = window_ms.start / BUCKET_MS..window_ms.end / BUCKET_MS;
+fn overload(lab: &Lab, service: &ServiceExample) -> f64 {
     let mut regions: BTreeMap<_, (u64, BTreeMap<u64, u64>)> = BTreeMap::new();
     for backend in lab.backends_of(&service.name) {
         let region = lab.example.topology.region_of(&backend.server.zone);
         let (slots, arrivals) = regions.entry(region).or_default();
         *slots += u64::from(backend.server.slots);
-        for (&at, bucket) in backend.counts().buckets.range(buckets.clone()) {
+        for (&at, bucket) in &backend.counts().buckets {
             *arrivals.entry(at).or_default() += bucket.arrived;
         }
     }
@@ -211,6 +218,7 @@
                 format!("{}", spread(|run| run.unserved_percent)),
                 format!("{}", spread(|run| run.goodput)),
                 format!("{}", spread(|run| run.sheds)),
+                format!("{:.3}", spread(|run| run.cancelled)),
                 format!("{}", spread(|run| run.overload)),
                 format!("{:.0}", spread(|run| run.late_ms as f64).max),
             ]);
@@ -231,6 +239,7 @@
             "refused %",
             "goodput",
             "sheds",
+            "cancelled",
             "overload",
             "late ms",
         ],
@@ -255,7 +264,8 @@
         "Latency is from the intended start, of answered reads; 'own p99' is that of the \
          service times themselves. 'Refused' counts all that got no \
          answer of a backend server. 'Goodput' is a share of what all slots can do. 'Sheds' are \
-         refusals by backend servers for each request: work in vain. 'Overload' is the largest \
+         refusals by backend servers for each request, 'cancelled' the runs that entry \
+         instances broke off, for each request: both are work in vain. 'Overload' is the largest \
          load given to any region in any second, as a share of its slots. 'Late' is the longest \
          that a timer of the bench was late: its own error."
             .to_owned(),
