--- a/crates/azuregate/src/run.rs
+++ b/crates/azuregate/src/run.rs
@@ -5,9 +5,8 @@
 use azuregate_core::{names::StartNumber, snapshot::Snapshot};
 use azuregate_schema::v1::operators_server::OperatorsServer;
 use error_stack::{Report, ResultExt};
-use futures_util::TryStreamExt;
 use tokio::{net::TcpListener, sync::oneshot, time};
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 use crate::{
     backend::{HttpDialer, Pool, SharedDialer},
@@ -141,14 +140,10 @@
         stop: stop.clone(),
     });
     let (operators_open, operators_closed) = oneshot::channel::<()>();
-    // Small answers would wait for the acknowledgement of the one before.
-    let incoming = TcpListenerStream::new(operators).inspect_ok(|stream| {
-        let _ = stream.set_nodelay(true);
-    });
     let operators = tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(OperatorsServer::new(operators_service))
-            .serve_with_incoming_shutdown(incoming, async {
+            .serve_with_incoming_shutdown(incoming(operators), async {
                 let _ = operators_closed.await;
             }),
     );
@@ -190,6 +185,12 @@
     Ok(())
 }
 
+/// Operators' connections. An answer is several small writes; without nodelay the
+/// later ones wait 40 ms for the acknowledgement of the first.
+fn incoming(operators: TcpListener) -> TcpIncoming {
+    TcpIncoming::from(operators).with_nodelay(Some(true))
+}
+
 async fn bind(settings: &Settings, port: u16) -> Result<TcpListener, Report<RunError>> {
     let addr = SocketAddr::new(settings.ip, port);
     TcpListener::bind(addr)
