Send heartbeats half as often in a large deployment

Cause: at 680 instances the heartbeats of up to 28 links, once a second each way, take 491 bytes/s of payload on average; with web socket, TCP and IP headers and acknowledgements about 145 bytes a frame, 4.5 kB/s in and out on average and 8 kB/s at the best-linked instance, over the 4 kB/s allowed.

Weighed: fewer links (fewer ways round dead instances), headers saved by UDP (a further transport). Change: the pace follows the size of the deployment; beyond 24 instances a heartbeat goes every 2 s and silence is 5 s, today's 0.5 s and 2 s stay.

examples/spread at 680: heartbeats 491 to 245 bytes/s on average, all frames at rest 592 to 347, at the best-linked instance 1,093 to 659.

one_lost_heartbeat_is_no_silence_at_any_size was seen to fail with silence at 3 s (of 25, one lost: {4} away). A first form of it did not fail, since all neighbours lost a heartbeat at once, which an instance takes for its own fault.

--- a/crates/azuregate-core/src/membership.rs
+++ b/crates/azuregate-core/src/membership.rs
@@ -11,11 +11,33 @@
 
 use crate::{
     names::{InstanceId, StartNumber},
+    neighbours::FULL_MESH,
     time::Millis,
 };
 
-/// An instance that was not heard of for this long gets no new work.
-pub const SILENT_MS: u64 = 2_000;
+/// How often neighbours send heartbeats, and what silence means.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// A heartbeat goes to each neighbour so often.
+    pub heartbeat_ms: u64,
+    /// An instance that was not heard of for this long gets no new work.
+    pub silent_ms: u64,
+}
+
+impl Pace {
+    /// The pace in a deployment of `listed` instances.
+    ///
+    /// A small one can afford to notice silence within two seconds. In a large
+    /// one an instance has up to 28 neighbours, and a heartbeat each second to
+    /// and from all of them would take 8 kB/s with the headers of its packets.
+    pub fn of(listed: usize) -> Pace {
+        if listed <= FULL_MESH {
+            return Pace { heartbeat_ms: 500, silent_ms: 2_000 };
+        }
+        Pace { heartbeat_ms: 2_000, silent_ms: 5_000 }
+    }
+}
+
 /// How many peers must agree with an instance that starts while the platform is
 /// down.
 pub const READY_PEERS: usize = 2;
@@ -43,6 +65,7 @@
     stopping: BTreeMap<InstanceId, StartNumber>,
     confirmed_at_ms: Option<Millis>,
     confirm_limit_ms: u64,
+    pace: Pace,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +86,7 @@
             stopping: BTreeMap::new(),
             confirmed_at_ms: None,
             confirm_limit_ms: u64::MAX,
+            pace: Pace::of(0),
         }
     }
 
@@ -81,6 +105,11 @@
         }
     }
 
+    /// Sets how often heartbeats come, and what silence means.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// Sets how long an instance stays in the answers without confirmation.
     pub fn set_confirm_limit(&mut self, limit_ms: u64) {
         self.confirm_limit_ms = limit_ms;
@@ -140,7 +169,7 @@
 
     /// How many peers serve with the same versions as this instance.
     pub fn agreeing(&self, now_ms: Millis) -> usize {
-        self.peers.values().filter(|peer| peer.agrees && !is_silent(peer, now_ms)).count()
+        self.peers.values().filter(|peer| peer.agrees && !self.is_silent(peer, now_ms)).count()
     }
 
     /// The instances that get no new work: those that stop, have gone silent, may
@@ -160,7 +189,7 @@
     }
 
     fn silent(&self, now_ms: Millis) -> impl Iterator<Item = InstanceId> {
-        let silent = self.peers.iter().filter(move |(_, peer)| is_silent(peer, now_ms));
+        let silent = self.peers.iter().filter(move |(_, peer)| self.is_silent(peer, now_ms));
         // An instance that hears hardly anyone is cut off itself. If it believed
         // the others dead it would send all callers to itself.
         let cut_off = silent.clone().count() * 2 > self.peers.len();
@@ -173,7 +202,7 @@
         };
         // What a silent instance has confirmed is not known; silence is judged by
         // itself.
-        let heard = self.peers.iter().filter(|(_, peer)| !is_silent(peer, now_ms));
+        let heard = self.peers.iter().filter(|(_, peer)| !self.is_silent(peer, now_ms));
         let peers = heard.map(|(id, peer)| (id, peer.confirmed_at_ms));
         let all = peers.chain([(&self.me, self.confirmed_at_ms)]);
         let (old, fresh): (Vec<_>, Vec<_>) = all.partition(|(_, at_ms)| is_old(*at_ms));
@@ -183,8 +212,8 @@
         }
         old.into_iter().map(|(id, _)| id.clone()).collect()
     }
-}
 
-fn is_silent(peer: &Peer, now_ms: Millis) -> bool {
-    now_ms.since(peer.heard_at_ms).0 > SILENT_MS
+    fn is_silent(&self, peer: &Peer, now_ms: Millis) -> bool {
+        now_ms.since(peer.heard_at_ms).0 > self.pace.silent_ms
+    }
 }
--- a/crates/azuregate-core/tests/membership.rs
+++ b/crates/azuregate-core/tests/membership.rs
@@ -8,7 +8,7 @@
 };
 
 use azuregate_core::{
-    membership::{Heartbeat, Membership},
+    membership::{Heartbeat, Membership, Pace},
     names::{BackendId, InstanceId, ServiceName, StartNumber, ZoneName},
     neighbours::{FULL_MESH, Graph, graph},
     probe::{ProbeReport, Watch, watched},
@@ -44,6 +44,30 @@
     membership
 }
 
+// One heartbeat of a neighbour is lost, then it falls silent. Callers would be
+// sent away from a live instance if the one that was lost counted as silence.
+#[test]
+fn one_lost_heartbeat_is_no_silence_at_any_size() {
+    for listed in [2, 9, FULL_MESH, FULL_MESH + 1, 680] {
+        let pace = Pace::of(listed);
+        let mut membership = five();
+        membership.set_pace(pace);
+        let mut hear = |heard: &[usize], at_ms| {
+            membership.confirmed(at_ms);
+            for &index in heard {
+                membership.heard(&id(index), StartNumber(1), beat(0), DIGEST, at_ms);
+            }
+            membership.away(at_ms)
+        };
+        let at = |beats| Millis(beats * pace.heartbeat_ms);
+        assert_eq!(hear(&[1, 2, 3], at(1)), ids(&[]), "of {listed}");
+        assert_eq!(hear(&[1, 2, 3], at(2)), ids(&[]), "of {listed}, one lost");
+        assert_eq!(hear(&[1, 2, 3, 4], at(2)), ids(&[]), "of {listed}, heard again");
+        let silent_at = at(2) + Millis(pace.silent_ms + 1);
+        assert_eq!(hear(&[1, 2, 3], silent_at), ids(&[4]), "of {listed}, silent");
+    }
+}
+
 // Which instances of five send heartbeats goes through a table; the others have
 // gone silent, or cannot confirm their configuration.
 #[test]
--- a/crates/azuregate/examples/spread.rs
+++ b/crates/azuregate/examples/spread.rs
@@ -12,9 +12,9 @@
 
 use azuregate::peer::Frame;
 use azuregate_core::{
-    membership::Heartbeat,
+    membership::{Heartbeat, Pace},
     names::{BackendId, InstanceId, ServiceName, StartNumber, ZoneName},
-    neighbours::{FULL_MESH, Graph, graph},
+    neighbours::{Graph, graph},
     policy::{Cap, Policy, SHIFT_DELAY_MS, Shift},
     probe::ProbeReport,
     snapshot::{Instance, Liveness},
@@ -65,7 +65,7 @@
     let (links_mean, links_max) = mean_max(&links);
     let frames: Vec<f64> = all.sent.iter().map(|&sent| sent as f64).collect();
     let (frames_mean, frames_max) = mean_max(&frames);
-    let beats_per_s = if graph.len() <= FULL_MESH { 2.0 } else { 1.0 };
+    let beats_per_s = 1e3 / Pace::of(graph.len()).heartbeat_ms as f64;
     let changes_per_s = CHANGES_PER_DAY / S_PER_DAY;
     let at_rest = |links: f64, frames: f64| {
         links * beats_per_s * heartbeat as f64 + changes_per_s * frames * change as f64
--- a/crates/azuregate/src/membership.rs
+++ b/crates/azuregate/src/membership.rs
@@ -1,7 +1,7 @@
 //! Owns what this instance believes of the others, and notices its own pauses.
 
 use azuregate_core::{
-    membership::{Heartbeat, Membership, READY_PEERS},
+    membership::{Heartbeat, Membership, Pace, READY_PEERS},
     names::{InstanceId, StartNumber},
     neighbours,
     snapshot::{Instance, Snapshot},
@@ -178,6 +178,7 @@
             self.listed = Arc::clone(&snapshot.listed);
             let neighbours = neighbours::neighbours(&self.parts.instance, &self.listed);
             self.membership.watch(&neighbours, now_ms);
+            self.membership.set_pace(Pace::of(self.listed.len()));
         }
         self.membership.set_confirm_limit(snapshot.confirm_limit_ms());
         for (instance, start) in &snapshot.stopping {
--- a/crates/azuregate/src/peer/mesh.rs
+++ b/crates/azuregate/src/peer/mesh.rs
@@ -7,8 +7,9 @@
 };
 
 use azuregate_core::{
+    membership::Pace,
     names::{InstanceId, StartNumber},
-    neighbours::{self, FULL_MESH},
+    neighbours,
     snapshot::Instance,
     time::Millis,
 };
@@ -36,10 +37,6 @@
 /// other to dial. It must dial in the end: the other may not know of it, or its
 /// way may be blocked in that direction.
 const DIAL_WAIT_MS: u64 = 1_500;
-/// How often neighbours send heartbeats.
-const HEARTBEAT_MS: u64 = 500;
-/// The same in a large deployment, where each has more neighbours.
-const HEARTBEAT_LARGE_MS: u64 = 1_000;
 
 /// Opens and takes links.
 pub struct Mesh {
@@ -129,8 +126,7 @@
         expected: Expected,
         opened: &mpsc::UnboundedSender<InstanceId>,
     ) -> LinkParts {
-        let is_large = self.snapshots.current().listed.len() > FULL_MESH;
-        let heartbeat_ms = if is_large { HEARTBEAT_LARGE_MS } else { HEARTBEAT_MS };
+        let pace = Pace::of(self.snapshots.current().listed.len());
         LinkParts {
             instance: self.instance.clone(),
             start: self.start,
@@ -139,7 +135,7 @@
             members: self.members.clone(),
             clock: Arc::clone(&self.clock),
             exchange: self.exchange.clone(),
-            heartbeats: self.timer.subscribe(heartbeat_ms),
+            heartbeats: self.timer.subscribe(pace.heartbeat_ms),
             expected,
             opened: opened.clone(),
         }
