--- a/crates/azuregate-core/src/route/dispatch/group_state.rs
+++ b/crates/azuregate-core/src/route/dispatch/group_state.rs
@@ -19,7 +19,7 @@
         self.drain.wait_ms(self.queue.len() + 1, self.router.room().slots)
     }
 
-    /// Another dispatcher's words do not count for this one.
+    /// Another dispatcher's updates do not count for this one.
     pub(super) fn know(&mut self, peer: usize) {
         if self.known_of != Some(peer) {
             self.known_of = Some(peer);
--- a/crates/azuregate-core/src/route/dispatch/mod.rs
+++ b/crates/azuregate-core/src/route/dispatch/mod.rs
@@ -37,7 +37,7 @@
 mod list;
 mod place;
 mod refusal;
-mod words;
+mod updates;
 
 use std::{collections::HashMap, fmt, ops::Range};
 
@@ -56,7 +56,7 @@
     time::Millis,
 };
 
-pub use words::Word;
+pub use updates::LoadUpdate;
 
 /// Which backend servers make a group.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/azuregate-core/src/route/dispatch/words.rs
+++ b/crates/azuregate-core/src/route/dispatch/updates.rs
@@ -10,25 +10,25 @@
     time::Millis,
 };
 
-/// The shortest time between two words to one instance.
+/// The shortest time between two updates to one instance.
 const SAY_MS: Millis = Millis(50);
-/// The longest time between two words to an instance whose requests are held:
+/// The longest time between two updates to an instance whose requests are held:
 /// its silence would be taken for a freeze.
 const ALIVE_MS: Millis = Millis(200);
 /// The longest time between two frames to an instance that hands over.
 ///
-/// While answers carry all words, no frame is due. The other instance would then
+/// While answers carry all updates, no frame is due. The other instance would then
 /// not know that this one speaks by frames, and would take no silence for a
 /// freeze.
 const FRAME_MS: Millis = Millis(500);
 /// An instance that handed nothing over for so long hears nothing more.
 const OVERFLOW_MS: Millis = Millis(5_000);
-/// Changes smaller than one in so many of the slots are not worth a word.
+/// Changes smaller than one in so many of the slots are not worth an update.
 const NEWS: u32 = 8;
 
-/// A word to an instance that hands requests of a group over.
+/// An update to an instance that hands requests of a group over.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Word {
+pub struct LoadUpdate {
     /// Where it goes.
     pub to: InstanceId,
     /// The group.
@@ -38,21 +38,21 @@
 }
 
 impl Dispatch {
-    /// The words that are due, and the dispatchers that have gone silent with
+    /// The updates that are due, and the dispatchers that have gone silent with
     /// requests of this instance; as indexes.
-    pub fn tick(&mut self, now_ms: Millis) -> (Vec<Word>, Vec<usize>) {
+    pub fn tick(&mut self, now_ms: Millis) -> (Vec<LoadUpdate>, Vec<usize>) {
         let silent = self.peers.tick(now_ms);
-        let mut words = Vec::new();
+        let mut updates = Vec::new();
         for group in &mut self.groups {
             let load = group.load(self.config.start);
             for hander in &mut group.handers {
                 if let Some(load) = hander.due(load, now_ms) {
                     let (to, group) = (self.peers.id(hander.peer).clone(), group.id.clone());
-                    words.push(Word { to, group, load });
+                    updates.push(LoadUpdate { to, group, load });
                 }
             }
         }
-        (words, silent)
+        (updates, silent)
     }
 
     /// The instances that the links found away and that hold requests of this
@@ -62,8 +62,8 @@
         known.filter(|&peer| self.peers.holds_any(peer)).collect()
     }
 
-    /// The word that goes back with an answer to `to`.
-    pub fn word_for(
+    /// The update that goes back with an answer to `to`.
+    pub fn load_for(
         &mut self,
         to: &InstanceId,
         group: &GroupId,
@@ -76,7 +76,7 @@
         Some(hander.say(load, now_ms))
     }
 
-    /// Takes in a word of a dispatcher.
+    /// Takes in an update of a dispatcher.
     pub fn hear(
         &mut self,
         from: &InstanceId,
--- a/crates/azuregate-core/src/route/known.rs
+++ b/crates/azuregate-core/src/route/known.rs
@@ -2,15 +2,15 @@
 
 use crate::{names::StartNumber, route::group::GroupLoad, time::Millis};
 
-/// A word older than this says nothing about free slots any more.
+/// An update older than this says nothing about free slots any more.
 const FRESH_MS: Millis = Millis(300);
 /// Taken for the time in a slot until the dispatcher has spoken.
 const FIRST_SERVICE_MS: u32 = 20;
 
-/// The last word of a group's dispatcher, and what was sent since.
+/// The last update of a group's dispatcher, and what was sent since.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Known {
-    word: Option<(GroupLoad, Millis)>,
+    update: Option<(GroupLoad, Millis)>,
     /// Handed over to this start of the dispatcher.
     sent: u64,
     /// Handed over and not finished.
@@ -32,35 +32,35 @@
         }
     }
 
-    /// Takes in a word.
+    /// Takes in an update.
     pub fn hear(&mut self, load: GroupLoad, now_ms: Millis) {
-        let start = self.word.map(|(load, _)| load.start);
+        let start = self.update.map(|(load, _)| load.start);
         // Another start counts from zero again; comparing would make it look
         // full for ever.
         if start.is_some_and(|start| start != load.start) || load.seen > self.sent {
             self.sent = load.seen;
         }
-        self.word = Some((load, now_ms));
+        self.update = Some((load, now_ms));
     }
 
-    /// Forgets the word: another instance dispatches now.
+    /// Forgets the update: another instance dispatches now.
     pub fn forget(&mut self) {
         *self = Known { in_flight: self.in_flight, ..Known::default() };
     }
 
     /// The dispatcher's start, once it has spoken.
     pub fn start(&self) -> Option<StartNumber> {
-        self.word.map(|(load, _)| load.start)
+        self.update.map(|(load, _)| load.start)
     }
 
     /// How many slots are likely to be free.
     ///
-    /// What was sent since the word is taken off, or all requests of the next
-    /// moments would go to the group that looked idle. An old word, or none,
+    /// What was sent since the update is taken off, or all requests of the next
+    /// moments would go to the group that looked idle. An old update, or none,
     /// counts for no more than `share` slots less what is in progress there.
     pub fn free(&self, share: u32, now_ms: Millis) -> u64 {
         let cautious = u64::from(share).saturating_sub(self.in_flight);
-        let Some((load, at_ms)) = self.word else {
+        let Some((load, at_ms)) = self.update else {
             return cautious;
         };
         let said = u64::from(load.free).saturating_sub(self.unseen(&load));
@@ -73,17 +73,17 @@
         // Until the dispatcher has spoken, all slots are taken for its own
         // instance's requests but those that are in flight from here.
         let unheard = GroupLoad { slots, service_ms: FIRST_SERVICE_MS, ..GroupLoad::default() };
-        let load = self.word.map_or(unheard, |(load, _)| load);
+        let load = self.update.map_or(unheard, |(load, _)| load);
         let ahead = u64::from(load.queued) + self.unseen(&load) + 1;
         // Never less than one: it is asked only when no slot is likely free.
         let ahead = ahead.saturating_sub(u64::from(load.free)).max(1);
         ahead * u64::from(load.service_ms) / u64::from(load.slots.max(1))
     }
 
-    /// How many requests are likely to wait there; an old word says nothing of
+    /// How many requests are likely to wait there; an old update says nothing of
     /// that.
     pub fn queued(&self, now_ms: Millis) -> usize {
-        let fresh = self.word.filter(|&(_, at_ms)| now_ms.since(at_ms) <= FRESH_MS);
+        let fresh = self.update.filter(|&(_, at_ms)| now_ms.since(at_ms) <= FRESH_MS);
         fresh.map_or(0, |(load, _)| load.queued as usize + self.unseen(&load) as usize)
     }
 
--- a/crates/azuregate-core/tests/routing/handing_over.rs
+++ b/crates/azuregate-core/tests/routing/handing_over.rs
@@ -37,10 +37,10 @@
     to.dispatch.place_handed(&id(from), &group(zone_name), &ask, now_ms, rng)
 }
 
-/// Brings back the word of `from` about its group, where requests take 100 ms:
+/// Brings back the update of `from` about its group, where requests take 100 ms:
 /// waiting there is longer than going elsewhere.
 fn answer(from: &mut Node, from_id: &str, to: &mut Node, to_id: &str, zone_name: &str) {
-    let load = from.dispatch.word_for(&id(to_id), &group(zone_name), from.now_ms).unwrap();
+    let load = from.dispatch.load_for(&id(to_id), &group(zone_name), from.now_ms).unwrap();
     let load = GroupLoad { service_ms: 100, ..load };
     to.dispatch.hear(&id(from_id), &group(zone_name), load, false, to.now_ms);
 }
@@ -54,11 +54,11 @@
     assert_eq!(first.dispatch.dispatcher_id(&hand_over).as_str(), "entry-2");
 }
 
-// The dispatcher said that three slots were free. Its next word takes a while.
+// The dispatcher said that three slots were free. Its next update takes a while.
 // Without counting what was sent since, all requests of that while would go
 // there and wait, and the other zone's slots would stay idle.
 #[test]
-fn what_was_sent_since_the_last_word_is_taken_off() {
+fn what_was_sent_since_the_last_update_is_taken_off() {
     let snapshot = pair();
     let mut first = Node::new("sent_since", "entry-1", "sofia-a", &snapshot);
     let mut second = Node::new("sent_since_2", "entry-2", "sofia-b", &snapshot);
@@ -71,13 +71,13 @@
     first.serve(&["sofia-b", "sofia-a"]);
 }
 
-// A word that is old says nothing of free slots any more: it may lower what is
+// An update that is old says nothing of free slots any more: it may lower what is
 // sent, but never lets through more than this instance's even share.
 #[test]
-fn an_old_word_only_lowers_what_is_sent() {
+fn an_old_update_only_lowers_what_is_sent() {
     let snapshot = pair();
-    let mut first = Node::new("old_word", "entry-1", "sofia-a", &snapshot);
-    let mut second = Node::new("old_word_2", "entry-2", "sofia-b", &snapshot);
+    let mut first = Node::new("old_update", "entry-1", "sofia-a", &snapshot);
+    let mut second = Node::new("old_update_2", "entry-2", "sofia-b", &snapshot);
     let probe = first.hand_over(&["sofia-b"]);
     let Step::Serve(slot) = arrive("entry-1", &mut second, "sofia-b") else { panic!("refused") };
     let ending = Ending::Answered { latency_ms: 20 };
@@ -85,7 +85,7 @@
     answer(&mut second, "entry-2", &mut first, "entry-1", "sofia-b");
     first.dispatch.finish_hand_over(&probe, ending, first.now_ms);
     first.now_ms = first.now_ms + Millis(1_000);
-    // The word says that all three are free; two are an even share.
+    // The update says that all three are free; two are an even share.
     for _ in 0..2 {
         first.hand_over(&["sofia-b", "sofia-a"]);
     }
@@ -156,8 +156,8 @@
     arrive("entry-1", &mut second, "sofia-b");
     for _ in 0..20 {
         second.now_ms = second.now_ms + Millis(50);
-        for word in second.dispatch.tick(second.now_ms).0 {
-            first.dispatch.hear(&id("entry-2"), &word.group, word.load, true, first.now_ms);
+        for update in second.dispatch.tick(second.now_ms).0 {
+            first.dispatch.hear(&id("entry-2"), &update.group, update.load, true, first.now_ms);
         }
         assert!(!pass(&mut first, 50), "it speaks while it holds the request");
     }
@@ -165,7 +165,7 @@
     first.serve(&["sofia-b"]);
 }
 
-// Answers come every few milliseconds and carry all words, so no frame is due for
+// Answers come every few milliseconds and carry all updates, so no frame is due for
 // news. Without one the other instance would not know that this one speaks by
 // frames, and would take its silence for that of an instance that never does.
 #[test]
@@ -174,7 +174,7 @@
     let mut frames = 0;
     for _ in 0..400 {
         arrive("entry-1", &mut second, "sofia-b");
-        second.dispatch.word_for(&id("entry-1"), &group("sofia-b"), second.now_ms).unwrap();
+        second.dispatch.load_for(&id("entry-1"), &group("sofia-b"), second.now_ms).unwrap();
         second.now_ms = second.now_ms + Millis(10);
         frames += second.dispatch.tick(second.now_ms).0.len();
     }
@@ -191,7 +191,7 @@
     pass(&mut first, 50);
     first.hand_over(&["sofia-b"]);
     arrive("entry-1", &mut second, "sofia-b");
-    let load = second.dispatch.word_for(&id("entry-1"), &group("sofia-b"), second.now_ms).unwrap();
+    let load = second.dispatch.load_for(&id("entry-1"), &group("sofia-b"), second.now_ms).unwrap();
     first.dispatch.hear(&id("entry-2"), &group("sofia-b"), load, true, first.now_ms);
     first.now_ms = first.now_ms + Millis(30_000);
     assert!(first.dispatch.tick(first.now_ms).1.is_empty());
--- a/crates/azuregate/src/dispatch/exchange.rs
+++ b/crates/azuregate/src/dispatch/exchange.rs
@@ -7,12 +7,12 @@
 };
 use tokio::sync::broadcast;
 
-/// How many words may wait for a slow reader before it misses the oldest.
+/// How many updates may wait for a slow reader before it misses the oldest.
 const BACKLOG: usize = 1_024;
 
 /// The load of a group, on its way between its dispatcher and one neighbour.
 #[derive(Clone, Debug)]
-pub struct Word {
+pub struct LoadUpdate {
     /// The other instance: where it goes, or where it came from.
     pub peer: InstanceId,
     /// The service.
@@ -26,8 +26,8 @@
 /// Both directions; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Exchange {
-    outgoing: broadcast::Sender<Word>,
-    incoming: broadcast::Sender<Word>,
+    outgoing: broadcast::Sender<LoadUpdate>,
+    incoming: broadcast::Sender<LoadUpdate>,
 }
 
 impl Default for Exchange {
@@ -39,42 +39,42 @@
 }
 
 impl Exchange {
-    /// Sends a word to a neighbour, if there is a link to it.
-    pub fn say(&self, word: Word) {
-        let _ = self.outgoing.send(word);
+    /// Sends an update to a neighbour, if there is a link to it.
+    pub fn send(&self, update: LoadUpdate) {
+        let _ = self.outgoing.send(update);
     }
 
-    /// Passes on a word that came from a neighbour.
-    pub fn heard(&self, word: Word) {
-        let _ = self.incoming.send(word);
+    /// Passes on an update that came from a neighbour.
+    pub fn heard(&self, update: LoadUpdate) {
+        let _ = self.incoming.send(update);
     }
 
-    /// All words for neighbours; a link picks those for its own.
-    pub fn outgoing(&self) -> Words {
-        Words { receiver: self.outgoing.subscribe() }
+    /// All updates for neighbours; a link picks those for its own.
+    pub fn outgoing(&self) -> LoadUpdates {
+        LoadUpdates { receiver: self.outgoing.subscribe() }
     }
 
-    /// All words from neighbours; a selector picks those for its service.
-    pub fn incoming(&self) -> Words {
-        Words { receiver: self.incoming.subscribe() }
+    /// All updates from neighbours; a selector picks those for its service.
+    pub fn incoming(&self) -> LoadUpdates {
+        LoadUpdates { receiver: self.incoming.subscribe() }
     }
 }
 
-/// Receives words.
+/// Receives updates.
 #[derive(Debug)]
-pub struct Words {
-    receiver: broadcast::Receiver<Word>,
+pub struct LoadUpdates {
+    receiver: broadcast::Receiver<LoadUpdate>,
 }
 
-impl Words {
-    /// Waits for the next word; `None` when nobody can send one any more.
-    /// Dropping the future loses no word.
+impl LoadUpdates {
+    /// Waits for the next update; `None` when nobody can send one any more.
+    /// Dropping the future loses no update.
     ///
-    /// A reader that was too slow misses the oldest words: newer ones follow.
-    pub async fn recv(&mut self) -> Option<Word> {
+    /// A reader that was too slow misses the oldest updates: newer ones follow.
+    pub async fn recv(&mut self) -> Option<LoadUpdate> {
         loop {
             match self.receiver.recv().await {
-                Ok(word) => return Some(word),
+                Ok(update) => return Some(update),
                 Err(broadcast::error::RecvError::Lagged(_)) => continue,
                 Err(broadcast::error::RecvError::Closed) => return None,
             }
--- a/crates/azuregate/src/gateway/mod.rs
+++ b/crates/azuregate/src/gateway/mod.rs
@@ -132,7 +132,7 @@
         }
         if let Some(handed) = handed {
             let selector = self.parts.selectors.get(&attributes.service);
-            handover::set_load(response.headers_mut(), selector.word_for(&handed).await);
+            handover::set_load(response.headers_mut(), selector.load_for(&handed).await);
         }
         response
     }
--- a/crates/azuregate/src/peer/link.rs
+++ b/crates/azuregate/src/peer/link.rs
@@ -22,7 +22,7 @@
 use crate::{
     clock::SharedClock,
     config::{Change, Config, Snapshots, Source},
-    dispatch::{Exchange, Word, Words},
+    dispatch::{Exchange, LoadUpdate, LoadUpdates},
     membership::Members,
     peer::{Frame, LinkError, PeerLink},
     timer::Tick,
@@ -85,10 +85,10 @@
 /// Serves a link until it breaks or closes; returns who was at the other end.
 pub(crate) async fn serve(link: Box<dyn PeerLink>, parts: LinkParts) -> Option<InstanceId> {
     let snapshots = parts.snapshots.watch();
-    let words = parts.exchange.outgoing();
+    let updates = parts.exchange.outgoing();
     let heard_at_ms = parts.clock.now();
     let mut serving = Serving { link, parts, known: Known::default(), heard_at_ms };
-    if let Err(e) = serving.serve(snapshots, words).await {
+    if let Err(e) = serving.serve(snapshots, updates).await {
         log::info!(error:% = e; "peer link ended");
     }
     serving.known.neighbour.map(|(neighbour, _)| neighbour)
@@ -98,7 +98,7 @@
     async fn serve(
         &mut self,
         mut snapshots: watch::Receiver<std::sync::Arc<Snapshot>>,
-        mut words: Words,
+        mut updates: LoadUpdates,
     ) -> Result<(), LinkError> {
         let first = snapshots.borrow_and_update().clone();
         self.greet(&first).await?;
@@ -116,9 +116,9 @@
                     let snapshot = snapshots.borrow_and_update().clone();
                     self.send_missing(&snapshot).await?;
                 }
-                word = words.recv() => {
-                    let Some(word) = word else { return Ok(()) };
-                    self.pass_on(word).await?;
+                update = updates.recv() => {
+                    let Some(update) = update else { return Ok(()) };
+                    self.pass_on(update).await?;
                 }
                 tick = self.parts.heartbeats.recv() => {
                     if tick.is_none() {
@@ -161,14 +161,14 @@
         self.send(&Frame::Heartbeat(heartbeat)).await
     }
 
-    async fn pass_on(&mut self, word: Word) -> Result<(), LinkError> {
+    async fn pass_on(&mut self, update: LoadUpdate) -> Result<(), LinkError> {
         let Some((neighbour, _)) = &self.known.neighbour else {
             return Ok(());
         };
-        if *neighbour != word.peer {
+        if *neighbour != update.peer {
             return Ok(());
         }
-        let Word { service, group, load, .. } = word;
+        let LoadUpdate { service, group, load, .. } = update;
         self.send(&Frame::Load { service, group, load }).await
     }
 
@@ -209,7 +209,7 @@
                 self.parts.config.change(Change::Probes(watcher, report));
             }
             Frame::Load { service, group, load } => {
-                self.parts.exchange.heard(Word { peer: neighbour, service, group, load });
+                self.parts.exchange.heard(LoadUpdate { peer: neighbour, service, group, load });
             }
         }
         Ok(())
--- a/crates/azuregate/src/selector/mod.rs
+++ b/crates/azuregate/src/selector/mod.rs
@@ -38,7 +38,7 @@
 pub use lease::{HandedTo, Lease};
 pub use meter::Meter;
 
-/// How often the queues and the words to other instances are looked at.
+/// How often the queues and the updates to other instances are looked at.
 const TICK_MS: u64 = 50;
 
 /// What selectors work with.
@@ -146,10 +146,10 @@
     }
 
     /// The load of a group, for the instance that handed a request over.
-    pub async fn word_for(&self, handed: &Handed) -> Option<GroupLoad> {
+    pub async fn load_for(&self, handed: &Handed) -> Option<GroupLoad> {
         let (reply, answer) = oneshot::channel();
         let (to, group) = (handed.from.clone(), handed.group.clone());
-        self.sender.send(Message::Word { to, group, reply }).ok()?;
+        self.sender.send(Message::LoadFor { to, group, reply }).ok()?;
         answer.await.ok()?
     }
 }
--- a/crates/azuregate/src/selector/task.rs
+++ b/crates/azuregate/src/selector/task.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     clock::SharedClock,
-    dispatch::{Exchange, Word, Words},
+    dispatch::{Exchange, LoadUpdate, LoadUpdates},
     selector::{Lease, Meter, SelectorParts, TICK_MS, Want, lease::Held, reply::refusal_error},
     timer::Tick,
 };
@@ -45,7 +45,7 @@
     Finish { held: Held, ending: Ending },
     Report { slot: Slot, report: LoadReport },
     Hear { hand_over: HandOver, load: GroupLoad },
-    Word { to: InstanceId, group: GroupId, reply: oneshot::Sender<Option<GroupLoad>> },
+    LoadFor { to: InstanceId, group: GroupId, reply: oneshot::Sender<Option<GroupLoad>> },
 }
 
 /// A hand-over in progress.
@@ -62,7 +62,7 @@
     steer: Option<Box<dyn Steer>>,
     rng: fastrand::Rng,
     exchange: Exchange,
-    heard: Words,
+    heard: LoadUpdates,
     ticks: mpsc::Receiver<Tick>,
     snapshots: watch::Receiver<Arc<Snapshot>>,
     pub(super) topology: Arc<Topology>,
@@ -109,9 +109,9 @@
                     let Some(message) = message else { return };
                     self.take(message);
                 }
-                word = self.heard.recv() => {
-                    let Some(word) = word else { return };
-                    self.hear(&word);
+                update = self.heard.recv() => {
+                    let Some(update) = update else { return };
+                    self.hear(&update);
                 }
                 tick = self.ticks.recv() => {
                     if tick.is_none() {
@@ -152,16 +152,16 @@
                 let group = self.dispatch.group_id(hand_over.group).clone();
                 self.dispatch.hear(&from, &group, load, false, now_ms);
             }
-            Message::Word { to, group, reply } => {
-                let _ = reply.send(self.dispatch.word_for(&to, &group, now_ms));
+            Message::LoadFor { to, group, reply } => {
+                let _ = reply.send(self.dispatch.load_for(&to, &group, now_ms));
             }
         }
     }
 
-    fn hear(&mut self, word: &Word) {
-        if word.service == self.service {
+    fn hear(&mut self, update: &LoadUpdate) {
+        if update.service == self.service {
             let now_ms = self.clock.now();
-            self.dispatch.hear(&word.peer, &word.group, word.load, true, now_ms);
+            self.dispatch.hear(&update.peer, &update.group, update.load, true, now_ms);
         }
     }
 
@@ -171,10 +171,15 @@
             let (up_bytes, down_bytes) = meter.read();
             self.dispatch.passed(link, up_bytes, down_bytes, now_ms);
         }
-        let (words, silent) = self.dispatch.tick(now_ms);
-        for word in words {
+        let (updates, silent) = self.dispatch.tick(now_ms);
+        for update in updates {
             let service = self.service.clone();
-            self.exchange.say(Word { peer: word.to, service, group: word.group, load: word.load });
+            self.exchange.send(LoadUpdate {
+                peer: update.to,
+                service,
+                group: update.group,
+                load: update.load,
+            });
         }
         for peer in silent {
             self.lose(peer);
--- a/crates/azuregate/tests/configuration/mesh.rs
+++ b/crates/azuregate/tests/configuration/mesh.rs
@@ -115,7 +115,7 @@
     assert_eq!((version(&snapshot), snapshot.listed.len()), (5, 3));
 }
 
-// One instance takes in a change, a leaving server and the word that another
+// One instance takes in a change, a leaving server and the update that another
 // stops. All reach an instance that it has a link to; a later start of the
 // stopped one would count anew.
 #[tokio::test]
@@ -132,7 +132,7 @@
     assert!(!is_leaving(&second.snapshots.current(), c));
 }
 
-// One of three is gone without a word. The others stop naming it, long before
+// One of three is gone without a message. The others stop naming it, long before
 // any list says so, and name it again when it is back.
 #[tokio::test]
 async fn a_silent_instance_is_away_until_it_is_back() {
--- a/crates/azuregate/tests/dispatch/world.rs
+++ b/crates/azuregate/tests/dispatch/world.rs
@@ -9,7 +9,7 @@
     claims::Claims,
     clock::{SharedClock, SystemClock},
     config::{Change, Config, Source},
-    dispatch::{Exchange, Rule, Word},
+    dispatch::{Exchange, LoadUpdate, Rule},
     gateway::{Gateway, Parts},
     metrics::{NullSink, Recorder},
     platform::{Changes, Commit, Effect, Platform, PlatformError, Result, Row, Table, Write},
@@ -106,7 +106,7 @@
         let load = GroupLoad { free, slots: 3, service_ms: 20, ..GroupLoad::default() };
         let service = ServiceName::new("svc");
         let group = GroupId { zone: ZoneName::new("r-b"), part: 0 };
-        self.exchange.heard(Word { peer: InstanceId::new("entry-2"), service, group, load });
+        self.exchange.heard(LoadUpdate { peer: InstanceId::new("entry-2"), service, group, load });
     }
 }
 
