Do not panic when the reader of a command's output leaves

Cause: println! panics on a closed pipe, so that a command whose output goes to 'head' ended with a panic and status 101 though its change was made. Found while showing the whole path through separate processes.

Change: the command lines print through print_line, which passes over it. a_reader_that_leaves_is_no_failure was seen to fail with println! put back (left 101, right 0).

--- a/crates/azuregate-lab/src/cli/measure.rs
+++ b/crates/azuregate-lab/src/cli/measure.rs
@@ -5,6 +5,7 @@
     path::{Path, PathBuf},
 };
 
+use azuregate::cli::print_line;
 use gumdrop::Options;
 
 use crate::{
@@ -55,7 +56,7 @@
     let file = args.example.clone().unwrap_or_else(|| EXAMPLES[0].into());
     let plan = plan(&args, &file)?;
     let section = measure::one(experiment, &plan).await?;
-    println!("{}", section.to_markdown());
+    print_line(format_args!("{}", section.to_markdown()));
     if let Some(out) = &args.out {
         fs::create_dir_all(out)?;
         let json = serde_json::to_string_pretty(&section)?;
@@ -95,6 +96,6 @@
     let experiments: Vec<_> =
         latency.into_iter().chain(others.map(|other| (other, first.clone()))).collect();
     let failed = measure::all(&experiments, &out).await?;
-    println!("{}", out.join("measurements.md").display());
+    print_line(format_args!("{}", out.join("measurements.md").display()));
     if failed.is_empty() { Ok(()) } else { Err(format!("failed: {}", failed.join(", ")).into()) }
 }
--- a/crates/azuregate-lab/src/cli/mod.rs
+++ b/crates/azuregate-lab/src/cli/mod.rs
@@ -10,6 +10,7 @@
     process::ExitCode,
 };
 
+use azuregate::cli::print_line;
 use gumdrop::Options;
 use tokio::signal;
 
@@ -100,21 +101,25 @@
 
 async fn run_platform(example: &Example) -> Result<(), ClientError> {
     let (_server, _task) = crate::up::serve_platform(example, None).await?;
-    println!("platform at {}", example.platform_addr);
+    print_line(format_args!("platform at {}", example.platform_addr));
     Ok(signal::ctrl_c().await?)
 }
 
 async fn run_backends(example: &Example) -> Result<(), ClientError> {
     let (backends, _tasks) = crate::up::serve_backends(example, None, 1).await?;
     for backend in &backends {
-        println!("{} at {}", backend.server.id, backend.server.addr);
+        print_line(format_args!("{} at {}", backend.server.id, backend.server.addr));
     }
     Ok(signal::ctrl_c().await?)
 }
 
 async fn run_stand_ins(example: &Example) -> Result<(), ClientError> {
     let mut lab = crate::up::stand_ins(example).await?;
-    println!("platform at {}, {} backend servers", example.platform_addr, lab.backends.len());
+    print_line(format_args!(
+        "platform at {}, {} backend servers",
+        example.platform_addr,
+        lab.backends.len()
+    ));
     tokio::select! {
         () = lab.wait() => {}
         stopped = signal::ctrl_c() => stopped?,
@@ -128,7 +133,7 @@
     for entry in &example.entries {
         let path = args.out.join(format!("{}.jsonc", entry.id));
         fs::write(&path, serde_json::to_string_pretty(&example.settings(entry))?)?;
-        println!("{}", path.display());
+        print_line(format_args!("{}", path.display()));
     }
     Ok(())
 }
--- a/crates/azuregate-lab/src/cli/up.rs
+++ b/crates/azuregate-lab/src/cli/up.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, path::PathBuf};
 
+use azuregate::cli::print_line;
 use gumdrop::Options;
 use tokio::signal;
 
@@ -54,13 +55,13 @@
         moving = keep_moving(&lab, service, args.rate_per_s) => moving?,
         stopped = signal::ctrl_c() => stopped?,
     }
-    println!(
+    print_line(format_args!(
         "stopping as planned: entry instances go on for {} ms, then finish what is in progress; \
          Ctrl-C again ends at once",
         example.stop_delay_ms
-    );
+    ));
     tokio::select! {
-        () = lab.stop() => println!("stopped"),
+        () = lab.stop() => print_line(format_args!("stopped")),
         stopped = signal::ctrl_c() => stopped?,
     }
     Ok(())
@@ -70,23 +71,26 @@
     let entry = example.entries.first().ok_or("the example has no entry instance")?;
     let (ip, ports, name) = (entry.ip, example.ports, &service.name);
     let traffic = example.traffic_addr(entry);
-    println!("{} is up: {} entry instances", example.name, example.entries.len());
-    println!("  entries     http://{traffic}/v1/entries?service={name}");
-    println!("  histograms  http://{ip}:{}/histograms", ports.status);
-    println!("  operators   {ip}:{}", ports.operators);
-    println!("  platform    http://{}/lab/counts", example.platform_addr);
-    println!("try next, in another terminal:");
-    println!("  curl -H 'Host: {name}' http://{traffic}/hello");
-    println!("  azuregate status --at {ip}:{}", ports.operators);
-    println!(
+    print_line(format_args!("{} is up: {} entry instances", example.name, example.entries.len()));
+    print_line(format_args!("  entries     http://{traffic}/v1/entries?service={name}"));
+    print_line(format_args!("  histograms  http://{ip}:{}/histograms", ports.status));
+    print_line(format_args!("  operators   {ip}:{}", ports.operators));
+    print_line(format_args!("  platform    http://{}/lab/counts", example.platform_addr));
+    print_line(format_args!("try next, in another terminal:"));
+    print_line(format_args!("  curl -H 'Host: {name}' http://{traffic}/hello"));
+    print_line(format_args!("  azuregate status --at {ip}:{}", ports.operators));
+    print_line(format_args!(
         "  azuregate-lab load --at {traffic} --service {name} --platform {}",
         example.platform_addr
-    );
+    ));
     if let Some(server) = example.backends(service).first() {
-        println!("  curl -d '{{\"shed\":true}}' http://{}/lab/behaviour", server.addr);
+        print_line(format_args!(
+            "  curl -d '{{\"shed\":true}}' http://{}/lab/behaviour",
+            server.addr
+        ));
     }
-    println!("Ctrl-C stops everything");
-    println!();
+    print_line(format_args!("Ctrl-C stops everything"));
+    print_line(format_args!(""));
     Ok(())
 }
 
@@ -108,7 +112,7 @@
         let ended = load::run(&config).await?;
         let audit = load::audit(&ended, &lab.ran());
         let report = Report::new(&ended, PERIOD_MS, Some(audit));
-        println!("{}", line(&report, &regions(lab, service)));
+        print_line(format_args!("{}", line(&report, &regions(lab, service))));
         // What was audited is forgotten, or a long run would fill the memory.
         for backend in &lab.backends {
             backend.counts().forget();
--- a/crates/azuregate-lab/src/measure/mod.rs
+++ b/crates/azuregate-lab/src/measure/mod.rs
@@ -27,6 +27,7 @@
 };
 
 use crate::{client::ClientError, example::Example};
+use azuregate::cli::print_line;
 
 pub use section::Section;
 pub use spread::Spread;
@@ -146,7 +147,7 @@
     for (experiment, plan) in experiments {
         let name = file_name(*experiment, plan);
         let start = Instant::now();
-        println!("measuring {name}");
+        print_line(format_args!("measuring {name}"));
         match one(*experiment, plan).await {
             Ok(section) => {
                 page.push_str(&section.to_markdown());
@@ -154,12 +155,12 @@
                 fs::write(out.join(format!("{name}.json")), json)?;
             }
             Err(e) => {
-                println!("{name} FAILED: {e}");
+                print_line(format_args!("{name} FAILED: {e}"));
                 page.push_str(&format!("## {name}\n\nNot measured: {e}\n\n"));
                 failed.push(name.clone());
             }
         }
-        println!("{name} took {} s", start.elapsed().as_secs());
+        print_line(format_args!("{name} took {} s", start.elapsed().as_secs()));
         // Written each time, so that an interrupted run leaves what it has.
         fs::write(out.join("measurements.md"), &page)?;
     }
--- a/crates/azuregate/src/cli/call.rs
+++ b/crates/azuregate/src/cli/call.rs
@@ -14,7 +14,7 @@
     Exit,
     options::{CallArgs, ChangeArgs, Output},
 };
-use crate::operators::FailureClass;
+use crate::{cli::print_line, operators::FailureClass};
 
 /// Names the instances to ask when the command line does not.
 const AT_VARIABLE: &str = "AZUREGATE_AT";
@@ -44,7 +44,10 @@
         // A conflict has its own answer, which says who won.
         if output == Output::Json && self.exit != Exit::Conflict {
             let class = self.exit.as_str();
-            println!("{}", serde_json::json!({ "class": class, "message": self.message }));
+            print_line(format_args!(
+                "{}",
+                serde_json::json!({ "class": class, "message": self.message })
+            ));
         }
         self.exit
     }
--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod args;
 mod call;
 mod help;
+mod line;
 mod operator;
 mod options;
 mod policy_file;
@@ -31,6 +32,8 @@
     stop,
 };
 
+pub use line::print_line;
+
 /// How a command ended, for scripts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Exit {
@@ -82,7 +85,7 @@
         }
     };
     if args.help_requested() {
-        println!("{}", help::text(&args));
+        print_line(format_args!("{}", help::text(&args)));
         return Exit::Done.into();
     }
     match args.command {
--- a/crates/azuregate/src/cli/print.rs
+++ b/crates/azuregate/src/cli/print.rs
@@ -5,13 +5,16 @@
 use azuregate_schema::v1;
 use serde::Serialize;
 
-use super::options::Output;
+use super::{options::Output, print_line};
 
 /// Prints a message as JSON under the schema's names, or by `human`.
 pub(super) fn answer<T: Serialize>(output: Output, message: &T, human: impl FnOnce(&T) -> String) {
     match output {
-        Output::Json => println!("{}", serde_json::to_string_pretty(message).unwrap_or_default()),
-        Output::Human => println!("{}", human(message).trim_end()),
+        Output::Json => print_line(format_args!(
+            "{}",
+            serde_json::to_string_pretty(message).unwrap_or_default()
+        )),
+        Output::Human => print_line(format_args!("{}", human(message).trim_end())),
     }
 }
 
--- a/crates/azuregate/tests/cli/main.rs
+++ b/crates/azuregate/tests/cli/main.rs
@@ -7,5 +7,6 @@
 #[allow(dead_code, reason = "shared with the tests of the operators' service")]
 mod fake;
 mod help;
+mod pipes;
 mod server;
 mod shares;
