Remove what nothing uses

Ruled out: the three wrappers round bodies, whose shared lines are the trait's own form and whose jobs differ.

--- a/crates/azuregate-core/src/shift.rs
+++ b/crates/azuregate-core/src/shift.rs
@@ -24,18 +24,6 @@
 /// ramp itself would meet the bound.
 const PARTS: u64 = 64;
 
-impl Cap {
-    /// The cap for weights that callers keep for `max_age_ms`.
-    ///
-    /// A caller goes on using an answer after it has changed, so what moves in
-    /// one window was answered over the window and the age together.
-    pub fn for_cached(self, max_age_ms: u64) -> Cap {
-        let share = u64::from(self.share_ppm) * self.window_ms;
-        let share = share / (self.window_ms + max_age_ms).max(1);
-        Cap { share_ppm: u32::try_from(share).unwrap_or(u32::MAX), ..self }
-    }
-}
-
 impl Shift {
     /// The share of traffic that the whole shift moves, in parts per million.
     ///
