--- /dev/null
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -0,0 +1,313 @@
+//! The state of all backend servers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use super::{ColdBudget, Config, Health, Members, Outcome};
+use crate::{
+    names::{BackendId, InstanceId, RegionName, ServiceName, ZoneName},
+    route::hash::score,
+};
+
+/// How long a load report is believed. Load changes within the time of a few
+/// requests; an older report says nothing.
+const LOAD_AGE_LIMIT_MS: u64 = 300;
+
+/// A backend server as it registered itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Backend {
+    /// Its name.
+    pub id: BackendId,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// How many requests it processes at the same time.
+    pub slots: u32,
+    /// Whether it is leaving and must get nothing new.
+    pub is_draining: bool,
+    /// How long it stays cold from when this was read.
+    pub cold_left_ms: u64,
+    /// When it started, by its own clock.
+    pub start_epoch_ms: u64,
+}
+
+/// Names one backend server for as long as it is registered.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct BackendHandle(pub(super) u64);
+
+/// The load that a backend server reported.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Requests at work.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+}
+
+/// What the balancer needs to know of its own instance and deployment.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The instance that decides.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The regions of all availability zones.
+    pub zones: BTreeMap<ZoneName, RegionName>,
+    /// Factor on the rate that a cold backend server tolerates.
+    pub cold_rate_factor: f64,
+    /// Requests a second that a cold backend server may get beyond that.
+    pub cold_rate_slack: f64,
+}
+
+/// How far a backend server is from the instance that decides.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Distance {
+    Zone,
+    Region,
+    Far,
+}
+
+/// One backend server and what is known of it.
+#[derive(Clone, Debug)]
+pub(super) struct Node {
+    pub(super) handle: BackendHandle,
+    pub(super) backend: Arc<Backend>,
+    pub(super) seed: u64,
+    pub(super) distance: Distance,
+    pub(super) is_evacuated: bool,
+    pub(super) cold_until_ms: u64,
+    pub(super) cold_limit: u32,
+    pub(super) cold: ColdBudget,
+    pub(super) in_flight: u32,
+    pub(super) load: Option<(Load, u64)>,
+    pub(super) health: Health,
+    was_unreachable: bool,
+}
+
+impl Node {
+    /// Requests at the server: the own ones, or more if it said so just now.
+    pub(super) fn busy(&self, now_ms: u64) -> u32 {
+        match self.load {
+            Some((load, at_ms)) if now_ms.saturating_sub(at_ms) <= LOAD_AGE_LIMIT_MS => {
+                self.in_flight.max(load.running + load.waiting)
+            }
+            _ => self.in_flight,
+        }
+    }
+
+    pub(super) fn is_cold(&self, now_ms: u64) -> bool {
+        now_ms < self.cold_until_ms
+    }
+}
+
+/// Holds the state of all backend servers and chooses among them.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    region: Option<RegionName>,
+    config: Option<Arc<Config>>,
+    evacuated: BTreeSet<ZoneName>,
+    pub(super) services: BTreeMap<ServiceName, Vec<Node>>,
+    next_handle: u64,
+}
+
+impl Balancer {
+    /// A balancer that knows no backend server yet.
+    pub fn new(settings: Settings) -> Balancer {
+        let region = settings.zones.get(&settings.zone).cloned();
+        Balancer {
+            settings,
+            region,
+            config: None,
+            evacuated: BTreeSet::new(),
+            services: BTreeMap::new(),
+            next_handle: 0,
+        }
+    }
+
+    /// Takes in a configuration.
+    pub fn set_config(&mut self, config: Arc<Config>) {
+        self.config = Some(config);
+    }
+
+    /// Takes in a backend server's row; returns whether the server is new or has
+    /// started anew.
+    pub fn put(&mut self, backend: Backend, members: &Members, now_ms: u64) -> bool {
+        let cold_until_ms = now_ms + backend.cold_left_ms;
+        if let Some(node) = self.same_start(&backend) {
+            node.cold_until_ms = node.cold_until_ms.max(cold_until_ms);
+            node.backend = Arc::new(backend);
+            return false;
+        }
+        self.remove(backend.id.as_str());
+        self.next_handle += 1;
+        let node = Node {
+            handle: BackendHandle(self.next_handle),
+            seed: score(&[backend.id.as_str()]),
+            distance: self.distance(&backend.zone),
+            is_evacuated: self.evacuated.contains(&backend.zone),
+            cold_until_ms,
+            cold_limit: 0,
+            cold: ColdBudget::default(),
+            in_flight: 0,
+            load: None,
+            health: Health::default(),
+            was_unreachable: false,
+            backend: Arc::new(backend),
+        };
+        self.services.entry(node.backend.service.clone()).or_default().push(node);
+        self.set_cold_limits(members);
+        true
+    }
+
+    /// Forgets a backend server; returns whether it was known.
+    pub fn remove(&mut self, id: &str) -> bool {
+        let mut was_known = false;
+        for nodes in self.services.values_mut() {
+            let count = nodes.len();
+            nodes.retain(|node| node.backend.id.as_str() != id);
+            was_known |= nodes.len() < count;
+        }
+        was_known
+    }
+
+    /// The names of all backend servers.
+    pub fn ids(&self) -> Vec<BackendId> {
+        self.nodes().map(|node| node.backend.id.clone()).collect()
+    }
+
+    /// Whether any backend server is known.
+    pub fn is_empty(&self) -> bool {
+        self.nodes().next().is_none()
+    }
+
+    /// Sends nothing more to the backend servers of `zone`, or takes them back.
+    ///
+    /// Servers that got nothing for a while have forgotten their objects and may
+    /// be cold, so those that are taken back count as cold.
+    pub fn set_evacuated(&mut self, zone: &ZoneName, is_evacuated: bool, now_ms: u64) -> bool {
+        let has_changed = match is_evacuated {
+            true => self.evacuated.insert(zone.clone()),
+            false => self.evacuated.remove(zone),
+        };
+        if !has_changed {
+            return false;
+        }
+        let config = self.config.clone();
+        for node in self.services.values_mut().flatten().filter(|node| node.backend.zone == *zone) {
+            node.is_evacuated = is_evacuated;
+            if !is_evacuated {
+                let service = config.as_ref().and_then(|c| c.service(&node.backend.service));
+                let cold_ms = service.map_or(0, |service| service.cold_ms);
+                node.cold_until_ms = node.cold_until_ms.max(now_ms + cold_ms);
+            }
+        }
+        true
+    }
+
+    /// The zones to whose servers nothing is sent.
+    pub fn evacuated(&self) -> impl Iterator<Item = &ZoneName> {
+        self.evacuated.iter()
+    }
+
+    /// Works out again what this instance may send to each cold server, after
+    /// the members or the configuration have changed.
+    pub fn set_cold_limits(&mut self, members: &Members) {
+        let Some(config) = self.config.clone() else { return };
+        for node in self.services.values_mut().flatten() {
+            let rate = config.service(&node.backend.service).map_or(0.0, |s| s.cold_rate_per_s);
+            if rate == 0.0 {
+                node.cold_limit = u32::MAX;
+                continue;
+            }
+            let rate = rate * self.settings.cold_rate_factor + self.settings.cold_rate_slack;
+            let names = members.registered().map(|member| member.instance.as_str());
+            let own = self.settings.instance.as_str();
+            node.cold_limit = ColdBudget::part(node.backend.id.as_str(), own, names, rate);
+        }
+    }
+
+    /// The backend server behind a handle, while it is registered.
+    pub fn backend(&self, handle: BackendHandle) -> Option<Arc<Backend>> {
+        self.nodes().find(|node| node.handle == handle).map(|node| Arc::clone(&node.backend))
+    }
+
+    /// Takes in the load that a server reported.
+    pub fn report(&mut self, handle: BackendHandle, load: Load, now_ms: u64) {
+        if let Some(node) = self.node_mut(handle) {
+            node.load = Some((load, now_ms));
+        }
+    }
+
+    /// Takes in that a server says that it is cold.
+    pub fn set_cold(&mut self, handle: BackendHandle, cold_left_ms: u64, now_ms: u64) {
+        if let Some(node) = self.node_mut(handle) {
+            node.cold_until_ms = node.cold_until_ms.max(now_ms + cold_left_ms);
+        }
+    }
+
+    /// Stops sending to a server that said itself that it is leaving, or is
+    /// another one by now.
+    pub fn set_leaving(&mut self, handle: BackendHandle) {
+        if let Some(node) = self.node_mut(handle) {
+            Arc::make_mut(&mut node.backend).is_draining = true;
+        }
+    }
+
+    /// Ends a request that [`Balancer::choose`] sent to a server.
+    ///
+    /// A server that answers after it could not be reached may have started anew
+    /// under the same name before its row says so, and counts as cold.
+    pub fn end(&mut self, handle: BackendHandle, outcome: Outcome, now_ms: u64) {
+        let config = self.config.clone();
+        let Some(node) = self.node_mut(handle) else { return };
+        node.in_flight = node.in_flight.saturating_sub(1);
+        node.health.record(outcome, now_ms);
+        if node.health.was_unreachable() {
+            node.was_unreachable = true;
+        } else if node.was_unreachable {
+            node.was_unreachable = false;
+            let service = config.as_ref().and_then(|c| c.service(&node.backend.service));
+            let cold_ms = service.map_or(0, |service| service.cold_ms);
+            node.cold_until_ms = node.cold_until_ms.max(now_ms + cold_ms);
+        }
+    }
+
+    fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.services.values().flatten()
+    }
+
+    pub(super) fn node_mut(&mut self, handle: BackendHandle) -> Option<&mut Node> {
+        self.services.values_mut().flatten().find(|node| node.handle == handle)
+    }
+
+    fn same_start(&mut self, backend: &Backend) -> Option<&mut Node> {
+        let nodes = self.services.get_mut(&backend.service)?;
+        nodes.iter_mut().find(|node| {
+            let known = &node.backend;
+            known.id == backend.id
+                && known.start_epoch_ms == backend.start_epoch_ms
+                && known.addr == backend.addr
+        })
+    }
+
+    fn distance(&self, zone: &ZoneName) -> Distance {
+        if *zone == self.settings.zone {
+            return Distance::Zone;
+        }
+        match self.settings.zones.get(zone) {
+            Some(region) if Some(region) == self.region.as_ref() => Distance::Region,
+            _ => Distance::Far,
+        }
+    }
+
+    pub(super) fn is_allowed_region(&self, zone: &ZoneName, regions: &[RegionName]) -> bool {
+        regions.is_empty() || self.settings.zones.get(zone).is_some_and(|r| regions.contains(r))
+    }
+}
--- /dev/null
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -0,0 +1,155 @@
+//! Which entry instances there are, and which of them clients should use.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
+
+use crate::{
+    names::{InstanceId, RegionName, StartNumber, ZoneName},
+    route::hash::score,
+};
+
+/// How many addresses a lookup names at the most.
+const LOOKUP_LIMIT: usize = 64;
+/// Instances that a lookup names at the least, if there are so many in the
+/// region: a client that knows just one has nowhere to go when that one fails.
+const LOOKUP_WANTED: usize = 2;
+
+/// An entry instance as it registered itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Tells its starts apart.
+    pub start: StartNumber,
+    /// Its address for other instances.
+    pub ip: IpAddr,
+    /// Its address for clients.
+    pub traffic_addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    heard_at_ms: Option<u64>,
+    is_leaving: bool,
+}
+
+/// All registered instances, and when each was last heard.
+#[derive(Clone, Debug)]
+pub struct Members {
+    own: InstanceId,
+    zones: BTreeMap<ZoneName, RegionName>,
+    silence_ms: u64,
+    known: BTreeMap<InstanceId, Known>,
+}
+
+impl Members {
+    /// The members of a deployment with these `zones`, seen from `own`; one that
+    /// is silent for `silence_ms` is not named to clients.
+    pub fn new(own: InstanceId, zones: BTreeMap<ZoneName, RegionName>, silence_ms: u64) -> Members {
+        Members { own, zones, silence_ms, known: BTreeMap::new() }
+    }
+
+    /// Takes in the row of an instance.
+    pub fn put(&mut self, member: Member) {
+        let heard_at_ms = match self.known.get(&member.instance) {
+            Some(known) if known.member.start == member.start => known.heard_at_ms,
+            _ => None,
+        };
+        let known = Known { heard_at_ms, is_leaving: false, member };
+        self.known.insert(known.member.instance.clone(), known);
+    }
+
+    /// Forgets an instance whose row was removed.
+    pub fn remove(&mut self, instance: &str) {
+        self.known.remove(instance);
+    }
+
+    /// Keeps only the instances for which `is_there` holds.
+    pub fn retain(&mut self, is_there: impl Fn(&InstanceId) -> bool) {
+        self.known.retain(|instance, _| is_there(instance));
+    }
+
+    /// Takes in a heartbeat. One of an earlier or later start than the row's is
+    /// of no use: its address may be another's by now. Returns whether the
+    /// instance is known in that start.
+    pub fn heard(
+        &mut self,
+        instance: &str,
+        start: StartNumber,
+        is_leaving: bool,
+        now_ms: u64,
+    ) -> bool {
+        let Some(known) = self.known.get_mut(instance) else { return false };
+        if known.member.start != start {
+            return false;
+        }
+        known.heard_at_ms = Some(now_ms);
+        known.is_leaving = is_leaving;
+        true
+    }
+
+    /// How many instances are registered.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no instance is registered.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// The registered instances, dead ones as well.
+    pub fn registered(&self) -> impl Iterator<Item = &Member> {
+        self.known.values().map(|known| &known.member)
+    }
+
+    /// The other instances, to which heartbeats go.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.registered().filter(|member| member.instance != self.own)
+    }
+
+    /// The addresses that a client in `zone` should use at `now_ms`: those of its
+    /// zone, with those of its region if they are few, else all.
+    pub fn lookup(&self, zone: &str, region: &str, now_ms: u64) -> Vec<SocketAddr> {
+        let mut ranked: Vec<(u8, u64, &Known)> = self
+            .known
+            .values()
+            .filter(|known| self.is_usable(known, now_ms))
+            .map(|known| {
+                let rank = self.rank(known, zone, region);
+                (rank, score(&[zone, known.member.instance.as_str()]), known)
+            })
+            .collect();
+        ranked.sort_by_key(|&(rank, score, _)| (rank, score));
+        let is_near = |rank: u8| rank == 0;
+        let near = ranked.iter().filter(|&&(rank, ..)| is_near(rank)).count();
+        let widest = match ranked.first() {
+            Some(&(0, ..)) if near >= LOOKUP_WANTED => 0,
+            Some(&(0 | 1, ..)) => 1,
+            _ => 2,
+        };
+        let named = ranked.iter().filter(|&&(rank, ..)| rank <= widest).take(LOOKUP_LIMIT);
+        named.map(|(.., known)| known.member.traffic_addr).collect()
+    }
+
+    fn is_usable(&self, known: &Known, now_ms: u64) -> bool {
+        if known.is_leaving {
+            return false;
+        }
+        let is_own = known.member.instance == self.own;
+        is_own || known.heard_at_ms.is_some_and(|at| now_ms.saturating_sub(at) <= self.silence_ms)
+    }
+
+    fn rank(&self, known: &Known, zone: &str, region: &str) -> u8 {
+        if known.member.zone.as_str() == zone {
+            return 0;
+        }
+        let own_region = self.zones.get(&known.member.zone).map(RegionName::as_str);
+        if own_region == Some(region) { 1 } else { 2 }
+    }
+}
--- /dev/null
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -0,0 +1,38 @@
+/*!
+Chooses backend servers by the object that a request is about.
+
+Backend servers work several times faster on an object that they handled
+recently. [`Balancer`] therefore sends requests for one object to the same
+server on all instances, by rendezvous hashing and without a word between them,
+and leaves that server only when it is full, failing or leaving.
+
+# Design
+
+* [`Config`] is the operator's configuration; [`Backend`] and [`Member`] are what
+  backend servers and entry instances say of themselves.
+* [`Balancer`] holds the state of all backend servers and decides where a request
+  goes.
+* [`RetryBudget`] and [`ColdBudget`] bound what all instances do together, each
+  by a share of its own.
+* [`Members`] tells which entry instances clients should use.
+*/
+
+mod backends;
+mod cold;
+mod config;
+mod health;
+mod members;
+mod place;
+mod retry_budget;
+mod split;
+
+pub use backends::{Backend, BackendHandle, Balancer, Load, Settings};
+pub use cold::ColdBudget;
+pub use config::{
+    CallerLimits, Config, ConfigError, ConfigParts, Destination, RequestKind, Route, Service,
+};
+pub use health::{Health, Outcome};
+pub use members::{Member, Members};
+pub use place::{Choice, Query};
+pub use retry_budget::RetryBudget;
+pub use split::Split;
--- /dev/null
+++ b/crates/azuregate-core/src/balance/split.rs
@@ -0,0 +1,35 @@
+//! Divides the requests of a route among its services by weight.
+
+use super::Destination;
+
+/// Deals requests out so that after each one every service has had its share,
+/// give or take one request.
+///
+/// Choosing by chance would miss the shares by several percent over a few
+/// hundred requests.
+#[derive(Clone, Debug, Default)]
+pub struct Split {
+    credits: Vec<f64>,
+}
+
+impl Split {
+    /// The index of the destination of the next request.
+    ///
+    /// Each destination gains its weight, and the one that is owed most pays for
+    /// the request with the sum of all weights.
+    pub fn next(&mut self, destinations: &[Destination]) -> usize {
+        if destinations.len() < 2 {
+            return 0;
+        }
+        self.credits.resize(destinations.len(), 0.0);
+        let mut total = 0.0;
+        for (credit, destination) in self.credits.iter_mut().zip(destinations) {
+            *credit += destination.weight;
+            total += destination.weight;
+        }
+        let owed = self.credits.iter().enumerate().filter(|&(i, _)| destinations[i].weight > 0.0);
+        let most = owed.max_by(|a, b| a.1.total_cmp(b.1)).map_or(0, |(i, _)| i);
+        self.credits[most] -= total;
+        most
+    }
+}
--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -24,6 +24,7 @@
 * [`steer`] plans which availability zones a request may go to.
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`home`] decides the same for keys that belong to one start of an instance.
+* [`balance`] chooses a backend server by the object that a request is about.
 * [`blocks`] finds the site of a client from its address.
 * [`membership`] tells which instances take new work, [`neighbours`] which keep
   links to each other.
@@ -34,6 +35,7 @@
 * [`error`] is the closed list of error kinds and the table from kind to answer.
 */
 
+pub mod balance;
 pub mod blocks;
 pub mod claim;
 pub mod entries;
--- a/crates/azuregate/src/cli/args.rs
+++ b/crates/azuregate/src/cli/args.rs
@@ -21,6 +21,8 @@
 pub(super) enum Command {
     #[options(help = "run an entry instance")]
     Run(SettingsArgs),
+    #[options(help = "run an entry instance on the users' platform")]
+    Serve(ServeArgs),
     #[options(help = "check settings and do nothing else")]
     Check(CheckArgs),
     #[options(help = "show what an entry instance knows and does")]
@@ -45,6 +47,14 @@
     pub(super) settings: PathBuf,
 }
 
+#[derive(Debug, Options)]
+pub(super) struct ServeArgs {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(no_short, help = "log level, or a list of module=level", meta = "FILTER", default = "info")]
+    pub(super) log: String,
+}
+
 #[derive(Debug, Options)]
 pub(super) struct CheckArgs {
     #[options(help = "print this text")]
--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -22,12 +22,12 @@
 use serde::Serialize;
 
 use self::{
-    args::{Args, CheckArgs, Command, SettingsArgs},
+    args::{Args, CheckArgs, Command, ServeArgs, SettingsArgs},
     options::Output,
 };
 use crate::{
     jsonc::Problem,
-    logs, run,
+    logs, run, serve,
     settings::{Settings, SettingsError},
     stop,
 };
@@ -90,6 +90,7 @@
     }
     match args.command {
         Some(Command::Run(args)) => run_instance(&args),
+        Some(Command::Serve(args)) => serve_on_platform(&args),
         Some(Command::Check(args)) => check(&args),
         Some(command) => block_on(operator::run(command)),
         None => {
@@ -150,6 +151,31 @@
     Exit::Usage
 }
 
+/// Runs an entry instance on the users' platform, on one thread: the machines
+/// there have a part of one core.
+fn serve_on_platform(args: &ServeArgs) -> Exit {
+    logs::start_on_stdout(&args.log);
+    logs::panics();
+    let settings = match serve::load_settings() {
+        Ok(settings) => settings,
+        Err(e) => {
+            log_report(&e);
+            return Exit::Usage;
+        }
+    };
+    block_on(async {
+        let (stopper, stop) = stop::channel();
+        tokio::spawn(stop_on_signal(stopper));
+        match serve::run(settings, stop).await {
+            Ok(()) => Exit::Done,
+            Err(e) => {
+                log_report(&e);
+                Exit::Failed
+            }
+        }
+    })
+}
+
 fn run_instance(args: &SettingsArgs) -> Exit {
     let settings = match Settings::load(&args.settings) {
         Ok(settings) => settings,
@@ -180,7 +206,7 @@
 
 /// Makes a report one event of the log; its own form takes many lines, with a
 /// backtrace that says nothing to whoever reads the log.
-fn log_report(e: &Report<run::RunError>) {
+fn log_report<C>(e: &Report<C>) {
     let mut errors = Vec::new();
     let mut details = Vec::new();
     for frame in e.frames() {
--- a/crates/azuregate/src/cli/operator.rs
+++ b/crates/azuregate/src/cli/operator.rs
@@ -43,7 +43,7 @@
         },
         Command::Entries(args) => entries(args).await,
         Command::Histograms(args) => histograms(args).await,
-        Command::Run(_) | Command::Check(_) => Ok(()),
+        Command::Run(_) | Command::Serve(_) | Command::Check(_) => Ok(()),
     };
     done.err().map_or(Exit::Done, |failure| failure.tell(output))
 }
@@ -68,7 +68,7 @@
         }),
         Command::Entries(args) => Some(args.call()),
         Command::Histograms(args) => Some(args.call()),
-        Command::Run(_) | Command::Check(_) => None,
+        Command::Run(_) | Command::Serve(_) | Command::Check(_) => None,
     };
     call.map_or_else(Output::default, |call| call.output)
 }
--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod probe;
 pub mod run;
 pub mod selector;
+pub mod serve;
 pub mod settings;
 pub mod status;
 pub mod stop;
--- a/crates/azuregate/src/logs/mod.rs
+++ b/crates/azuregate/src/logs/mod.rs
@@ -7,12 +7,16 @@
 
 mod limiter;
 mod lines;
+mod never_blocking;
+
+use std::io::Write;
 
 use log::LevelFilter;
 use logforth::{filter::rustlog::RustLogFilterBuilder, starter_log};
 
 pub use limiter::{Kind, Limiter, Suppressed};
 pub use lines::{Lines, one_line};
+pub use never_blocking::NeverBlocking;
 
 /// Starts logging; `filter` is a level such as `info`, or a list of
 /// `module=level`.
@@ -20,10 +24,20 @@
 /// A filter that is not understood logs everything of `info` and above. A
 /// second start in one process changes nothing.
 pub fn start(filter: &str) {
+    start_to(filter, std::io::stderr());
+}
+
+/// Like [`start`], but on standard output, where the users' platform collects
+/// logs.
+pub fn start_on_stdout(filter: &str) {
+    start_to(filter, NeverBlocking::stdout());
+}
+
+fn start_to(filter: &str, out: impl Send + Write + 'static) {
     let parsed = RustLogFilterBuilder::try_from_spec(filter)
         .unwrap_or_else(|_| RustLogFilterBuilder::from_spec("info"))
         .build();
-    let lines = Lines::new(std::io::stderr());
+    let lines = Lines::new(out);
     let builder = starter_log::builder().dispatch(|d| d.filter(parsed).append(lines));
     if builder.try_apply().is_ok() {
         // Otherwise every trace event of every library is put together only for
--- /dev/null
+++ b/crates/azuregate/src/serve/connection.rs
@@ -0,0 +1,91 @@
+//! One connection of a client.
+
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
+
+use azuregate_core::balance::CallerLimits;
+use hyper::{Request, body::Incoming, header, server::conn::http1, service::service_fn};
+use tokio::{net::TcpStream, time};
+
+use super::{client_stream, request, state::State, stop};
+
+/// The smallest buffer that the HTTP server accepts.
+const LEAST_BUFFER_BYTES: usize = 8 << 10;
+/// Limits before the first configuration.
+const FIRST_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16 << 10,
+    body_bytes: 1 << 20,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+};
+/// How much longer than allowed a connection may stay idle: what clients send in
+/// the last moment must not meet a closed connection.
+const IDLE_SLACK_MS: u64 = 1_000;
+
+/// What is known of a connection's use.
+#[derive(Default)]
+struct Usage {
+    at_work: Cell<u32>,
+    idle_since_ms: Cell<u64>,
+}
+
+/// Serves a connection until one side closes it.
+pub(super) async fn serve(state: Rc<State>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let limits = state.config().map_or(FIRST_LIMITS, |config| config.limits());
+    let usage = Rc::new(Usage::default());
+    usage.idle_since_ms.set(state.now_ms());
+    let (client, read_ahead) = client_stream::split(stream);
+    let service = service_fn({
+        let (state, usage) = (Rc::clone(&state), Rc::clone(&usage));
+        move |request| answer(Rc::clone(&state), Rc::clone(&usage), request)
+    });
+    let mut server = http1::Builder::new();
+    server
+        .header_read_timeout(None)
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
+        .half_close(false);
+    let mut connection = pin!(server.serve_connection(client, service));
+    let mut read_ahead = pin!(read_ahead.run());
+    let mut stopping = pin!(stop::may_close_idle(&state));
+    let mut is_stopping = false;
+    loop {
+        let idle_ms = limits.idle_timeout_ms + IDLE_SLACK_MS;
+        tokio::select! {
+            _ = &mut connection => return,
+            // The client has left; dropping the connection cancels its requests.
+            () = &mut read_ahead => return,
+            () = &mut stopping, if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = time::sleep(Duration::from_millis(idle_ms)), if !is_stopping => {
+                let idle = state.now_ms().saturating_sub(usage.idle_since_ms.get());
+                if usage.at_work.get() == 0 && idle >= idle_ms {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn answer(
+    state: Rc<State>,
+    usage: Rc<Usage>,
+    request: Request<Incoming>,
+) -> Result<hyper::Response<super::streaming::Answer>, Infallible> {
+    usage.at_work.set(usage.at_work.get() + 1);
+    let mut response = request::handle(Rc::clone(&state), request).await;
+    usage.at_work.set(usage.at_work.get() - 1);
+    usage.idle_since_ms.set(state.now_ms());
+    if state.stop.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/listen.rs
@@ -0,0 +1,80 @@
+//! The ports of an entry instance, and the loop that accepts clients.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use azuregate_platform::settings::Settings;
+use error_stack::{Report, ResultExt};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::spawn_local,
+    time,
+};
+
+use super::{ServeError, connection, state::State, stop};
+
+/// The pause after an accept that failed, mostly because no descriptor is free.
+const ACCEPT_PAUSE_MS: u64 = 50;
+/// Where metrics are served, on every machine.
+const METRICS_PORT: u16 = 9_464;
+
+/// Open ports that nobody serves yet.
+pub(super) struct Listeners {
+    pub(super) traffic: TcpListener,
+    pub(super) ready: TcpListener,
+    pub(super) lookups: TcpListener,
+    pub(super) heartbeats: UdpSocket,
+    /// An instance without metrics still serves.
+    pub(super) metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    pub(super) async fn open(settings: &Settings) -> Result<Listeners, Report<ServeError>> {
+        let heartbeats_addr = SocketAddr::new(settings.ip, settings.peer_port);
+        let heartbeats = UdpSocket::bind(heartbeats_addr)
+            .await
+            .change_context(ServeError)
+            .attach_with(|| format!("cannot use {heartbeats_addr} for heartbeats"))?;
+        let metrics_addr = SocketAddr::new(settings.ip, METRICS_PORT);
+        let metrics = match TcpListener::bind(metrics_addr).await {
+            Ok(listener) => Some(listener),
+            Err(e) => {
+                log::warn!(addr:% = metrics_addr, error:% = e; "no metrics");
+                None
+            }
+        };
+        Ok(Listeners {
+            traffic: bind(settings.traffic_addr).await?,
+            ready: bind(settings.ready_addr).await?,
+            lookups: bind(settings.lookup_addr).await?,
+            heartbeats,
+            metrics,
+        })
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, Report<ServeError>> {
+    TcpListener::bind(addr)
+        .await
+        .change_context(ServeError)
+        .attach_with(|| format!("cannot listen on {addr}"))
+}
+
+/// Accepts connections until the planned stop says that no more are taken.
+pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop::may_close_listener(&state) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        let state = Rc::clone(&state);
+        spawn_local(async move {
+            state.connections.set(state.connections.get() + 1);
+            connection::serve(Rc::clone(&state), stream).await;
+            state.connections.set(state.connections.get() - 1);
+        });
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/lookup.rs
@@ -0,0 +1,64 @@
+//! Answers which instances to use, and whether this one is ready.
+
+use std::{convert::Infallible, rc::Rc};
+
+use azuregate_platform::request::{LOOKUP_PATH, Lookup, READY_PATH, lookup_answer};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, task::spawn_local};
+
+use super::{answer::plain, state::State};
+
+/// For how long clients may keep the answer to a lookup. Short, so that they
+/// learn soon of an instance that has left; each client asks that often.
+pub(super) const KEEP_MS: u64 = 2_000;
+
+/// Serves a port until the process ends.
+pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let state = Rc::clone(&state);
+        spawn_local(async move {
+            let service = service_fn(move |request| {
+                let response = respond(&state, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // An error means that the client has left.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn respond(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        READY_PATH => ready(state),
+        LOOKUP_PATH => lookup(state, request.uri().query().unwrap_or_default()),
+        _ => plain(StatusCode::NOT_FOUND, "text/plain", Vec::new()),
+    }
+}
+
+fn ready(state: &State) -> Response<Full<Bytes>> {
+    let status = match state.is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    plain(status, "text/plain", Vec::new())
+}
+
+fn lookup(state: &State, query: &str) -> Response<Full<Bytes>> {
+    let lookup = Lookup::parse(query);
+    let region = match lookup.region.as_str() {
+        "" => state.region_of(&lookup.zone).unwrap_or_default(),
+        region => region,
+    };
+    let own = (!state.is_ready()).then_some(state.settings.traffic_addr);
+    let mut addrs = state.members.borrow().lookup(&lookup.zone, region, state.now_ms());
+    addrs.retain(|addr| Some(*addr) != own);
+    if addrs.is_empty() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Vec::new());
+    }
+    let keep_ms = KEEP_MS.min(state.settings.bounds.lookup_keep_ms);
+    plain(StatusCode::OK, "application/json", lookup_answer(&addrs, keep_ms))
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/mod.rs
@@ -0,0 +1,98 @@
+/*!
+An entry instance on the users' platform.
+
+One process does everything on one thread: it takes requests of clients, tells
+clients which instances to use, and answers whether it is ready. What it believes
+comes from the platform's store and from heartbeats of the other instances.
+
+# Design
+
+[`State`] holds what the instance believes. All tasks run on one thread and share
+it; nothing is borrowed across a wait. Requests read it without a message or a
+lock, which the request path would pay for on every request.
+
+* `watch` follows the store's tables, `heartbeat` the other instances.
+* `listen` accepts connections, `connection` serves one, `client_stream` notices
+  that its client has left.
+* `request` takes one request to its answer, `attempt` to one backend server,
+  `pool` keeps connections to them.
+* `lookup` answers the platform's and the clients' questions.
+* `stop` ends the process without cutting a request off.
+*/
+
+mod answer;
+mod attempt;
+mod client_stream;
+mod connection;
+mod heartbeat;
+mod in_flight;
+mod listen;
+mod lookup;
+mod metrics;
+mod pool;
+mod request;
+mod state;
+mod stop;
+mod streaming;
+mod watch;
+
+use std::{fmt, fs, rc::Rc};
+
+use azuregate_platform::settings::Settings;
+use error_stack::{Report, ResultExt};
+use tokio::task::{LocalSet, spawn_local};
+
+use self::{listen::Listeners, state::State};
+use crate::stop::Stop;
+
+/// An instance that cannot run.
+#[derive(Debug)]
+pub struct ServeError;
+
+impl fmt::Display for ServeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the entry instance cannot run")
+    }
+}
+
+impl std::error::Error for ServeError {}
+
+/// Reads the settings that the platform wrote for this process.
+///
+/// # Errors
+///
+/// When the file cannot be read, or fields are missing or cannot be read.
+pub fn load_settings() -> Result<Settings, Report<ServeError>> {
+    let path = Settings::path();
+    let text = fs::read_to_string(&path)
+        .change_context(ServeError)
+        .attach_with(|| format!("cannot read {}", path.display()))?;
+    Settings::parse(&text).change_context(ServeError)
+}
+
+/// Runs an instance until `stop` says so, then finishes what is in progress.
+///
+/// # Errors
+///
+/// When a port cannot be opened.
+pub async fn run(settings: Settings, stop: Stop) -> Result<(), Report<ServeError>> {
+    LocalSet::new().run_until(run_local(settings, stop)).await
+}
+
+async fn run_local(settings: Settings, stop: Stop) -> Result<(), Report<ServeError>> {
+    let listeners = Listeners::open(&settings).await?;
+    let state = Rc::new(State::new(settings, stop));
+    log::info!(instance:% = state.settings.instance, start:% = state.start; "entry instance started");
+    watch::start(&state);
+    spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats));
+    spawn_local(pool::sweep(Rc::clone(&state)));
+    spawn_local(lookup::serve(Rc::clone(&state), listeners.ready));
+    spawn_local(lookup::serve(Rc::clone(&state), listeners.lookups));
+    if let Some(metrics) = listeners.metrics {
+        spawn_local(metrics::serve(Rc::clone(&state), metrics));
+    }
+    let traffic = spawn_local(listen::serve(Rc::clone(&state), listeners.traffic));
+    stop::finish(&state, traffic).await;
+    log::info!(instance:% = state.settings.instance; "entry instance stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/pool.rs
@@ -0,0 +1,135 @@
+//! Connections to backend servers.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use azuregate_core::balance::BackendHandle;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::{
+    net::TcpStream,
+    task::{AbortHandle, spawn_local},
+    time,
+};
+
+use super::state::State;
+
+/// How long opening a connection may take: several times the longest way there
+/// and back between regions.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+/// How long sent bytes may stay without acknowledgement. A server that lost power
+/// keeps silent, and requests to it would wait until their time is over.
+const UNACKED_LIMIT_MS: u64 = 600;
+/// How long a connection may be idle and still be used. Servers close theirs
+/// after some seconds, and a request that meets the close may have run.
+const IDLE_LIMIT_MS: u64 = 4_000;
+/// The same for requests that must not run twice, for which a connection that
+/// went silent costs an answer and not just time.
+const FRESH_LIMIT_MS: u64 = 1_000;
+/// Idle connections that are kept to one server.
+const IDLE_CONNECTIONS: usize = 6;
+/// How often idle connections are looked through.
+const SWEEP_EVERY_MS: u64 = 1_000;
+
+/// A connection that is used for one request at a time.
+pub(super) struct Connection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    /// Whether it has carried a request before.
+    pub(super) is_reused: bool,
+    task: AbortHandle,
+    idle_since_ms: u64,
+}
+
+impl Drop for Connection {
+    /// Closes the connection even when a request is at work, so that the backend
+    /// server stops working on what nobody waits for.
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Idle connections to all backend servers.
+#[derive(Default)]
+pub(super) struct Pool {
+    idle: RefCell<HashMap<BackendHandle, Vec<Connection>>>,
+}
+
+impl Pool {
+    /// An idle connection that is fit for use, the one used last.
+    pub(super) fn take(
+        &self,
+        handle: BackendHandle,
+        must_be_fresh: bool,
+        now_ms: u64,
+    ) -> Option<Connection> {
+        let limit_ms = if must_be_fresh { FRESH_LIMIT_MS } else { IDLE_LIMIT_MS };
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&handle)?;
+        while let Some(connection) = connections.pop() {
+            if now_ms.saturating_sub(connection.idle_since_ms) > limit_ms {
+                connections.push(connection);
+                return None;
+            }
+            if connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub(super) fn put(&self, handle: BackendHandle, mut connection: Connection, now_ms: u64) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.idle_since_ms = now_ms;
+        connection.is_reused = true;
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(handle).or_default();
+        if connections.len() < IDLE_CONNECTIONS {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    fn sweep(&self, now_ms: u64) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|connection| {
+                let idle_ms = now_ms.saturating_sub(connection.idle_since_ms);
+                idle_ms <= IDLE_LIMIT_MS && !connection.sender.is_closed()
+            });
+            !connections.is_empty()
+        });
+    }
+}
+
+/// Closes idle connections until the process ends.
+pub(super) async fn sweep(state: Rc<State>) {
+    let mut ticks = state.timer.subscribe(SWEEP_EVERY_MS);
+    while ticks.recv().await.is_some() {
+        state.pool.sweep(state.now_ms());
+    }
+}
+
+/// Opens a connection to a backend server.
+///
+/// # Errors
+///
+/// When there is none in time.
+pub(super) async fn connect(addr: SocketAddr) -> std::io::Result<Connection> {
+    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let stream = time::timeout(limit, TcpStream::connect(addr)).await??;
+    stream.set_nodelay(true)?;
+    let unacked = Duration::from_millis(UNACKED_LIMIT_MS);
+    SockRef::from(&stream).set_tcp_user_timeout(Some(unacked))?;
+    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    let task = spawn_local(async move {
+        // Whoever uses the connection learns of errors from its sender.
+        let _ = connection.await;
+    });
+    Ok(Connection { sender, is_reused: false, task: task.abort_handle(), idle_since_ms: 0 })
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/request.rs
@@ -0,0 +1,314 @@
+//! One request of a client, from its head to its answer.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use azuregate_core::{
+    balance::{BackendHandle, Choice, Query, RequestKind, Route},
+    names::ServiceName,
+};
+use azuregate_platform::request;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::{Body, Incoming},
+    header,
+};
+use tokio::time::{self, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    answer::{self, Refusal},
+    attempt::{self, Ended, Outgoing},
+    state::State,
+    streaming::Answer,
+};
+
+/// How long a client is waited for that names no deadline.
+const DEFAULT_DEADLINE_MS: u64 = 30_000;
+/// Bodies from this size go to a server nearby: the way costs more than what a
+/// server saves that knows the object.
+const LARGE_BODY_BYTES: usize = 20_000;
+/// Servers that may reject a request before it is given up, beyond the attempts
+/// of its route.
+const REJECTIONS: usize = 3;
+/// Time that must be left for another attempt to be of use.
+const LEAST_LEFT_MS: u64 = 20;
+/// Clients that were refused come back spread over this time.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=400;
+
+/// Answers one request of a client.
+pub(super) async fn handle(state: Rc<State>, request: Request<Incoming>) -> Response<Answer> {
+    let received_at = Instant::now();
+    let mut record = Record::new(request.headers());
+    let result = serve(&state, request, received_at, &mut record).await;
+    let taken_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let response = match result {
+        Ok(response) => response,
+        Err(refusal) => {
+            record.code = refusal.code();
+            refusal.answer(fastrand::u64(RETRY_AFTER_MS))
+        }
+    };
+    state.metrics.request(&record.service, &record.route, record.code, taken_ms);
+    record.log(response.status(), taken_ms);
+    response
+}
+
+/// What the log says of a request.
+struct Record {
+    id: String,
+    route: String,
+    service: String,
+    version: u64,
+    backend: String,
+    tries: usize,
+    causes: String,
+    code: &'static str,
+}
+
+impl Record {
+    fn new(headers: &HeaderMap) -> Record {
+        let id = headers.get(request::REQUEST_ID).and_then(|id| id.to_str().ok());
+        Record {
+            id: id.unwrap_or_default().to_owned(),
+            route: String::new(),
+            service: String::new(),
+            version: 0,
+            backend: String::new(),
+            tries: 0,
+            causes: String::new(),
+            code: "answered",
+        }
+    }
+
+    fn tried(&mut self, choice: &Choice) {
+        self.tries += 1;
+        self.backend = choice.backend.id.as_str().to_owned();
+    }
+
+    fn failed(&mut self, cause: &str) {
+        if !self.causes.is_empty() {
+            self.causes.push(',');
+        }
+        self.causes.push_str(&self.backend);
+        self.causes.push(':');
+        self.causes.push_str(cause);
+    }
+
+    fn log(&self, status: StatusCode, taken_ms: u64) {
+        log::info!(
+            id = self.id.as_str(),
+            code = self.code,
+            status = status.as_u16(),
+            route = self.route.as_str(),
+            service = self.service.as_str(),
+            version = self.version,
+            backend = self.backend.as_str(),
+            tries = self.tries,
+            failed = self.causes.as_str(),
+            taken_ms = taken_ms;
+            "request"
+        );
+    }
+}
+
+async fn serve(
+    state: &Rc<State>,
+    request: Request<Incoming>,
+    received_at: Instant,
+    record: &mut Record,
+) -> Result<Response<Answer>, Refusal> {
+    let Some(config) = state.config() else { return Err(Refusal::NotReady) };
+    record.version = config.version();
+    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let Some(host) = host else { return Err(Refusal::BadRequest) };
+    let Some(route) = config.route(host, request.uri().path()) else {
+        return Err(Refusal::NoRoute);
+    };
+    let route = Arc::clone(route);
+    record.route.push_str(&route.name);
+    let wait_ms = deadline_ms(request.headers()).min(route.timeout_ms);
+    let deadline = received_at + Duration::from_millis(wait_ms);
+    let service = state.next_service(&route);
+    record.service.push_str(service.as_str());
+    state.count_request(&service);
+    if !state.has_backends.get() {
+        return Err(Refusal::NotReady);
+    }
+    let body_limit = config.limits().body_bytes;
+    drop(config);
+
+    let mut progress = Progress::default();
+    let work = async {
+        let outgoing = read(request, &route, body_limit).await?;
+        Task { state, route: &route, service: &service, outgoing, deadline }
+            .run(&mut progress, record)
+            .await
+    };
+    match time::timeout_at(deadline, work).await {
+        Ok(result) => result,
+        Err(_) => Err(progress.timed_out()),
+    }
+}
+
+fn deadline_ms(headers: &HeaderMap) -> u64 {
+    let text = headers.get(request::DEADLINE_MS).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_DEADLINE_MS)
+}
+
+/// Reads the whole body, so that no backend server waits for a slow client and a
+/// server that rejects the request can be replaced by another.
+async fn read(
+    request: Request<Incoming>,
+    route: &Route,
+    body_limit: usize,
+) -> Result<Outgoing, Refusal> {
+    let (mut parts, mut incoming) = request.into_parts();
+    let known = incoming.size_hint().lower();
+    if known > body_limit as u64 {
+        return Err(Refusal::BodyTooLong);
+    }
+    let mut body = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|_| Refusal::BodyBroken)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if body.len() + data.len() > body_limit {
+            return Err(Refusal::BodyTooLong);
+        }
+        body.extend_from_slice(&data);
+    }
+    answer::remove_hop_by_hop(&mut parts.headers);
+    answer::remove_internal(&mut parts.headers);
+    parts.headers.remove(header::EXPECT);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    Ok(Outgoing {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body: body.freeze(),
+        is_idempotent: route.kind == RequestKind::Idempotent,
+    })
+}
+
+/// What has become of a request so far.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<BackendHandle>,
+    /// Servers that may have run it.
+    runs: u32,
+    /// Whether it is at a server now.
+    is_sent: bool,
+}
+
+impl Progress {
+    fn timed_out(&self) -> Refusal {
+        if self.runs > 0 || self.is_sent { Refusal::TimedOut } else { Refusal::NoRoom }
+    }
+
+    fn given_up(&self, not_run: Refusal) -> Refusal {
+        if self.runs > 0 { Refusal::AnswerLost } else { not_run }
+    }
+}
+
+/// A request that looks for a backend server.
+struct Task<'a> {
+    state: &'a Rc<State>,
+    route: &'a Route,
+    service: &'a ServiceName,
+    outgoing: Outgoing,
+    deadline: Instant,
+}
+
+impl Task<'_> {
+    async fn run(
+        &self,
+        progress: &mut Progress,
+        record: &mut Record,
+    ) -> Result<Response<Answer>, Refusal> {
+        let mut failure = None;
+        loop {
+            let left_ms = self.left_ms();
+            let is_retry = !progress.tried.is_empty();
+            if is_retry && !self.may_retry(progress, left_ms) {
+                break;
+            }
+            let Some(choice) = self.choose(progress) else { break };
+            record.tried(&choice);
+            progress.tried.push(choice.handle);
+            progress.is_sent = true;
+            let ended = attempt::send(self.state, &choice, &self.outgoing, left_ms).await;
+            progress.is_sent = false;
+            match ended {
+                Ended::Answer(response) => {
+                    progress.runs += 1;
+                    let is_failure = response.status().is_server_error();
+                    if !is_failure || !self.outgoing.is_idempotent {
+                        return Ok(self.passed_on(response));
+                    }
+                    record.failed("failure");
+                    failure = Some(response);
+                }
+                Ended::NotRun(cause) => record.failed(cause),
+                Ended::Unknown(cause) => {
+                    progress.runs += 1;
+                    record.failed(cause);
+                    if !self.outgoing.is_idempotent {
+                        break;
+                    }
+                }
+            }
+        }
+        match failure {
+            Some(response) => Ok(self.passed_on(response)),
+            None if progress.tried.is_empty() => Err(Refusal::NoRoom),
+            None => Err(progress.given_up(Refusal::Rejected)),
+        }
+    }
+
+    fn left_ms(&self) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn may_retry(&self, progress: &Progress, left_ms: u64) -> bool {
+        progress.runs < self.route.attempts
+            && progress.tried.len() < self.route.attempts as usize + REJECTIONS
+            && left_ms > LEAST_LEFT_MS
+            && self.state.take_retry(self.service)
+    }
+
+    fn choose(&self, progress: &Progress) -> Option<Choice> {
+        let headers = &self.outgoing.headers;
+        let object = match headers.get(request::OBJECT_KEY) {
+            Some(key) if self.route.has_warm_objects => xxh3_64(key.as_bytes()),
+            _ => fastrand::u64(..),
+        };
+        let query = Query {
+            service: self.service,
+            object,
+            is_large: self.outgoing.body.len() > LARGE_BODY_BYTES,
+            tried: &progress.tried,
+            home_regions: &self.route.home_regions,
+        };
+        self.state.balancer.borrow_mut().choose(&query, self.state.now_ms())
+    }
+
+    /// A status that promises that the request has not run must be true. A backend
+    /// server says so by a header; one that uses the status without it may have
+    /// run the request, and only its signature keeps the status as it is.
+    fn passed_on(&self, mut response: Response<Answer>) -> Response<Answer> {
+        let is_promise = matches!(
+            response.status(),
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::REQUEST_TIMEOUT
+        );
+        let is_signed = response.headers().contains_key(request::SIGNATURE);
+        if is_promise && !is_signed && !self.outgoing.is_idempotent {
+            *response.status_mut() = StatusCode::BAD_GATEWAY;
+            response.headers_mut().remove(header::RETRY_AFTER);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/state.rs
@@ -0,0 +1,161 @@
+//! What an entry instance believes, and what its tasks share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use azuregate_core::{
+    balance::{self, Balancer, Config, Members, RetryBudget, Split},
+    names::{ServiceName, StartNumber},
+};
+use azuregate_platform::settings::Settings;
+use tokio::sync::Notify;
+
+use super::{metrics::Metrics, pool::Pool};
+use crate::{stop::Stop, timer::Timer};
+
+/// The share of the retry budget that is used. Backend servers count when a
+/// request arrives and instances when it is sent, so the windows differ a little.
+const RETRY_SHARE: f64 = 0.85;
+/// Heartbeats of an instance that stay out for this long end its being named to
+/// clients: four of them, which packet loss alone hardly takes.
+const SILENCE_MS: u64 = 2_000;
+
+/// Versions of the newest rows seen, compared with those of other instances.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct SeenVersions {
+    pub(super) operator: u64,
+    pub(super) backends: u64,
+}
+
+/// What an entry instance believes.
+pub(super) struct State {
+    pub(super) settings: Settings,
+    pub(super) start: StartNumber,
+    pub(super) stop: Stop,
+    pub(super) timer: Timer,
+    pub(super) balancer: RefCell<Balancer>,
+    pub(super) members: RefCell<Members>,
+    pub(super) pool: Pool,
+    pub(super) metrics: Metrics,
+    /// Whether the table of backend servers was read since the start.
+    pub(super) has_backends: Cell<bool>,
+    pub(super) seen: Cell<SeenVersions>,
+    /// Wakes the watches when another instance has seen more.
+    pub(super) behind: Notify,
+    /// Wakes the watch of members when an unknown instance was heard.
+    pub(super) unknown_member: Notify,
+    /// Open connections of clients.
+    pub(super) connections: Cell<usize>,
+    config: RefCell<Option<Arc<Config>>>,
+    retries: RefCell<HashMap<ServiceName, RetryBudget>>,
+    splits: RefCell<HashMap<String, Split>>,
+    origin: Instant,
+}
+
+impl State {
+    pub(super) fn new(settings: Settings, stop: Stop) -> State {
+        let balancer = Balancer::new(balance::Settings {
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            zones: settings.zones.clone(),
+            cold_rate_factor: settings.bounds.cold_rate_factor,
+            cold_rate_slack: settings.bounds.cold_rate_slack,
+        });
+        let members = Members::new(settings.instance.clone(), settings.zones.clone(), SILENCE_MS);
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        State {
+            start: StartNumber(u64::try_from(epoch.as_millis()).unwrap_or(u64::MAX)),
+            stop,
+            timer: Timer::start(),
+            balancer: RefCell::new(balancer),
+            members: RefCell::new(members),
+            pool: Pool::default(),
+            metrics: Metrics::default(),
+            has_backends: Cell::new(false),
+            seen: Cell::default(),
+            behind: Notify::new(),
+            unknown_member: Notify::new(),
+            connections: Cell::new(0),
+            config: RefCell::new(None),
+            retries: RefCell::default(),
+            splits: RefCell::default(),
+            origin: Instant::now(),
+            settings,
+        }
+    }
+
+    /// Monotonic time since the start.
+    pub(super) fn now_ms(&self) -> u64 {
+        u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The configuration in force, `None` before the first one.
+    pub(super) fn config(&self) -> Option<Arc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Whether requests can be served.
+    pub(super) fn is_ready(&self) -> bool {
+        self.config.borrow().is_some() && self.has_backends.get() && !self.stop.is_stopping()
+    }
+
+    /// Takes in a configuration, unless a newer one is in force. The store may
+    /// answer from a copy that is behind, and what was in force must not come
+    /// back.
+    pub(super) fn set_config(&self, config: Config) {
+        let version = config.version();
+        let previous = self.config.borrow().as_ref().map(|config| config.version());
+        if previous.is_some_and(|previous| previous >= version) {
+            return;
+        }
+        let config = Arc::new(config);
+        *self.config.borrow_mut() = Some(Arc::clone(&config));
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.set_config(config);
+        balancer.set_cold_limits(&self.members.borrow());
+        log::info!(version = version, previous:? = previous; "configuration in force");
+    }
+
+    /// The service of the next request on a route, and its index.
+    pub(super) fn next_service(&self, route: &balance::Route) -> ServiceName {
+        let destinations = &route.destinations;
+        if let [only] = destinations.as_slice() {
+            return only.service.clone();
+        }
+        let mut splits = self.splits.borrow_mut();
+        let split = splits.entry(route.name.clone()).or_default();
+        destinations[split.next(destinations)].service.clone()
+    }
+
+    /// Counts a request of a client for `service`.
+    pub(super) fn count_request(&self, service: &ServiceName) {
+        let now_ms = self.now_ms();
+        self.with_retries(service, |budget| budget.request(now_ms));
+    }
+
+    /// Takes a retry from the budget of `service`, if there is room.
+    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
+        let now_ms = self.now_ms();
+        self.with_retries(service, |budget| budget.take(now_ms))
+    }
+
+    fn with_retries<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let mut retries = self.retries.borrow_mut();
+        if !retries.contains_key(service) {
+            let budget = RetryBudget::new(bounds.retry_ratio * RETRY_SHARE, bounds.retry_window_ms);
+            retries.insert(service.clone(), budget);
+        }
+        f(retries.get_mut(service).expect("it was just added"))
+    }
+
+    /// Zones and their regions, by which lookups are answered.
+    pub(super) fn region_of(&self, zone: &str) -> Option<&str> {
+        let zones: &BTreeMap<_, _> = &self.settings.zones;
+        zones.get(zone).map(|region| region.as_str())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/backend.rs
@@ -0,0 +1,59 @@
+//! Rows in which backend servers register themselves.
+
+use std::net::SocketAddr;
+
+use azuregate_core::{
+    balance::Backend,
+    names::{BackendId, ServiceName, ZoneName},
+};
+use serde::Deserialize;
+
+use crate::store::{DecodeError, decode_json};
+
+/// A backend server's row. Fields that are not used here are ignored.
+#[derive(Deserialize)]
+struct Entry {
+    /// The name of the service.
+    backend: String,
+    address: SocketAddr,
+    zone: String,
+    /// How many requests it processes at the same time.
+    capacity: u32,
+    state: State,
+    /// How long it stays slow after its start.
+    #[serde(rename = "warmupLeftS", default)]
+    warmup_left_s: f64,
+    /// When it started, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Ready,
+    Draining,
+}
+
+/// Decodes the row `key` of a backend server.
+///
+/// # Errors
+///
+/// When another writer wrote the row: a field is missing or of another type, or
+/// the state is unknown.
+pub fn decode(key: &str, value: &[u8]) -> Result<Backend, DecodeError> {
+    let entry: Entry = decode_json(value)?;
+    if !entry.warmup_left_s.is_finite() || entry.capacity == 0 {
+        return Err(DecodeError::new("the capacity or the time to warm up is out of range"));
+    }
+    Ok(Backend {
+        id: BackendId::new(key),
+        service: ServiceName::new(&entry.backend),
+        addr: entry.address,
+        zone: ZoneName::new(&entry.zone),
+        slots: entry.capacity,
+        is_draining: entry.state == State::Draining,
+        cold_left_ms: (entry.warmup_left_s.max(0.0) * 1_000.0) as u64,
+        start_epoch_ms: entry.born,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,37 @@
+/*!
+What the users' platform says, translated into the project's own types.
+
+An entry instance reads its settings from a file that the platform writes, and
+learns everything else from the platform's store:
+
+```
+use azuregate_platform::settings::Settings;
+
+let text = "self.nodeName=n-1\nself.zone=a\nself.region=r\nself.ip=10.0.0.1\n\
+            network.zones.a=r\nnetwork.internalPorts=7720,7735\n\
+            network.listen.frontend=10.0.0.1:80\nnetwork.listen.readiness=10.0.0.1:81\n\
+            network.listen.directory=10.0.0.1:82\n\
+            provider.provider.address=10.9.0.1:90\n";
+let settings = Settings::parse(text)?;
+assert_eq!(settings.instance.as_str(), "n-1");
+# Ok::<(), azuregate_platform::settings::SettingsError>(())
+```
+
+# Design
+
+This crate is the only place that knows the platform's names, formats and
+calls. It decides nothing: each module turns bytes into the types of
+`azuregate_core` or back.
+
+* [`settings`] reads the settings file.
+* [`store`] is the one client of the platform's store.
+* [`config`], [`backend`] and [`member`] decode the rows that the store keeps.
+* [`request`] names the headers and paths of requests, answers and probes.
+*/
+
+pub mod backend;
+pub mod config;
+pub mod member;
+pub mod request;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/platform/src/member.rs
@@ -0,0 +1,46 @@
+//! Rows in which entry instances register themselves.
+
+use std::net::{IpAddr, SocketAddr};
+
+use azuregate_core::{
+    balance::Member,
+    names::{InstanceId, StartNumber, ZoneName},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::store::{DecodeError, decode_json};
+
+#[derive(Deserialize, Serialize)]
+struct Row {
+    traffic: SocketAddr,
+    ip: IpAddr,
+    zone: String,
+    start: u64,
+}
+
+/// Encodes the row of an instance; its key is the instance's name.
+pub fn encode(member: &Member) -> Vec<u8> {
+    let row = Row {
+        traffic: member.traffic_addr,
+        ip: member.ip,
+        zone: member.zone.as_str().to_owned(),
+        start: member.start.0,
+    };
+    serde_json::to_vec(&row).expect("names, addresses and numbers are always JSON")
+}
+
+/// Decodes the row `key` of an instance.
+///
+/// # Errors
+///
+/// When the row was written by another version or cannot be read.
+pub fn decode(key: &str, value: &[u8]) -> Result<Member, DecodeError> {
+    let row: Row = decode_json(value)?;
+    Ok(Member {
+        instance: InstanceId::new(key),
+        start: StartNumber(row.start),
+        ip: row.ip,
+        traffic_addr: row.traffic,
+        zone: ZoneName::new(&row.zone),
+    })
+}
--- /dev/null
+++ b/crates/platform/src/settings.rs
@@ -0,0 +1,221 @@
+//! The settings file that the platform writes for each process.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    str::FromStr,
+};
+
+use azuregate_core::names::{InstanceId, RegionName, ZoneName};
+
+/// Holds the path of the settings file.
+const PATH_VARIABLE: &str = "AZUREGATE_SETTINGS";
+/// Where the file is when the variable is not set.
+const DEFAULT_PATH: &str = "/etc/azuregate/node.conf";
+
+/// Settings of one entry instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// This instance's name.
+    pub instance: InstanceId,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+    /// The regions of all availability zones.
+    pub zones: BTreeMap<ZoneName, RegionName>,
+    /// Where clients send requests.
+    pub traffic_addr: SocketAddr,
+    /// Where the platform asks whether this instance takes requests.
+    pub ready_addr: SocketAddr,
+    /// Where clients ask which instances to use.
+    pub lookup_addr: SocketAddr,
+    /// The first of the ports that are free for traffic between instances; the
+    /// same on all instances.
+    pub peer_port: u16,
+    /// The last of these ports.
+    pub last_peer_port: u16,
+    /// The platform's store.
+    pub store_addr: SocketAddr,
+    /// How often backend servers renew their rows.
+    pub heartbeat_ms: u64,
+    /// What the operator expects of the whole deployment.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the whole deployment keeps together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time after which an instance that is gone must not be named any more,
+    /// counted from when it was last in contact.
+    pub contact_ms: u64,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace_ms: u64,
+    /// Retries of a service, as a share of its requests.
+    pub retry_ratio: f64,
+    /// The window over which retries are counted.
+    pub retry_window_ms: u64,
+    /// Retries that are allowed in a window beyond the share.
+    pub retry_burst: f64,
+    /// Factor on the rate that a cold backend server tolerates.
+    pub cold_rate_factor: f64,
+    /// Requests a second that a cold backend server may get beyond that.
+    pub cold_rate_slack: f64,
+    /// The longest time for which clients keep the answer to a lookup.
+    pub lookup_keep_ms: u64,
+}
+
+/// Settings that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingsError {
+    problems: Vec<String>,
+}
+
+impl SettingsError {
+    /// What is wrong, a line for each field.
+    pub fn problems(&self) -> &[String] {
+        &self.problems
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings cannot be used: {}", self.problems.join("; "))
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// The path of this process's settings file.
+    pub fn path() -> PathBuf {
+        std::env::var_os(PATH_VARIABLE).map_or_else(|| PathBuf::from(DEFAULT_PATH), PathBuf::from)
+    }
+
+    /// Reads settings from the text of the file: lines of `name=value`. Names
+    /// that are not known are ignored.
+    ///
+    /// # Errors
+    ///
+    /// When fields are missing or cannot be read; names all of them.
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let mut fields = Fields::new(text);
+        let settings = fields.settings();
+        match settings {
+            Some(settings) if fields.problems.is_empty() => Ok(settings),
+            _ => Err(SettingsError { problems: fields.problems }),
+        }
+    }
+}
+
+struct Fields<'a> {
+    values: BTreeMap<&'a str, &'a str>,
+    problems: Vec<String>,
+}
+
+impl<'a> Fields<'a> {
+    fn new(text: &'a str) -> Fields<'a> {
+        let pairs = text.lines().filter_map(|line| line.split_once('='));
+        let values = pairs.map(|(name, value)| (name.trim(), value.trim())).collect();
+        Fields { values, problems: Vec::new() }
+    }
+
+    fn settings(&mut self) -> Option<Settings> {
+        // Every field is read before the first missing one ends this, so that
+        // one start tells all that is wrong.
+        let instance = self.required::<String>("self.nodeName");
+        let ip = self.required("self.ip");
+        let zone = self.required::<String>("self.zone");
+        let region = self.required::<String>("self.region");
+        let traffic_addr = self.required("network.listen.frontend");
+        let ready_addr = self.required("network.listen.readiness");
+        let lookup_addr = self.required("network.listen.directory");
+        let store_addr = self.required("provider.provider.address");
+        let ports = self.port_range("network.internalPorts");
+        let heartbeat_ms = self.millis("provider.heartbeatS", 1_500);
+        let bounds = self.bounds();
+        let (peer_port, last_peer_port) = ports?;
+        Some(Settings {
+            instance: InstanceId::new(&instance?),
+            ip: ip?,
+            zone: ZoneName::new(&zone?),
+            region: RegionName::new(&region?),
+            zones: self.zones(),
+            traffic_addr: traffic_addr?,
+            ready_addr: ready_addr?,
+            lookup_addr: lookup_addr?,
+            peer_port,
+            last_peer_port,
+            store_addr: store_addr?,
+            heartbeat_ms,
+            bounds,
+        })
+    }
+
+    /// Bounds are missing where the operator asks for none; the defaults are
+    /// those of the platform's own example.
+    fn bounds(&mut self) -> Bounds {
+        Bounds {
+            contact_ms: self.millis("terms.bounds.contactS", 3_000),
+            grace_ms: self.millis("terms.bounds.graceS", 6_000),
+            retry_ratio: self.number("terms.bounds.retryBudgetRatio", 0.2),
+            retry_window_ms: self.millis("terms.bounds.retryWindowS", 10_000),
+            retry_burst: self.number("terms.bounds.retryBurst", 0.0),
+            cold_rate_factor: self.number("terms.bounds.warmupOverage", 1.0),
+            cold_rate_slack: self.number("terms.bounds.warmupSlack", 0.0),
+            lookup_keep_ms: self.millis("terms.bounds.ttl_max_s", 5_000),
+        }
+    }
+
+    fn zones(&self) -> BTreeMap<ZoneName, RegionName> {
+        let named = self.values.iter().filter_map(|(name, region)| {
+            let zone = name.strip_prefix("network.zones.")?;
+            Some((ZoneName::new(zone), RegionName::new(region)))
+        });
+        named.collect()
+    }
+
+    fn required<T: FromStr>(&mut self, name: &str) -> Option<T> {
+        match self.values.get(name) {
+            None | Some(&"") => self.problem(format!("{name} is missing")),
+            Some(value) => match value.parse() {
+                Ok(value) => Some(value),
+                Err(_) => self.problem(format!("{name}: {value:?} cannot be read")),
+            },
+        }
+    }
+
+    fn port_range(&mut self, name: &str) -> Option<(u16, u16)> {
+        let text = self.required::<String>(name)?;
+        let mut ports = text.split(',').map(|port| port.trim().parse().ok());
+        match (ports.next().flatten(), ports.next().flatten()) {
+            (Some(first), Some(last)) if first <= last => Some((first, last)),
+            _ => self.problem(format!("{name}: {text:?} is not a first and a last port")),
+        }
+    }
+
+    fn number(&mut self, name: &str, default: f64) -> f64 {
+        let Some(text) = self.values.get(name) else { return default };
+        match text.parse::<f64>() {
+            Ok(number) if number.is_finite() && number >= 0.0 => number,
+            _ => {
+                let _ = self.problem::<f64>(format!("{name}: {text:?} is not a number from 0"));
+                default
+            }
+        }
+    }
+
+    /// Reads a time in seconds.
+    fn millis(&mut self, name: &str, default_ms: u64) -> u64 {
+        (self.number(name, default_ms as f64 / 1_000.0) * 1_000.0).round() as u64
+    }
+
+    fn problem<T>(&mut self, problem: String) -> Option<T> {
+        self.problems.push(problem);
+        None
+    }
+}
--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,347 @@
+//! The client of the platform's store.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode, client::conn::http1::SendRequest, header};
+use hyper_util::rt::TokioIo;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, time};
+
+/// How long a call may take beyond the time that it asks the store to wait.
+/// Calls take some milliseconds; one that took this long on a connection that
+/// went silent would never end.
+const CALL_TIMEOUT_MS: u64 = 1_500;
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Idle time after which the connection is probed, and the pause between
+/// probes: a peer that is gone is noticed in about three seconds.
+const KEEPALIVE_S: u64 = 1;
+/// Probes without an answer after which the connection counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+/// How long sent bytes may stay without acknowledgement.
+const UNACKED_LIMIT_MS: u64 = 2_000;
+/// The largest answer that is read; the store's own limit for an answer is 1 MB
+/// before encoding.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
+/// The tables that are read or written here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Table {
+    /// What operators decided.
+    Operator,
+    /// Backend servers.
+    Backends,
+    /// Entry instances.
+    Members,
+}
+
+impl Table {
+    fn name(self) -> &'static str {
+        match self {
+            Table::Operator => "op",
+            Table::Backends => "servers",
+            Table::Members => "instances",
+        }
+    }
+
+    /// The table's name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Table::Operator => "operator",
+            Table::Backends => "backends",
+            Table::Members => "members",
+        }
+    }
+}
+
+/// A row as it is now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Row {
+    /// Its key.
+    pub key: String,
+    /// Its content, `None` if it was removed or is not base64.
+    pub value: Option<Vec<u8>>,
+    /// Whether it was removed.
+    pub is_removed: bool,
+    /// The store's version at its last change.
+    pub version: u64,
+}
+
+/// Rows, and the version of the store that they belong to.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Rows {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// The store's version; a watch goes on from here.
+    pub version: u64,
+}
+
+/// Why a call to the store failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StoreError {
+    /// The store refused the call; nothing was done.
+    Refused(u16),
+    /// The history that a watch asked for is gone; the table is to be read anew.
+    HistoryGone,
+    /// There was no answer; the call may have been done, or may be done later.
+    NoAnswer(String),
+    /// The answer cannot be read.
+    BadAnswer(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Refused(status) => write!(f, "refused with status {status}"),
+            StoreError::HistoryGone => f.write_str("the history is gone"),
+            StoreError::NoAnswer(detail) => write!(f, "no answer: {detail}"),
+            StoreError::BadAnswer(detail) => write!(f, "bad answer: {detail}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// A row that cannot be decoded.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DecodeError(String);
+
+impl DecodeError {
+    pub(crate) fn new(detail: &str) -> DecodeError {
+        DecodeError(detail.to_owned())
+    }
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+pub(crate) fn decode_json<T: DeserializeOwned>(value: &[u8]) -> Result<T, DecodeError> {
+    serde_json::from_slice(value).map_err(|e| DecodeError(e.to_string()))
+}
+
+#[derive(Deserialize)]
+struct WireRows {
+    rows: Vec<WireRow>,
+    ver: u64,
+    /// More rows follow the last one.
+    #[serde(default)]
+    truncated: bool,
+}
+
+#[derive(Deserialize)]
+struct WireRow {
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+    /// Whether the row was removed.
+    #[serde(default)]
+    tombstone: bool,
+    #[serde(default)]
+    ver: u64,
+}
+
+#[derive(Serialize)]
+struct Transaction<'a> {
+    precondition: [(); 0],
+    puts: &'a [Put<'a>],
+    remove: &'a [Key<'a>],
+}
+
+#[derive(Serialize)]
+struct Put<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    value: String,
+}
+
+#[derive(Serialize)]
+struct Key<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+}
+
+/// A client with one connection, which makes one call at a time.
+#[derive(Debug)]
+pub struct Store {
+    addr: SocketAddr,
+    connection: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Store {
+    /// A client of the store at `addr`; connects when it is first used.
+    pub fn new(addr: SocketAddr) -> Store {
+        Store { addr, connection: None }
+    }
+
+    /// Reads all rows of `table`.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not answer with rows.
+    pub async fn read(&mut self, table: Table) -> Result<Rows, StoreError> {
+        let mut all = Rows::default();
+        let mut from = String::new();
+        loop {
+            let path = format!("/-/rows-get?table={}&part=&from={from}", table.name());
+            let body = self.call(Method::GET, &path, Bytes::new(), 0).await?;
+            let page = parse(&body)?;
+            // Pages may belong to different moments: a watch that goes on from
+            // the first of them misses nothing.
+            if all.rows.is_empty() {
+                all.version = page.ver;
+            }
+            all.rows.extend(page.rows.into_iter().map(row));
+            let (true, Some(last)) = (page.truncated, all.rows.last()) else { return Ok(all) };
+            // The first key after `last`; the range begins with `from` itself.
+            from = utf8_percent_encode(&format!("{}\0", last.key), NON_ALPHANUMERIC).to_string();
+        }
+    }
+
+    /// Waits at most `wait_ms` for rows of `table` that changed after `version`.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::HistoryGone`] when the table has to be read anew, others
+    /// when the store does not answer with rows.
+    pub async fn watch(&mut self, table: Table, version: u64, wait_ms: u64) -> Result<Rows, StoreError> {
+        let path = format!("/-/rows-feed?table={}&after={version}&waitMs={wait_ms}", table.name());
+        let body = self.call(Method::GET, &path, Bytes::new(), wait_ms).await?;
+        let page = parse(&body)?;
+        Ok(Rows { rows: page.rows.into_iter().map(row).collect(), version: page.ver })
+    }
+
+    /// Writes one row.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not confirm the write. It may have been done all the
+    /// same; the same write may be repeated.
+    pub async fn put(&mut self, table: Table, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        let put = Put { table: table.name(), part: "", key, value: STANDARD.encode(value) };
+        self.transact(&Transaction { precondition: [], puts: &[put], remove: &[] }).await
+    }
+
+    /// Removes one row, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not confirm the removal, which may have been done.
+    pub async fn remove(&mut self, table: Table, key: &str) -> Result<(), StoreError> {
+        let key = Key { table: table.name(), part: "", key };
+        self.transact(&Transaction { precondition: [], puts: &[], remove: &[key] }).await
+    }
+
+    async fn transact(&mut self, transaction: &Transaction<'_>) -> Result<(), StoreError> {
+        let body = serde_json::to_vec(transaction).expect("texts are always JSON");
+        self.call(Method::POST, "/-/rows-tx", Bytes::from(body), 0).await.map(drop)
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait_ms: u64,
+    ) -> Result<Bytes, StoreError> {
+        let limit = Duration::from_millis(CALL_TIMEOUT_MS + wait_ms);
+        let result = match time::timeout(limit, self.call_once(method, path, body)).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::NoAnswer("timeout".to_owned())),
+        };
+        if matches!(result, Err(StoreError::NoAnswer(_) | StoreError::BadAnswer(_))) {
+            // The connection may still deliver the late answer, or be silent.
+            self.connection = None;
+        }
+        result
+    }
+
+    async fn call_once(&mut self, method: Method, path: &str, body: Bytes) -> Result<Bytes, StoreError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.addr.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(no_answer)?;
+        let connection = self.connection().await?;
+        let response = connection.send_request(request).await.map_err(no_answer)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
+            .collect()
+            .await
+            .map_err(|e| StoreError::NoAnswer(e.to_string()))?
+            .to_bytes();
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            status => Err(StoreError::Refused(status.as_u16())),
+        }
+    }
+
+    async fn connection(&mut self) -> Result<&mut SendRequest<Full<Bytes>>, StoreError> {
+        let is_open = match &mut self.connection {
+            Some(connection) => connection.ready().await.is_ok(),
+            None => false,
+        };
+        if !is_open {
+            self.connection = Some(connect(self.addr).await?);
+        }
+        self.connection.as_mut().ok_or_else(|| StoreError::NoAnswer("not connected".to_owned()))
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, StoreError> {
+    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let stream = time::timeout(limit, TcpStream::connect(addr))
+        .await
+        .map_err(|_| StoreError::NoAnswer("timeout while connecting".to_owned()))?
+        .map_err(no_answer)?;
+    watch_for_silence(&stream).map_err(no_answer)?;
+    let (sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(no_answer)?;
+    // The task ends with the connection, which ends when the sender is dropped.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// A connection can go silent for good without a reset: the peer lost power, or
+/// something on the way lost track of it. A watch on it would wait until its
+/// time is over and miss all changes; probes by the kernel end it within seconds.
+fn watch_for_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let interval = Duration::from_secs(KEEPALIVE_S);
+    let keepalive = TcpKeepalive::new()
+        .with_time(interval)
+        .with_interval(interval)
+        .with_retries(KEEPALIVE_PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_LIMIT_MS)))?;
+    stream.set_nodelay(true)
+}
+
+fn no_answer(e: impl fmt::Display) -> StoreError {
+    StoreError::NoAnswer(e.to_string())
+}
+
+fn parse(body: &[u8]) -> Result<WireRows, StoreError> {
+    serde_json::from_slice(body).map_err(|e| StoreError::BadAnswer(e.to_string()))
+}
+
+fn row(row: WireRow) -> Row {
+    let value = row.value.and_then(|text| STANDARD.decode(text).ok());
+    Row { key: row.key, value, is_removed: row.tombstone, version: row.ver }
+}
