--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -21,6 +21,7 @@
 mod cold;
 mod config;
 mod health;
+mod lapsed;
 mod members;
 mod place;
 mod retry_budget;
@@ -32,6 +33,7 @@
     CallerLimits, Config, ConfigError, ConfigParts, Destination, RequestKind, Route, Service,
 };
 pub use health::{Health, Outcome};
+pub use lapsed::Lapsed;
 pub use members::{Member, Members};
 pub use place::{Choice, Query};
 pub use retry_budget::RetryBudget;
--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -12,7 +12,11 @@
 use hyper::{Request, body::Incoming, header, server::conn::http1, service::service_fn};
 use tokio::{net::TcpStream, time};
 
-use super::{client_stream, request, state::State, stop};
+use super::{
+    client_stream, request,
+    state::State,
+    stop::{self, Phase},
+};
 
 /// The smallest buffer that the HTTP server accepts.
 const LEAST_BUFFER_BYTES: usize = 8 << 10;
@@ -52,7 +56,7 @@
         .half_close(false);
     let mut connection = pin!(server.serve_connection(client, service));
     let mut read_ahead = pin!(read_ahead.run());
-    let mut stopping = pin!(stop::may_close_idle(&state));
+    let mut stopping = pin!(stop::reached(&state, Phase::ClosingIdle));
     let mut is_stopping = false;
     loop {
         let idle_ms = limits.idle_timeout_ms + IDLE_SLACK_MS;
--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -1,6 +1,6 @@
 //! The ports of an entry instance, and the loop that accepts clients.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use azuregate_platform::settings::Settings;
 use error_stack::{Report, ResultExt};
@@ -10,7 +10,11 @@
     time,
 };
 
-use super::{ServeError, connection, state::State, stop};
+use super::{
+    ServeError, connection,
+    state::State,
+    stop::{self, Phase},
+};
 
 /// The pause after an accept that failed, mostly because no descriptor is free.
 const ACCEPT_PAUSE_MS: u64 = 50;
@@ -61,10 +65,11 @@
 
 /// Accepts connections until the planned stop says that no more are taken.
 pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
+    let mut closed = pin!(stop::reached(&state, Phase::Closed));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop::may_close_listener(&state) => return,
+            () = &mut closed => return,
         };
         let Ok((stream, _)) = accepted else {
             time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -40,9 +40,12 @@
 
 use azuregate_platform::settings::Settings;
 use error_stack::{Report, ResultExt};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::{
+    sync,
+    task::{LocalSet, spawn_local},
+};
 
-use self::{listen::Listeners, state::State};
+use self::{listen::Listeners, state::State, stop::Phase};
 use crate::stop::Stop;
 
 /// An instance that cannot run.
@@ -81,7 +84,8 @@
 
 async fn run_local(settings: Settings, stop: Stop) -> Result<(), Report<ServeError>> {
     let listeners = Listeners::open(&settings).await?;
-    let state = Rc::new(State::new(settings, stop));
+    let (phase, phases) = sync::watch::channel(Phase::Serving);
+    let state = Rc::new(State::new(settings, stop, phases));
     log::info!(instance:% = state.settings.instance, start:% = state.start; "entry instance started");
     watch::start(&state);
     spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats));
@@ -91,8 +95,8 @@
     if let Some(metrics) = listeners.metrics {
         spawn_local(metrics::serve(Rc::clone(&state), metrics));
     }
-    let traffic = spawn_local(listen::serve(Rc::clone(&state), listeners.traffic));
-    stop::finish(&state, traffic).await;
+    spawn_local(listen::serve(Rc::clone(&state), listeners.traffic));
+    stop::finish(&state, phase).await;
     log::info!(instance:% = state.settings.instance; "entry instance stopped");
     Ok(())
 }
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -8,13 +8,13 @@
 };
 
 use azuregate_core::{
-    balance::{self, Balancer, Config, Members, RetryBudget, Split},
+    balance::{self, Balancer, Config, Lapsed, Members, RetryBudget, Split},
     names::{ServiceName, StartNumber},
 };
 use azuregate_platform::settings::Settings;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
-use super::{metrics::Metrics, pool::Pool};
+use super::{metrics::Metrics, pool::Pool, stop::Phase};
 use crate::{stop::Stop, timer::Timer};
 
 /// The share of the retry budget that is used. Backend servers count when a
@@ -24,9 +24,9 @@
 /// clients: four of them, which packet loss alone hardly takes.
 const SILENCE_MS: u64 = 2_000;
 
-/// Versions of the newest rows seen, compared with those of other instances.
+/// Versions of the store up to which the tables are known.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) struct SeenVersions {
+pub(super) struct Versions {
     pub(super) operator: u64,
     pub(super) backends: u64,
 }
@@ -36,6 +36,8 @@
     pub(super) settings: Settings,
     pub(super) start: StartNumber,
     pub(super) stop: Stop,
+    /// How far a planned stop has come.
+    pub(super) phase: watch::Receiver<Phase>,
     pub(super) timer: Timer,
     pub(super) balancer: RefCell<Balancer>,
     pub(super) members: RefCell<Members>,
@@ -43,7 +45,15 @@
     pub(super) metrics: Metrics,
     /// Whether the table of backend servers was read since the start.
     pub(super) has_backends: Cell<bool>,
-    pub(super) seen: Cell<SeenVersions>,
+    /// The last changes that were seen; the other instances are told.
+    pub(super) changed: Cell<Versions>,
+    /// Up to where nothing was missed.
+    pub(super) covered: Cell<Versions>,
+    /// Backend servers whose rows are missing, but may come back.
+    pub(super) lapsed: RefCell<Lapsed>,
+    /// Since when the table of backend servers has been watched without a break;
+    /// `None` while the store does not answer.
+    pub(super) has_store_since_ms: Cell<Option<u64>>,
     /// Wakes the watches when another instance has seen more.
     pub(super) behind: Notify,
     /// Wakes the watch of members when an unknown instance was heard.
@@ -57,7 +67,7 @@
 }
 
 impl State {
-    pub(super) fn new(settings: Settings, stop: Stop) -> State {
+    pub(super) fn new(settings: Settings, stop: Stop, phase: watch::Receiver<Phase>) -> State {
         let balancer = Balancer::new(balance::Settings {
             instance: settings.instance.clone(),
             zone: settings.zone.clone(),
@@ -70,13 +80,17 @@
         State {
             start: StartNumber(u64::try_from(epoch.as_millis()).unwrap_or(u64::MAX)),
             stop,
+            phase,
             timer: Timer::start(),
             balancer: RefCell::new(balancer),
             members: RefCell::new(members),
             pool: Pool::default(),
             metrics: Metrics::default(),
             has_backends: Cell::new(false),
-            seen: Cell::default(),
+            changed: Cell::default(),
+            covered: Cell::default(),
+            lapsed: RefCell::default(),
+            has_store_since_ms: Cell::new(None),
             behind: Notify::new(),
             unknown_member: Notify::new(),
             connections: Cell::new(0),
@@ -120,6 +134,16 @@
         log::info!(version = version, previous:? = previous; "configuration in force");
     }
 
+    /// Forgets backend servers whose rows are gone for good.
+    pub(super) fn remove_lapsed(&self, another_had_store: bool) {
+        let gone = self.lapsed.borrow_mut().take_gone(another_had_store, self.now_ms());
+        for id in gone {
+            if self.balancer.borrow_mut().remove(id.as_str()) {
+                log::info!(backend:% = id, another_had_store = another_had_store; "backend server gone since the store was away");
+            }
+        }
+    }
+
     /// The service of the next request on a route, and its index.
     pub(super) fn next_service(&self, route: &balance::Route) -> ServiceName {
         let destinations = &route.destinations;
--- a/crates/azuregate/src/serve/stop.rs
+++ b/crates/azuregate/src/serve/stop.rs
@@ -7,9 +7,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::{task::JoinHandle, time};
+use tokio::{sync::watch, time};
 
-use super::{lookup::KEEP_MS, state::State, watch};
+use super::{lookup::KEEP_MS, state::State, watch as tables};
 
 /// Time for the heartbeat that tells of the leave to reach all instances.
 const LEAVE_MS: u64 = 600;
@@ -18,32 +18,45 @@
 /// How often connections are counted while the last requests end.
 const CHECK_EVERY_MS: u64 = 50;
 
-/// Resolves when idle connections may be closed.
-pub(super) async fn may_close_idle(state: &State) {
-    state.stop.clone().wait().await;
-    time::sleep(Duration::from_millis(KEEP_MS + LEAVE_MS)).await;
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Phase {
+    /// No stop was asked for.
+    Serving,
+    /// Clients are told to go elsewhere, and are served meanwhile.
+    Leaving,
+    /// Idle connections are closed.
+    ClosingIdle,
+    /// No more connections are taken.
+    Closed,
 }
 
-/// Resolves when no more connections need to be taken.
-pub(super) async fn may_close_listener(state: &State) {
-    may_close_idle(state).await;
-    time::sleep(Duration::from_millis(LEAVE_MS)).await;
+/// Resolves when the stop has come as far as `phase`.
+pub(super) async fn reached(state: &State, phase: Phase) {
+    // An error means that the process ends.
+    let _ = state.phase.clone().wait_for(|&now| now >= phase).await;
 }
 
-/// Waits for the stop, then for what is in progress.
-pub(super) async fn finish(state: &Rc<State>, traffic: JoinHandle<()>) {
+/// Waits for the stop, and takes it through its phases until nothing is in
+/// progress.
+pub(super) async fn finish(state: &Rc<State>, phase: watch::Sender<Phase>) {
     state.stop.clone().wait().await;
     log::info!(connections = state.connections.get(); "planned stop");
+    phase.send_replace(Phase::Leaving);
     let deadline_ms = state.settings.bounds.grace_ms.saturating_sub(MARGIN_MS);
     let deadline = time::Instant::now() + Duration::from_millis(deadline_ms);
-    let _ = time::timeout_at(deadline, watch::unregister(state)).await;
-    let drained = async {
-        let _ = traffic.await;
+    let steps = async {
+        let idle_at = time::Instant::now() + Duration::from_millis(KEEP_MS + LEAVE_MS);
+        tables::unregister(state).await;
+        time::sleep_until(idle_at).await;
+        phase.send_replace(Phase::ClosingIdle);
+        time::sleep(Duration::from_millis(LEAVE_MS)).await;
+        phase.send_replace(Phase::Closed);
         while state.connections.get() > 0 {
             time::sleep(Duration::from_millis(CHECK_EVERY_MS)).await;
         }
     };
-    if time::timeout_at(deadline, drained).await.is_err() {
+    if time::timeout_at(deadline, steps).await.is_err() {
         log::warn!(connections = state.connections.get(); "stop cuts off connections");
     }
 }
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -1,12 +1,13 @@
 //! Follows the store's tables: what operators decide, and who is there.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    cell::Cell,
+    collections::BTreeSet,
     rc::Rc,
     time::Duration,
 };
 
-use azuregate_core::balance::Member;
+use azuregate_core::{balance::Member, names::BackendId};
 use azuregate_platform::{
     backend,
     config::{self, OperatorRow},
@@ -15,7 +16,7 @@
 };
 use tokio::{sync::Notify, task::spawn_local, time};
 
-use super::state::State;
+use super::state::{State, Versions};
 
 /// The longest time for which the watch of members waits. Heartbeats tell of an
 /// unknown member sooner.
@@ -24,10 +25,6 @@
 const FIRST_PAUSE_MS: u64 = 150;
 /// The longest pause between calls to a store that does not answer.
 const LONGEST_PAUSE_MS: u64 = 1_000;
-/// How long rows that are missing after the store was away are still believed:
-/// backend servers that live write theirs again within that time.
-const RETURN_GRACE_MS: u64 = 2_000;
-
 /// Starts a watch for each table, which run until the process ends.
 pub(super) fn start(state: &Rc<State>) {
     spawn_local(Watch::new(Rc::clone(state), Table::Operator).serve());
@@ -95,10 +92,6 @@
     /// from a copy that is behind.
     newest_version: u64,
     is_away: bool,
-    /// Until when rows that are missing are still believed.
-    grace_until_ms: u64,
-    /// Rows that are missing, and when that will be believed.
-    missing: BTreeMap<String, u64>,
 }
 
 impl Watch {
@@ -112,8 +105,6 @@
             version: None,
             newest_version: 0,
             is_away: false,
-            grace_until_ms: 0,
-            missing: BTreeMap::new(),
         }
     }
 
@@ -130,7 +121,6 @@
                     self.pause.wait().await;
                 }
             }
-            self.remove_missing();
         }
     }
 
@@ -158,6 +148,7 @@
         for row in rows.rows {
             self.apply(&row);
         }
+        self.cover(rows.version);
         Ok(())
     }
 
@@ -171,19 +162,17 @@
         self.version = Some(rows.version);
         self.newest_version = rows.version;
         self.apply_all(&rows);
+        self.cover(rows.version);
         Ok(())
     }
 
     /// A silent connection is noticed when the wait is over, so the wait is as
     /// short as the time in which an instance must be in contact again.
     fn wait_ms(&self) -> u64 {
-        let longest_ms = match self.table {
+        match self.table {
             Table::Members => MEMBERS_WAIT_MS,
             Table::Operator | Table::Backends => self.state.settings.bounds.contact_ms,
-        };
-        let next_ms = self.missing.values().min().copied();
-        let now_ms = self.state.now_ms();
-        next_ms.map_or(longest_ms, |at_ms| at_ms.saturating_sub(now_ms).clamp(50, longest_ms))
+        }
     }
 
     fn failed(&mut self, e: &StoreError) {
@@ -191,15 +180,23 @@
             log::warn!(table = self.table.as_str(), error:% = e; "store lost");
         }
         self.is_away = true;
+        if self.table == Table::Backends {
+            self.state.lapsed.borrow_mut().store_lost();
+            self.state.has_store_since_ms.set(None);
+        }
     }
 
     fn returned(&mut self) {
         self.pause = Pause::default();
         if self.is_away {
             self.is_away = false;
-            self.grace_until_ms = self.state.now_ms() + RETURN_GRACE_MS;
             log::info!(table = self.table.as_str(); "store regained");
         }
+        if self.table == Table::Backends && self.state.has_store_since_ms.get().is_none() {
+            let now_ms = self.state.now_ms();
+            self.state.lapsed.borrow_mut().store_regained(now_ms);
+            self.state.has_store_since_ms.set(Some(now_ms));
+        }
     }
 
     fn apply_all(&mut self, rows: &Rows) {
@@ -239,7 +236,9 @@
         if row.is_removed {
             return self.removed(&row.key);
         }
-        self.missing.remove(&row.key);
+        if self.table == Table::Backends {
+            self.state.lapsed.borrow_mut().is_back(&row.key);
+        }
         let value = row.value.as_deref().unwrap_or_default();
         match self.table {
             Table::Operator => self.operator_row(&row.key, value),
@@ -249,13 +248,11 @@
     }
 
     fn saw(&self, version: u64) {
-        let mut seen = self.state.seen.get();
-        match self.table {
-            Table::Operator => seen.operator = seen.operator.max(version),
-            Table::Backends => seen.backends = seen.backends.max(version),
-            Table::Members => {}
-        }
-        self.state.seen.set(seen);
+        raise(&self.state.changed, self.table, version);
+    }
+
+    fn cover(&self, version: u64) {
+        raise(&self.state.covered, self.table, version);
     }
 
     fn operator_row(&self, key: &str, value: &[u8]) {
@@ -319,29 +316,24 @@
         }
     }
 
-    /// While the store was away, rows of servers that live ran out. Taking them
-    /// for gone at once would leave no server at all; they are back in a moment.
-    fn backend_removed(&mut self, key: &str) {
-        if self.state.now_ms() < self.grace_until_ms {
-            self.missing.insert(key.to_owned(), self.grace_until_ms);
-            return;
-        }
-        if self.state.balancer.borrow_mut().remove(key) {
+    fn backend_removed(&self, key: &str) {
+        let now_ms = self.state.now_ms();
+        if !self.state.lapsed.borrow_mut().is_gone(&BackendId::new(key), now_ms) {
+            log::info!(backend = key; "backend server's row ran out while the store was away");
+        } else if self.state.balancer.borrow_mut().remove(key) {
             log::info!(backend = key; "backend server gone");
         }
     }
+}
 
-    fn remove_missing(&mut self) {
-        let now_ms = self.state.now_ms();
-        let due = self.missing.iter().filter(|&(_, &at_ms)| at_ms <= now_ms);
-        let due: Vec<String> = due.map(|(key, _)| key.clone()).collect();
-        for key in due {
-            self.missing.remove(&key);
-            if self.state.balancer.borrow_mut().remove(&key) {
-                log::info!(backend = key.as_str(); "backend server gone while the store was away");
-            }
-        }
+fn raise(versions: &Cell<Versions>, table: Table, version: u64) {
+    let mut raised = versions.get();
+    match table {
+        Table::Operator => raised.operator = raised.operator.max(version),
+        Table::Backends => raised.backends = raised.backends.max(version),
+        Table::Members => {}
     }
+    versions.set(raised);
 }
 
 /// Waits for rows; `None` when there is news elsewhere that the watch should
