Give each object two backend servers, and compare servers with each other

The log showed each object at 8 backend servers and 95 objects at each server, which remembers about 43: rejections and late answers marked servers as failing, so objects wandered and all work was cold.

Change: an object has two servers, the first two in rendezvous order; a server is avoided only when it fails or is slow compared with the others of its service over the last seconds.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -12,10 +12,6 @@
     route::hash::score,
 };
 
-/// How long a load report is believed. Load changes within the time of a few
-/// requests; an older report says nothing.
-const LOAD_AGE_LIMIT_MS: u64 = 300;
-
 /// A backend server as it registered itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Backend {
@@ -91,16 +87,6 @@
 }
 
 impl Node {
-    /// Requests at the server: the own ones, or more if it said so just now.
-    pub(super) fn busy(&self, now_ms: u64) -> u32 {
-        match self.load {
-            Some((load, at_ms)) if now_ms.saturating_sub(at_ms) <= LOAD_AGE_LIMIT_MS => {
-                self.in_flight.max(load.running + load.waiting)
-            }
-            _ => self.in_flight,
-        }
-    }
-
     pub(super) fn is_cold(&self, now_ms: u64) -> bool {
         now_ms < self.cold_until_ms
     }
--- a/crates/azuregate-core/src/balance/health.rs
+++ b/crates/azuregate-core/src/balance/health.rs
@@ -4,12 +4,17 @@
 const FIRST_PAUSE_MS: u64 = 500;
 /// The longest time without requests.
 const LONGEST_PAUSE_MS: u64 = 4_000;
-/// Weight of the newest answer in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.15;
-/// Share of failures from which a server is avoided.
-const FAILING_SHARE: f64 = 0.4;
-/// Weight of the newest answer in the usual time.
-const LATENCY_WEIGHT: f64 = 0.2;
+/// Time in which what is known of a server loses half of its weight. One that is
+/// avoided gets no requests that could show that it is well again.
+const HALF_LIFE_MS: f64 = 3_000.0;
+/// Requests that must be known of a server before it is compared with others.
+const LEAST_KNOWN: f64 = 3.0;
+/// How much more often than others a server must fail to be avoided.
+const FAILING_MARGIN: f64 = 0.25;
+/// How many times longer than others it must take.
+const SLOW_FACTOR: f64 = 2.5;
+/// How much longer it must take besides: answers differ by the way alone.
+const SLOW_MARGIN_MS: f64 = 50.0;
 
 /// How a request to a backend server ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,13 +39,76 @@
     Cancelled,
 }
 
+/// Requests of the last seconds; older ones count less.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Recent {
+    requests: f64,
+    failures: f64,
+    latency_ms: f64,
+}
+
+impl Recent {
+    fn scaled(self, factor: f64) -> Recent {
+        Recent {
+            requests: self.requests * factor,
+            failures: self.failures * factor,
+            latency_ms: self.latency_ms * factor,
+        }
+    }
+
+    fn failing_share(&self) -> f64 {
+        self.failures / self.requests
+    }
+
+    fn mean_latency_ms(&self) -> f64 {
+        self.latency_ms / self.requests
+    }
+}
+
 /// What answers tell about one backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     failures_in_row: u32,
     paused_until_ms: u64,
-    failing_share: f64,
-    latency_ms: f64,
+    recent: Recent,
+    updated_at_ms: u64,
+}
+
+/// What is usual among the backend servers of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usual {
+    all: Recent,
+}
+
+impl Usual {
+    /// Takes in one server.
+    pub fn add(&mut self, health: &Health, now_ms: u64) {
+        let recent = health.recent(now_ms);
+        self.all.requests += recent.requests;
+        self.all.failures += recent.failures;
+        self.all.latency_ms += recent.latency_ms;
+    }
+
+    /// Whether a server does so much worse than the others that its requests are
+    /// better off elsewhere.
+    ///
+    /// The comparison is what matters: under overload all servers reject requests
+    /// and answer late. Leaving them for it would send every object to servers
+    /// that do not know it, which makes the overload worse and keeps it up.
+    pub fn is_outlier(&self, health: &Health, now_ms: u64) -> bool {
+        let own = health.recent(now_ms);
+        let others = Recent {
+            requests: self.all.requests - own.requests,
+            failures: self.all.failures - own.failures,
+            latency_ms: self.all.latency_ms - own.latency_ms,
+        };
+        if own.requests < LEAST_KNOWN || others.requests < LEAST_KNOWN {
+            return false;
+        }
+        let is_failing = own.failing_share() > others.failing_share() * 1.5 + FAILING_MARGIN;
+        let slow_ms = others.mean_latency_ms() * SLOW_FACTOR + SLOW_MARGIN_MS;
+        is_failing || own.mean_latency_ms() > slow_ms
+    }
 }
 
 impl Health {
@@ -50,16 +118,12 @@
             Outcome::Answered { taken_ms } => {
                 self.failures_in_row = 0;
                 self.paused_until_ms = 0;
-                self.count(false);
-                self.take_latency(taken_ms);
-            }
-            Outcome::Failed | Outcome::Full => self.count(true),
-            Outcome::TimedOut { taken_ms } => {
-                self.count(true);
-                self.take_latency(taken_ms);
+                self.count(now_ms, false, taken_ms);
             }
+            Outcome::Failed | Outcome::Full => self.count(now_ms, true, 0),
+            Outcome::TimedOut { taken_ms } => self.count(now_ms, true, taken_ms),
             Outcome::Unreachable => {
-                self.count(true);
+                self.count(now_ms, true, 0);
                 let doublings = self.failures_in_row.min(8);
                 let pause_ms = (FIRST_PAUSE_MS << doublings).min(LONGEST_PAUSE_MS);
                 self.paused_until_ms = now_ms + pause_ms;
@@ -79,26 +143,16 @@
         self.failures_in_row > 0
     }
 
-    /// Whether so many requests fail that others are better off elsewhere.
-    pub fn is_failing(&self) -> bool {
-        self.failing_share >= FAILING_SHARE
-    }
-
-    /// The usual time of an answer; 0 if there was none.
-    pub fn latency_ms(&self) -> f64 {
-        self.latency_ms
+    fn recent(&self, now_ms: u64) -> Recent {
+        let age_ms = now_ms.saturating_sub(self.updated_at_ms) as f64;
+        self.recent.scaled((-age_ms / HALF_LIFE_MS).exp2())
     }
 
-    fn count(&mut self, has_failed: bool) {
-        let newest = f64::from(u8::from(has_failed));
-        self.failing_share += FAILURE_WEIGHT * (newest - self.failing_share);
-    }
-
-    fn take_latency(&mut self, taken_ms: u64) {
-        let taken_ms = taken_ms as f64;
-        if self.latency_ms == 0.0 {
-            self.latency_ms = taken_ms;
-        }
-        self.latency_ms += LATENCY_WEIGHT * (taken_ms - self.latency_ms);
+    fn count(&mut self, now_ms: u64, has_failed: bool, taken_ms: u64) {
+        self.recent = self.recent(now_ms);
+        self.updated_at_ms = now_ms;
+        self.recent.requests += 1.0;
+        self.recent.failures += f64::from(u8::from(has_failed));
+        self.recent.latency_ms += taken_ms as f64;
     }
 }
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -32,7 +32,7 @@
 pub use config::{
     CallerLimits, Config, ConfigError, ConfigParts, Destination, RequestKind, Route, Service,
 };
-pub use health::{Health, Outcome};
+pub use health::{Health, Outcome, Usual};
 pub use lapsed::Lapsed;
 pub use members::{Member, Members};
 pub use place::{Choice, Query};
--- a/crates/azuregate-core/src/balance/place.rs
+++ b/crates/azuregate-core/src/balance/place.rs
@@ -1,9 +1,9 @@
 //! The choice of a backend server for one request.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use super::{
-    Backend, BackendHandle, Balancer,
+    Backend, BackendHandle, Balancer, Usual,
     backends::{Distance, Node},
 };
 use crate::names::{RegionName, ServiceName};
@@ -40,18 +40,15 @@
 /// as long, and pushes other objects out of that server's memory.
 const QUEUE_LIMIT: u32 = 3;
 
-/// What speaks against a server, the least first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Penalty {
-    None,
-    Full,
-    Failing,
-    Paused,
-}
-
 impl Balancer {
     /// Chooses a server for a request and counts the request there until
     /// [`Balancer::end`]; `None` if no server may get it.
+    ///
+    /// Each object has two servers, the first two in the order of rendezvous
+    /// hashing among those that can be used. The second is used when the first is
+    /// full. There is no third: under overload requests would wander over all
+    /// servers, each would see more objects than it remembers, all work would be
+    /// cold, and the overload would outlast its cause.
     pub fn choose(&mut self, query: &Query<'_>, now_ms: u64) -> Option<Choice> {
         let handle = self.best(query, now_ms)?;
         let node = self.node_mut(handle)?;
@@ -64,11 +61,17 @@
 
     fn best(&mut self, query: &Query<'_>, now_ms: u64) -> Option<BackendHandle> {
         let mut nodes = self.services.remove(query.service)?;
-        let candidates = nodes.iter_mut().filter_map(|node| {
-            let is_open = self.is_open(node, query, now_ms);
-            is_open.then(|| (rank(node, query, now_ms), node.handle))
-        });
-        let best = candidates.min_by_key(|&(rank, _)| rank).map(|(_, handle)| handle);
+        let mut usual = Usual::default();
+        for node in &nodes {
+            usual.add(&node.health, now_ms);
+        }
+        let mut owners = Owners::default();
+        for node in &mut nodes {
+            if self.is_open(node, query, now_ms) {
+                owners.add(rank(node, query, &usual, now_ms), node);
+            }
+        }
+        let best = owners.choose();
         self.services.insert(query.service.clone(), nodes);
         best
     }
@@ -79,28 +82,56 @@
             && !query.tried.contains(&node.handle)
             && self.is_allowed_region(&node.backend.zone, query.home_regions)
             && (!node.is_cold(now_ms) || node.cold.has_room(node.cold_limit, now_ms))
-            && node.in_flight < node.backend.slots + QUEUE_LIMIT
     }
 }
 
-type Rank = (Penalty, u32, Distance, std::cmp::Reverse<u64>);
+/// The order of servers for one object, the best first: those that do not answer
+/// and those that do much worse than others come last.
+type Rank = (bool, bool, Distance, Reverse<u64>);
 
-fn rank(node: &Node, query: &Query<'_>, now_ms: u64) -> Rank {
-    let penalty = penalty(node, now_ms);
-    // Among full servers the shortest queue wins.
-    let queue = if penalty == Penalty::Full { node.in_flight } else { 0 };
+fn rank(node: &Node, query: &Query<'_>, usual: &Usual, now_ms: u64) -> Rank {
     let distance = if query.is_large { node.distance } else { Distance::Zone };
-    (penalty, queue, distance, std::cmp::Reverse(mix(node.seed ^ query.object)))
+    let is_outlier = usual.is_outlier(&node.health, now_ms);
+    let hash = Reverse(mix(node.seed ^ query.object));
+    (node.health.is_paused(now_ms), is_outlier, distance, hash)
+}
+
+/// The first two servers of an object.
+#[derive(Default)]
+struct Owners {
+    first: Option<(Rank, Room)>,
+    second: Option<(Rank, Room)>,
+}
+
+/// How much room a server has.
+#[derive(Clone, Copy)]
+struct Room {
+    handle: BackendHandle,
+    in_flight: u32,
+    slots: u32,
 }
 
-fn penalty(node: &Node, now_ms: u64) -> Penalty {
-    if node.health.is_paused(now_ms) {
-        return Penalty::Paused;
+impl Owners {
+    fn add(&mut self, rank: Rank, node: &Node) {
+        let room = Room {
+            handle: node.handle,
+            in_flight: node.in_flight,
+            slots: node.backend.slots,
+        };
+        if self.first.is_none_or(|(first, _)| rank < first) {
+            self.second = self.first.replace((rank, room));
+        } else if self.second.is_none_or(|(second, _)| rank < second) {
+            self.second = Some((rank, room));
+        }
     }
-    if node.health.is_failing() {
-        return Penalty::Failing;
+
+    fn choose(self) -> Option<BackendHandle> {
+        let owners = [self.first, self.second].into_iter().flatten().map(|(_, room)| room);
+        let free = owners.clone().find(|room| room.in_flight < room.slots);
+        let shortest = || owners.min_by_key(|room| room.in_flight);
+        let room = free.or_else(shortest)?;
+        (room.in_flight < room.slots + QUEUE_LIMIT).then_some(room.handle)
     }
-    if node.in_flight >= node.backend.slots { Penalty::Full } else { Penalty::None }
 }
 
 /// Mixes the bits of `x` so that neighbouring values have unrelated results; the
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -12,7 +12,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Body, Incoming},
-    header,
+    header::{self, HeaderValue},
 };
 use tokio::time::{self, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -31,7 +31,7 @@
 const LARGE_BODY_BYTES: usize = 20_000;
 /// Servers that may reject a request before it is given up, beyond the attempts
 /// of its route.
-const REJECTIONS: usize = 3;
+const REJECTIONS: usize = 1;
 /// Time that must be left for another attempt to be of use.
 const LEAST_LEFT_MS: u64 = 20;
 /// Clients that were refused come back spread over this time.
@@ -58,6 +58,7 @@
 /// What the log says of a request.
 struct Record {
     id: String,
+    object: String,
     route: String,
     service: String,
     version: u64,
@@ -69,9 +70,10 @@
 
 impl Record {
     fn new(headers: &HeaderMap) -> Record {
-        let id = headers.get(request::REQUEST_ID).and_then(|id| id.to_str().ok());
+        let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         Record {
-            id: id.unwrap_or_default().to_owned(),
+            id: text(request::REQUEST_ID).unwrap_or_default().to_owned(),
+            object: text(request::OBJECT_KEY).unwrap_or_default().to_owned(),
             route: String::new(),
             service: String::new(),
             version: 0,
@@ -103,6 +105,7 @@
             status = status.as_u16(),
             route = self.route.as_str(),
             service = self.service.as_str(),
+            object = self.object.as_str(),
             version = self.version,
             backend = self.backend.as_str(),
             tries = self.tries,
