Start pipelined requests before their turn

Cause: one read in eight reached its backend server after more than half of its latency objective (the log gave 750 ms between arrival and sending): the HTTP server takes the next request of a connection only when the one before is answered. Ruled out: slow admission or connects (p99 below 5 ms).

Change: heads are found in the bytes as they arrive, and idempotent requests without a body start at once; their answers wait for their turn.

--- a/crates/azuregate/src/serve/client_stream.rs
+++ b/crates/azuregate/src/serve/client_stream.rs
@@ -60,8 +60,9 @@
 }
 
 impl ReadAhead {
-    /// Reads until the client closes the connection.
-    pub(super) async fn run(mut self) {
+    /// Reads until the client closes the connection; `arrived` sees all bytes
+    /// before the HTTP server.
+    pub(super) async fn run(mut self, mut arrived: impl FnMut(&[u8])) {
         let mut bytes = BytesMut::new();
         loop {
             while self.shared.borrow().bytes.len() >= READ_AHEAD_BYTES {
@@ -69,6 +70,7 @@
             }
             bytes.reserve(READ_BYTES);
             let is_ended = !matches!(self.socket.read_buf(&mut bytes).await, Ok(1..));
+            arrived(&bytes);
             let mut shared = self.shared.borrow_mut();
             shared.is_ended = is_ended;
             shared.bytes.unsplit(bytes.split());
--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -10,10 +10,15 @@
 
 use azuregate_core::balance::CallerLimits;
 use hyper::{Request, body::Incoming, header, server::conn::http1, service::service_fn};
-use tokio::{net::TcpStream, time};
+use tokio::{
+    net::TcpStream,
+    time::{self, Instant},
+};
 
 use super::{
-    client_stream, request,
+    client_stream,
+    pipeline::{Pipeline, Scanner},
+    request,
     state::State,
     stop::{self, Phase},
 };
@@ -36,6 +41,7 @@
 struct Usage {
     at_work: Cell<u32>,
     idle_since_ms: Cell<u64>,
+    pipeline: Pipeline,
 }
 
 /// Serves a connection until one side closes it.
@@ -55,7 +61,13 @@
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
         .half_close(false);
     let mut connection = pin!(server.serve_connection(client, service));
-    let mut read_ahead = pin!(read_ahead.run());
+    let mut scanner = Scanner::default();
+    let mut read_ahead = pin!(read_ahead.run(|bytes| {
+        scanner.feed(bytes);
+        while let Some(parts) = scanner.next() {
+            usage.pipeline.arrived(&state, parts);
+        }
+    }));
     let mut stopping = pin!(stop::reached(&state, Phase::ClosingIdle));
     let mut is_stopping = false;
     loop {
@@ -84,7 +96,12 @@
     request: Request<Incoming>,
 ) -> Result<hyper::Response<super::streaming::Answer>, Infallible> {
     usage.at_work.set(usage.at_work.get() + 1);
-    let mut response = request::handle(Rc::clone(&state), request).await;
+    let (parts, body) = request.into_parts();
+    let mut response = match usage.pipeline.answer(&parts).await {
+        Some(response) => response,
+        None => request::handle(Rc::clone(&state), parts, Some(body), Instant::now()).await,
+    };
+    usage.pipeline.answered();
     usage.at_work.set(usage.at_work.get() - 1);
     usage.idle_since_ms.set(state.now_ms());
     if state.stop.is_stopping() {
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -14,6 +14,7 @@
 * `watch` follows the store's tables, `heartbeat` the other instances.
 * `listen` accepts connections, `connection` serves one, `client_stream` notices
   that its client has left.
+* `pipeline` starts requests that wait behind others on their connection.
 * `request` takes one request to its answer, `attempt` to one backend server,
   `pool` keeps connections to them.
 * `lookup` answers the platform's and the clients' questions.
@@ -29,6 +30,7 @@
 mod listen;
 mod lookup;
 mod metrics;
+mod pipeline;
 mod pool;
 mod request;
 mod state;
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -7,12 +7,13 @@
     names::ServiceName,
 };
 use azuregate_platform::request;
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
+    HeaderMap, Response, StatusCode,
     body::{Body, Incoming},
     header::{self, HeaderValue},
+    http::request::Parts,
 };
 use tokio::time::{self, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -37,11 +38,15 @@
 /// Clients that were refused come back spread over this time.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=400;
 
-/// Answers one request of a client.
-pub(super) async fn handle(state: Rc<State>, request: Request<Incoming>) -> Response<Answer> {
-    let received_at = Instant::now();
-    let mut record = Record::new(request.headers());
-    let result = serve(&state, request, received_at, &mut record).await;
+/// Answers one request of a client, whose head arrived at `received_at`.
+pub(super) async fn handle(
+    state: Rc<State>,
+    parts: Parts,
+    body: Option<Incoming>,
+    received_at: Instant,
+) -> Response<Answer> {
+    let mut record = Record::new(&parts.headers);
+    let result = serve(&state, parts, body, received_at, &mut record).await;
     let taken_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let response = match result {
         Ok(response) => response,
@@ -55,6 +60,14 @@
     response
 }
 
+/// Whether a request may run although its connection may end before its turn.
+pub(super) fn may_start_early(state: &State, parts: &Parts) -> bool {
+    let Some(config) = state.config() else { return false };
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let route = host.and_then(|host| config.route(host, parts.uri.path()));
+    route.is_some_and(|route| route.kind == RequestKind::Idempotent)
+}
+
 /// What the log says of a request.
 struct Record {
     id: String,
@@ -118,20 +131,21 @@
 
 async fn serve(
     state: &Rc<State>,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: Option<Incoming>,
     received_at: Instant,
     record: &mut Record,
 ) -> Result<Response<Answer>, Refusal> {
     let Some(config) = state.config() else { return Err(Refusal::NotReady) };
     record.version = config.version();
-    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let Some(host) = host else { return Err(Refusal::BadRequest) };
-    let Some(route) = config.route(host, request.uri().path()) else {
+    let Some(route) = config.route(host, parts.uri.path()) else {
         return Err(Refusal::NoRoute);
     };
     let route = Arc::clone(route);
     record.route.push_str(&route.name);
-    let wait_ms = deadline_ms(request.headers()).min(route.timeout_ms);
+    let wait_ms = deadline_ms(&parts.headers).min(route.timeout_ms);
     let deadline = received_at + Duration::from_millis(wait_ms);
     let service = state.next_service(&route);
     record.service.push_str(service.as_str());
@@ -144,7 +158,7 @@
 
     let mut progress = Progress::default();
     let work = async {
-        let outgoing = read(request, &route, body_limit).await?;
+        let outgoing = read(parts, body, &route, body_limit).await?;
         Task { state, route: &route, service: &service, outgoing, deadline }
             .run(&mut progress, record)
             .await
@@ -163,24 +177,15 @@
 /// Reads the whole body, so that no backend server waits for a slow client and a
 /// server that rejects the request can be replaced by another.
 async fn read(
-    request: Request<Incoming>,
+    mut parts: Parts,
+    body: Option<Incoming>,
     route: &Route,
     body_limit: usize,
 ) -> Result<Outgoing, Refusal> {
-    let (mut parts, mut incoming) = request.into_parts();
-    let known = incoming.size_hint().lower();
-    if known > body_limit as u64 {
-        return Err(Refusal::BodyTooLong);
-    }
-    let mut body = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        let frame = frame.map_err(|_| Refusal::BodyBroken)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if body.len() + data.len() > body_limit {
-            return Err(Refusal::BodyTooLong);
-        }
-        body.extend_from_slice(&data);
-    }
+    let body = match body {
+        Some(body) => read_body(body, body_limit).await?,
+        None => Bytes::new(),
+    };
     answer::remove_hop_by_hop(&mut parts.headers);
     answer::remove_internal(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
@@ -189,11 +194,27 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
-        body: body.freeze(),
+        body,
         is_idempotent: route.kind == RequestKind::Idempotent,
     })
 }
 
+async fn read_body(mut incoming: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    if incoming.size_hint().lower() > limit as u64 {
+        return Err(Refusal::BodyTooLong);
+    }
+    let mut body = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|_| Refusal::BodyBroken)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if body.len() + data.len() > limit {
+            return Err(Refusal::BodyTooLong);
+        }
+        body.extend_from_slice(&data);
+    }
+    Ok(body.freeze())
+}
+
 /// What has become of a request so far.
 #[derive(Default)]
 struct Progress {
