Watch calls at least 300 ms apart, and name only the zone's instances

Change: a watch makes its next call 300 ms after the last at the earliest; a lookup names the region's instances only if the zone has none.

--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -14,7 +14,7 @@
 const LOOKUP_LIMIT: usize = 64;
 /// Instances that a lookup names at the least, if there are so many in the
 /// region: a client that knows just one has nowhere to go when that one fails.
-const LOOKUP_WANTED: usize = 2;
+const LOOKUP_WANTED: usize = 1;
 
 /// An entry instance as it registered itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -25,6 +25,10 @@
 const FIRST_PAUSE_MS: u64 = 150;
 /// The longest pause between calls to a store that does not answer.
 const LONGEST_PAUSE_MS: u64 = 1_000;
+/// The shortest time between two calls of a watch. Many rows change at once when
+/// servers are replaced, and each call brings all that changed meanwhile.
+const LEAST_INTERVAL_MS: u64 = 300;
+
 /// Starts a watch for each table, which run until the process ends.
 pub(super) fn start(state: &Rc<State>) {
     spawn_local(Watch::new(Rc::clone(state), Table::Operator).serve());
@@ -110,8 +114,12 @@
 
     async fn serve(mut self) {
         loop {
+            let next_at = time::Instant::now() + Duration::from_millis(LEAST_INTERVAL_MS);
             match self.step().await {
-                Ok(()) => self.returned(),
+                Ok(()) => {
+                    self.returned();
+                    time::sleep_until(next_at).await;
+                }
                 Err(StoreError::HistoryGone) => {
                     log::info!(table = self.table.as_str(); "history is gone, table is read anew");
                     self.version = None;
