--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -36,11 +36,16 @@
 /// the last moment must not meet a closed connection.
 const IDLE_SLACK_MS: u64 = 1_000;
 
+/// How long a client that has connected may take to send its first request while
+/// the instance stops: several times the way there, with a packet lost.
+const FIRST_REQUEST_MS: u64 = 700;
+
 /// What is known of a connection's use.
 #[derive(Default)]
 struct Usage {
     at_work: Cell<u32>,
     idle_since_ms: Cell<u64>,
+    has_served: Cell<bool>,
     pipeline: Pipeline,
 }
 
@@ -68,7 +73,7 @@
             usage.pipeline.arrived(&state, parts);
         }
     }));
-    let mut stopping = pin!(stop::reached(&state, Phase::ClosingIdle));
+    let mut stopping = pin!(may_close(&state, &usage));
     let mut is_stopping = false;
     loop {
         let idle_ms = limits.idle_timeout_ms + IDLE_SLACK_MS;
@@ -90,12 +95,25 @@
     }
 }
 
+/// Resolves when the connection may be closed once it is idle.
+///
+/// A client that has just connected sends its request at once. Closing the
+/// connection before that is read would cut off a request at a planned stop.
+async fn may_close(state: &State, usage: &Usage) {
+    let first_request_by = Instant::now() + Duration::from_millis(FIRST_REQUEST_MS);
+    stop::reached(state, Phase::ClosingIdle).await;
+    if !usage.has_served.get() {
+        time::sleep_until(first_request_by).await;
+    }
+}
+
 async fn answer(
     state: Rc<State>,
     usage: Rc<Usage>,
     request: Request<Incoming>,
 ) -> Result<hyper::Response<super::streaming::Answer>, Infallible> {
     usage.at_work.set(usage.at_work.get() + 1);
+    usage.has_served.set(true);
     let (parts, body) = request.into_parts();
     let mut response = match usage.pipeline.answer(&parts).await {
         Some(response) => response,
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -18,10 +18,10 @@
 
 /// How long opening a connection may take: several times the longest way there
 /// and back between regions.
-const CONNECT_TIMEOUT_MS: u64 = 300;
+const CONNECT_TIMEOUT_MS: u64 = 200;
 /// How long sent bytes may stay without acknowledgement. A server that lost power
 /// keeps silent, and requests to it would wait until their time is over.
-const UNACKED_LIMIT_MS: u64 = 600;
+const UNACKED_LIMIT_MS: u64 = 350;
 /// How long a connection may be idle and still be used. Servers close theirs
 /// after some seconds, and a request that meets the close may have run.
 const IDLE_LIMIT_MS: u64 = 4_000;
