--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -205,6 +205,12 @@
         self.evacuated.iter()
     }
 
+    /// Changes how the rate that a cold server tolerates is stretched.
+    pub fn set_cold_rates(&mut self, factor: f64, slack: f64) {
+        self.settings.cold_rate_factor = factor;
+        self.settings.cold_rate_slack = slack;
+    }
+
     /// Works out again what this instance may send to each cold server, after
     /// the members or the configuration have changed.
     pub fn set_cold_limits(&mut self, members: &Members) {
--- a/crates/azuregate/src/cli/args.rs
+++ b/crates/azuregate/src/cli/args.rs
@@ -51,6 +51,10 @@
 pub(super) struct ServeArgs {
     #[options(help = "print this text")]
     help: bool,
+    #[options(help = "the settings file; the platform's if left out", meta = "FILE")]
+    pub(super) settings: Option<PathBuf>,
+    #[options(no_short, help = "check the settings and do nothing else")]
+    pub(super) check: bool,
     #[options(
         no_short,
         help = "log level, or a list of module=level",
--- a/crates/azuregate/src/cli/help.rs
+++ b/crates/azuregate/src/cli/help.rs
@@ -24,6 +24,7 @@
 const EXAMPLES: &[(&str, &str)] = &[
     ("", "azuregate check --settings entry-1.jsonc"),
     (" run", "azuregate run --settings entry-1.jsonc"),
+    (" serve", "azuregate serve --settings node.conf --check"),
     (" check", "azuregate check --settings entry-1.jsonc"),
     (" status", "azuregate status --at 127.0.10.1:8082,127.0.10.2:8082"),
     (" policy", "azuregate policy list --at 127.0.10.1:8082"),
--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -17,6 +17,9 @@
 
 use std::{env, fs, path::Path, process::ExitCode};
 
+use azuregate_platform::settings::{
+    Settings as PlatformSettings, SettingsError as SettingsFileError,
+};
 use error_stack::{AttachmentKind, FrameKind, Report};
 use gumdrop::Options;
 use serde::Serialize;
@@ -154,9 +157,14 @@
 /// Runs an entry instance on the users' platform, on one thread: the machines
 /// there have a part of one core.
 fn serve_on_platform(args: &ServeArgs) -> Exit {
+    let path = args.settings.clone().unwrap_or_else(PlatformSettings::path);
+    let settings = serve::load_settings(&path);
+    if args.check {
+        return check_platform_settings(&path, settings.err());
+    }
     logs::start_on_stdout(&args.log);
     logs::panics();
-    let settings = match serve::load_settings() {
+    let settings = match settings {
         Ok(settings) => settings,
         Err(e) => {
             log_report(&e);
@@ -166,7 +174,7 @@
     block_on(async {
         let (stopper, stop) = stop::channel();
         tokio::spawn(stop_on_signal(stopper));
-        match serve::run(settings, stop).await {
+        match serve::run(settings, Some(path), stop).await {
             Ok(()) => Exit::Done,
             Err(e) => {
                 log_report(&e);
@@ -176,6 +184,24 @@
     })
 }
 
+/// Tells what is wrong with a settings file of the platform, a line for each field.
+fn check_platform_settings(path: &Path, e: Option<Report<serve::ServeError>>) -> Exit {
+    let Some(e) = e else {
+        print_line(format_args!("{}: the settings can be used", path.display()));
+        return Exit::Done;
+    };
+    let wrong = e.frames().find_map(|frame| frame.downcast_ref::<SettingsFileError>());
+    match wrong {
+        Some(wrong) => {
+            for problem in wrong.problems() {
+                eprintln!("{}: {problem}", path.display());
+            }
+        }
+        None => eprintln!("{}: cannot be read", path.display()),
+    }
+    Exit::Usage
+}
+
 fn run_instance(args: &SettingsArgs) -> Exit {
     let settings = match Settings::load(&args.settings) {
         Ok(settings) => settings,
--- a/crates/azuregate/src/serve/lookup.rs
+++ b/crates/azuregate/src/serve/lookup.rs
@@ -61,6 +61,6 @@
     if addrs.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Vec::new());
     }
-    let keep_ms = KEEP_MS.min(state.settings.bounds.lookup_keep_ms);
+    let keep_ms = KEEP_MS.min(state.bounds().lookup_keep_ms);
     plain(StatusCode::OK, "application/json", lookup_answer(&addrs, keep_ms))
 }
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -32,13 +32,18 @@
 mod metrics;
 mod pipeline;
 mod pool;
+mod reload;
 mod request;
 mod state;
 mod stop;
 mod streaming;
 mod watch;
 
-use std::{fmt, fs, rc::Rc};
+use std::{
+    fmt, fs,
+    path::{Path, PathBuf},
+    rc::Rc,
+};
 
 use azuregate_platform::settings::Settings;
 use error_stack::{Report, ResultExt};
@@ -67,29 +72,40 @@
 /// # Errors
 ///
 /// When the file cannot be read, or fields are missing or cannot be read.
-pub fn load_settings() -> Result<Settings, Report<ServeError>> {
-    let path = Settings::path();
-    let text = fs::read_to_string(&path)
+pub fn load_settings(path: &Path) -> Result<Settings, Report<ServeError>> {
+    let text = fs::read_to_string(path)
         .change_context(ServeError)
         .attach_with(|| format!("cannot read {}", path.display()))?;
     Settings::parse(&text).change_context(ServeError)
 }
 
 /// Runs an instance until `stop` says so, then finishes what is in progress.
+/// Follows changes of the settings file if its path is given.
 ///
 /// # Errors
 ///
 /// When a port cannot be opened.
-pub async fn run(settings: Settings, stop: Stop) -> Result<(), Report<ServeError>> {
-    LocalSet::new().run_until(run_local(settings, stop)).await
+pub async fn run(
+    settings: Settings,
+    file: Option<PathBuf>,
+    stop: Stop,
+) -> Result<(), Report<ServeError>> {
+    LocalSet::new().run_until(run_local(settings, file, stop)).await
 }
 
-async fn run_local(settings: Settings, stop: Stop) -> Result<(), Report<ServeError>> {
+async fn run_local(
+    settings: Settings,
+    file: Option<PathBuf>,
+    stop: Stop,
+) -> Result<(), Report<ServeError>> {
     let listeners = Listeners::open(&settings).await?;
     let (phase, phases) = sync::watch::channel(Phase::Serving);
     let state = Rc::new(State::new(settings, stop, phases));
     log::info!(instance:% = state.settings.instance, start:% = state.start; "entry instance started");
     watch::start(&state);
+    if let Some(file) = file {
+        spawn_local(reload::serve(Rc::clone(&state), file));
+    }
     spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats));
     spawn_local(pool::sweep(Rc::clone(&state)));
     spawn_local(lookup::serve(Rc::clone(&state), listeners.ready));
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -11,7 +11,7 @@
     balance::{self, Balancer, Config, Lapsed, Members, RetryBudget, Split},
     names::{ServiceName, StartNumber},
 };
-use azuregate_platform::settings::Settings;
+use azuregate_platform::settings::{Bounds, Settings};
 use tokio::sync::{Notify, watch};
 
 use super::{metrics::Metrics, pool::Pool, stop::Phase};
@@ -61,6 +61,7 @@
     /// Open connections of clients.
     pub(super) connections: Cell<usize>,
     config: RefCell<Option<Arc<Config>>>,
+    bounds: RefCell<Bounds>,
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
     splits: RefCell<HashMap<String, Split>>,
     origin: Instant,
@@ -95,6 +96,7 @@
             unknown_member: Notify::new(),
             connections: Cell::new(0),
             config: RefCell::new(None),
+            bounds: RefCell::new(settings.bounds.clone()),
             retries: RefCell::default(),
             splits: RefCell::default(),
             origin: Instant::now(),
@@ -112,6 +114,25 @@
         self.config.borrow().clone()
     }
 
+    /// What the operator expects of the whole deployment.
+    pub(super) fn bounds(&self) -> Bounds {
+        self.bounds.borrow().clone()
+    }
+
+    /// Takes in new bounds; returns whether they differ.
+    pub(super) fn set_bounds(&self, bounds: Bounds) -> bool {
+        if *self.bounds.borrow() == bounds {
+            return false;
+        }
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.set_cold_rates(bounds.cold_rate_factor, bounds.cold_rate_slack);
+        balancer.set_cold_limits(&self.members.borrow());
+        *self.bounds.borrow_mut() = bounds;
+        // They are made anew with the new share, and start empty, which allows less.
+        self.retries.borrow_mut().clear();
+        true
+    }
+
     /// Whether requests can be served.
     pub(super) fn is_ready(&self) -> bool {
         self.config.borrow().is_some() && self.has_backends.get() && !self.stop.is_stopping()
@@ -168,7 +189,7 @@
     }
 
     fn with_retries<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.borrow();
         let mut retries = self.retries.borrow_mut();
         if !retries.contains_key(service) {
             let budget = RetryBudget::new(bounds.retry_ratio * RETRY_SHARE, bounds.retry_window_ms);
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -175,7 +175,7 @@
     fn wait_ms(&self) -> u64 {
         match self.table {
             Table::Members => MEMBERS_WAIT_MS,
-            Table::Operator | Table::Backends => self.state.settings.bounds.contact_ms,
+            Table::Operator | Table::Backends => self.state.bounds().contact_ms,
         }
     }
 
--- a/crates/azuregate/tests/cli/help.rs
+++ b/crates/azuregate/tests/cli/help.rs
@@ -4,9 +4,10 @@
 
 use crate::server::azuregate;
 
-const COMMANDS: [&str; 19] = [
+const COMMANDS: [&str; 20] = [
     "",
     "run",
+    "serve",
     "check",
     "status",
     "policy",
--- a/crates/azuregate/tests/serve/world.rs
+++ b/crates/azuregate/tests/serve/world.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    path::PathBuf,
     sync::atomic::{AtomicU32, Ordering},
     thread::JoinHandle,
     time::{Duration, Instant},
@@ -80,21 +81,33 @@
 
     /// Starts an instance.
     pub(crate) fn start_instance(&self, number: u8) -> Instance {
-        let ip = format!("{}.{number}", self.network);
-        let name = format!("entry-{number}");
-        let text = settings_text(&name, &ip, FIRST_PORT, PEER_PORT, self.store.addr());
+        let text = self.settings_text(number);
         let settings = Settings::parse(&text).expect("the settings are complete");
+        std::fs::write(self.settings_file(number), text).expect("the file can be written");
         let (traffic, ready, lookups) =
             (settings.traffic_addr, settings.ready_addr, settings.lookup_addr);
+        let file = self.settings_file(number);
         let (stopper, stop) = stop::channel();
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.expect("a runtime can be built");
-            runtime.block_on(serve::run(settings, stop)).expect("the ports are free");
+            runtime.block_on(serve::run(settings, Some(file), stop)).expect("the ports are free");
         });
         Instance { traffic, ready, lookups, stopper, thread }
     }
 
+    /// The settings of an instance.
+    pub(crate) fn settings_text(&self, number: u8) -> String {
+        let ip = format!("{}.{number}", self.network);
+        settings_text(&format!("entry-{number}"), &ip, FIRST_PORT, PEER_PORT, self.store.addr())
+    }
+
+    /// Where the settings of an instance are.
+    pub(crate) fn settings_file(&self, number: u8) -> PathBuf {
+        let name = format!("{}-{number}.conf", self.network);
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
+    }
+
     /// Requests of all backend servers with the id `id`.
     pub(crate) fn arrivals(&self, id: &str) -> usize {
         let seen = self.backends.iter().flat_map(BackendStandIn::seen);
@@ -223,7 +236,7 @@
     }
 }
 
-async fn get(addr: SocketAddr, path: &str) -> Option<Answer> {
+pub(crate) async fn get(addr: SocketAddr, path: &str) -> Option<Answer> {
     let stream = TcpStream::connect(addr).await.ok()?;
     let mut client = Client { stream, bytes: Vec::new() };
     client.send(&format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
