Compare servers by the median, and count requests that ran out of time

A request whose time was over was counted as cancelled by its client, that is not at all; and with so many slow servers none was 2.5 times slower than the mean.

Tried, reverted: instances tell each other which servers they suspect. Cold work at the start and after a loss looks like a slow server to all of them at once. Open: a quicker sign that tells the two apart.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -6,12 +6,15 @@
     sync::Arc,
 };
 
-use super::{ColdBudget, Config, Health, InFlightAt, Members, Outcome, others::Others};
+use super::{ColdBudget, Config, Health, InFlightAt, Members, Outcome, Usual, others::Others};
 use crate::{
     names::{BackendId, InstanceId, RegionName, ServiceName, ZoneName},
     route::hash::score,
 };
 
+/// How often it is worked out what is usual among the servers of a service.
+const USUAL_EVERY_MS: u64 = 100;
+
 /// A backend server as it registered itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Backend {
@@ -93,6 +96,26 @@
     }
 }
 
+/// The backend servers of one service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Group {
+    pub(super) nodes: Vec<Node>,
+    usual: Usual,
+    usual_until_ms: u64,
+}
+
+impl Group {
+    /// What is usual among the servers; worked out anew now and then, since a
+    /// request's choice must not cost a median.
+    pub(super) fn usual(&mut self, now_ms: u64) -> Usual {
+        if now_ms >= self.usual_until_ms {
+            self.usual = Usual::of(self.nodes.iter().map(|node| &node.health), now_ms);
+            self.usual_until_ms = now_ms + USUAL_EVERY_MS;
+        }
+        self.usual
+    }
+}
+
 /// Holds the state of all backend servers and chooses among them.
 #[derive(Debug)]
 pub struct Balancer {
@@ -100,7 +123,7 @@
     region: Option<RegionName>,
     config: Option<Arc<Config>>,
     evacuated: BTreeSet<ZoneName>,
-    pub(super) services: BTreeMap<ServiceName, Vec<Node>>,
+    pub(super) services: BTreeMap<ServiceName, Group>,
     others: Others,
     next_handle: u64,
 }
@@ -150,7 +173,8 @@
             was_unreachable: false,
             backend: Arc::new(backend),
         };
-        self.services.entry(node.backend.service.clone()).or_default().push(node);
+        let group = self.services.entry(node.backend.service.clone()).or_default();
+        group.nodes.push(node);
         self.set_cold_limits(members);
         true
     }
@@ -158,10 +182,10 @@
     /// Forgets a backend server; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
         let mut was_known = false;
-        for nodes in self.services.values_mut() {
-            let count = nodes.len();
-            nodes.retain(|node| node.backend.id.as_str() != id);
-            was_known |= nodes.len() < count;
+        for group in self.services.values_mut() {
+            let count = group.nodes.len();
+            group.nodes.retain(|node| node.backend.id.as_str() != id);
+            was_known |= group.nodes.len() < count;
         }
         was_known
     }
@@ -189,7 +213,7 @@
             return false;
         }
         let config = self.config.clone();
-        for node in self.services.values_mut().flatten().filter(|node| node.backend.zone == *zone) {
+        for node in self.nodes_mut().filter(|node| node.backend.zone == *zone) {
             node.is_evacuated = is_evacuated;
             if !is_evacuated {
                 let service = config.as_ref().and_then(|c| c.service(&node.backend.service));
@@ -215,7 +239,7 @@
     /// the members or the configuration have changed.
     pub fn set_cold_limits(&mut self, members: &Members) {
         let Some(config) = self.config.clone() else { return };
-        for node in self.services.values_mut().flatten() {
+        for node in self.services.values_mut().flat_map(|group| &mut group.nodes) {
             let rate = config.service(&node.backend.service).map_or(0.0, |s| s.cold_rate_per_s);
             if rate == 0.0 {
                 node.cold_limit = u32::MAX;
@@ -253,7 +277,7 @@
 
     fn count_others(&mut self) {
         let counts = self.others.counts();
-        for node in self.services.values_mut().flatten() {
+        for node in self.nodes_mut() {
             node.others_in_flight = counts.get(&node.short_id()).copied().unwrap_or_default();
         }
     }
@@ -293,16 +317,20 @@
     }
 
     fn nodes(&self) -> impl Iterator<Item = &Node> {
-        self.services.values().flatten()
+        self.services.values().flat_map(|group| &group.nodes)
     }
 
     pub(super) fn node_mut(&mut self, handle: BackendHandle) -> Option<&mut Node> {
-        self.services.values_mut().flatten().find(|node| node.handle == handle)
+        self.nodes_mut().find(|node| node.handle == handle)
+    }
+
+    fn nodes_mut(&mut self) -> impl Iterator<Item = &mut Node> {
+        self.services.values_mut().flat_map(|group| &mut group.nodes)
     }
 
     fn same_start(&mut self, backend: &Backend) -> Option<&mut Node> {
-        let nodes = self.services.get_mut(&backend.service)?;
-        nodes.iter_mut().find(|node| {
+        let group = self.services.get_mut(&backend.service)?;
+        group.nodes.iter_mut().find(|node| {
             let known = &node.backend;
             known.id == backend.id
                 && known.start_epoch_ms == backend.start_epoch_ms
--- a/crates/azuregate-core/src/balance/health.rs
+++ b/crates/azuregate-core/src/balance/health.rs
@@ -9,7 +9,9 @@
 const HALF_LIFE_MS: f64 = 3_000.0;
 /// Requests that must be known of a server before it is compared with others.
 const LEAST_KNOWN: f64 = 3.0;
-/// How much more often than others a server must fail to be avoided.
+/// How many times more often than others a server must fail to be avoided.
+const FAILING_FACTOR: f64 = 1.5;
+/// How much more often it must fail besides: a few chance failures are no sign.
 const FAILING_MARGIN: f64 = 0.25;
 /// How many times longer than others it must take.
 const SLOW_FACTOR: f64 = 2.5;
@@ -77,19 +79,25 @@
 /// What is usual among the backend servers of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usual {
-    all: Recent,
+    failing_share: f64,
+    latency_ms: f64,
 }
 
 impl Usual {
-    /// Takes in one server.
-    pub fn add(&mut self, health: &Health, now_ms: u64) {
-        let recent = health.recent(now_ms);
-        self.all.requests += recent.requests;
-        self.all.failures += recent.failures;
-        self.all.latency_ms += recent.latency_ms;
+    /// The medians over the servers of which enough is known.
+    ///
+    /// Not the means: when two servers in five are ten times slower, each of them
+    /// takes less than three times the mean.
+    pub fn of<'a>(healths: impl Iterator<Item = &'a Health>, now_ms: u64) -> Usual {
+        let recent = healths.map(|health| health.recent(now_ms));
+        let known: Vec<Recent> = recent.filter(|recent| recent.requests >= LEAST_KNOWN).collect();
+        Usual {
+            failing_share: median(known.iter().map(Recent::failing_share).collect()),
+            latency_ms: median(known.iter().map(Recent::mean_latency_ms).collect()),
+        }
     }
 
-    /// Whether a server does so much worse than the others that its requests are
+    /// Whether a server does so much worse than is usual that its requests are
     /// better off elsewhere.
     ///
     /// The comparison is what matters: under overload all servers reject requests
@@ -97,18 +105,22 @@
     /// that do not know it, which makes the overload worse and keeps it up.
     pub fn is_outlier(&self, health: &Health, now_ms: u64) -> bool {
         let own = health.recent(now_ms);
-        let others = Recent {
-            requests: self.all.requests - own.requests,
-            failures: self.all.failures - own.failures,
-            latency_ms: self.all.latency_ms - own.latency_ms,
-        };
-        if own.requests < LEAST_KNOWN || others.requests < LEAST_KNOWN {
+        if own.requests < LEAST_KNOWN {
             return false;
         }
-        let is_failing = own.failing_share() > others.failing_share() * 1.5 + FAILING_MARGIN;
-        let slow_ms = others.mean_latency_ms() * SLOW_FACTOR + SLOW_MARGIN_MS;
-        is_failing || own.mean_latency_ms() > slow_ms
+        let is_failing = own.failing_share() > self.failing_share * FAILING_FACTOR + FAILING_MARGIN;
+        let is_slow = own.mean_latency_ms() > self.latency_ms * SLOW_FACTOR + SLOW_MARGIN_MS;
+        is_failing || is_slow
+    }
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    if values.is_empty() {
+        // Nothing is known, so nothing is out of the usual.
+        return f64::INFINITY;
     }
+    let middle = values.len() / 2;
+    *values.select_nth_unstable_by(middle, f64::total_cmp).1
 }
 
 impl Health {
--- a/crates/azuregate-core/src/balance/place.rs
+++ b/crates/azuregate-core/src/balance/place.rs
@@ -66,19 +66,16 @@
     }
 
     fn best(&mut self, query: &Query<'_>, now_ms: u64) -> Option<BackendHandle> {
-        let mut nodes = self.services.remove(query.service)?;
-        let mut usual = Usual::default();
-        for node in &nodes {
-            usual.add(&node.health, now_ms);
-        }
+        let mut group = self.services.remove(query.service)?;
+        let usual = group.usual(now_ms);
         let mut owners = Owners::default();
-        for node in &mut nodes {
+        for node in &mut group.nodes {
             if self.is_open(node, query, now_ms) {
                 owners.add(rank(node, query, &usual, now_ms), node);
             }
         }
         let best = owners.choose();
-        self.services.insert(query.service.clone(), nodes);
+        self.services.insert(query.service.clone(), group);
         best
     }
 
--- a/crates/azuregate-core/tests/balance/health.rs
+++ b/crates/azuregate-core/tests/balance/health.rs
@@ -47,6 +47,28 @@
     }
 }
 
+/// Two of five servers take ten times as long: more than a third of all answers,
+/// so that a comparison with the mean would find nothing unusual.
+#[test]
+fn two_slow_servers_of_five_are_both_avoided() {
+    let mut balancer = balancer(0, 1, 5);
+    let is_slow = |id: &str| matches!(id, "server-3" | "server-4");
+    let end = |id: &str| match is_slow(id) {
+        true => Outcome::TimedOut { taken_ms: 1_000 },
+        false => WELL,
+    };
+    for round in 0..3 {
+        send(&mut balancer, round * 100, 1, end);
+    }
+    let service = service();
+    let slow = (0..100).filter(|&object| {
+        let choice = balancer.choose(&query(&service, object), 400).unwrap();
+        balancer.end(choice.handle, WELL, 400);
+        is_slow(choice.backend.id.as_str())
+    });
+    assert_eq!(slow.count(), 0);
+}
+
 /// All servers reject and answer late, as under overload. Nobody does worse than
 /// the others, so each object stays with its server, which knows it.
 #[test]
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -52,7 +52,7 @@
     outgoing: &Outgoing,
     left_ms: u64,
 ) -> Ended {
-    let mut in_flight = InFlight::new(state, choice);
+    let mut in_flight = InFlight::new(state, choice, left_ms);
     let sent_at = Instant::now();
     let must_be_fresh = !outgoing.is_idempotent;
     let mut pooled = state.pool.take(choice.handle, must_be_fresh, state.now_ms());
--- a/crates/azuregate/tests/serve/servers.rs
+++ b/crates/azuregate/tests/serve/servers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azuregate_platform::stand_in::{StoreFault, backend_row};
+use azuregate_platform::stand_in::{Behaviour, StoreFault, backend_row};
 use tokio::time;
 
 use crate::world::{Instance, SERVICE, World, eventually, read_request};
@@ -98,3 +98,20 @@
     })
     .await;
 }
+
+/// One of three servers is silent beyond the route's time. Its first clients get
+/// no answer in time; later ones are served by the others, which is only possible
+/// if requests that ran out of time count.
+#[tokio::test]
+async fn a_server_that_never_answers_in_time_is_avoided() {
+    let mut world = World::start(3).await;
+    world.configure(|config| config.timeout_ms = 200);
+    let entry = world.instance(1).await;
+    world.backends[1].set(Behaviour::Slow(Duration::from_secs(5)));
+    let mut round = 0;
+    eventually("nothing new reaches it", async || {
+        round += 1;
+        spread(&world, &entry, &format!("round{round}")).await[1] == 0
+    })
+    .await;
+}
