Log what a refusal was based on, and how long the request could wait

A refused request's line gives the servers that were open, the first two of its object with what is in flight there, and the age of the oldest word of another instance that this goes by; an answered one gives what was in flight where it was sent.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -275,6 +275,10 @@
         self.count_others();
     }
 
+    pub(super) fn oldest_word_ms(&self, now_ms: u64) -> u64 {
+        self.others.oldest_ms(now_ms)
+    }
+
     fn count_others(&mut self) {
         let counts = self.others.counts();
         for node in self.nodes_mut() {
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -37,6 +37,6 @@
 pub use lapsed::Lapsed;
 pub use members::{Member, Members};
 pub use others::InFlightAt;
-pub use place::{Choice, Query};
+pub use place::{Basis, Choice, Query};
 pub use retry_budget::RetryBudget;
 pub use split::Split;
--- a/crates/azuregate-core/src/balance/others.rs
+++ b/crates/azuregate-core/src/balance/others.rs
@@ -41,6 +41,12 @@
         self.said.retain(|_, said| now_ms.saturating_sub(said.at_ms) <= BELIEVED_MS);
     }
 
+    /// The age of the oldest word that is believed; 0 if there is none.
+    pub(super) fn oldest_ms(&self, now_ms: u64) -> u64 {
+        let ages = self.said.values().map(|said| now_ms.saturating_sub(said.at_ms));
+        ages.max().unwrap_or_default()
+    }
+
     /// The requests of all of them at each server.
     pub(super) fn counts(&self) -> HashMap<u32, u32> {
         let mut counts = HashMap::new();
--- a/crates/azuregate-core/src/balance/place.rs
+++ b/crates/azuregate-core/src/balance/place.rs
@@ -1,12 +1,12 @@
 //! The choice of a backend server for one request.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::{cmp::Reverse, fmt, sync::Arc};
 
 use super::{
     Backend, BackendHandle, Balancer, Usual,
     backends::{Distance, Node},
 };
-use crate::names::{RegionName, ServiceName};
+use crate::names::{BackendId, RegionName, ServiceName};
 
 /// A request that needs a backend server.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +31,30 @@
     pub handle: BackendHandle,
     /// The server.
     pub backend: Arc<Backend>,
+    /// Requests of all instances that were there already, as far as is known.
+    pub in_flight: u32,
+}
+
+/// What a choice is based on, to explain a refusal.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Basis {
+    /// Servers that the request may use.
+    pub open_servers: usize,
+    /// The object's first and second server, with the requests of all instances
+    /// there and the server's slots.
+    pub servers: Vec<(BackendId, u32, u32)>,
+    /// The age of the oldest word of another instance that is believed.
+    pub oldest_word_ms: u64,
+}
+
+impl fmt::Display for Basis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "open:{} oldest_word_ms:{}", self.open_servers, self.oldest_word_ms)?;
+        for (id, in_flight, slots) in &self.servers {
+            write!(f, " {id}:{in_flight}/{slots}")?;
+        }
+        Ok(())
+    }
 }
 
 /// Requests beyond its slots that may wait at the first server of an object before
@@ -56,16 +80,32 @@
     /// overload would outlast its cause. Mean worth of overloaded runs 0.675 with
     /// the second server used at any load, 0.704 like this.
     pub fn choose(&mut self, query: &Query<'_>, now_ms: u64) -> Option<Choice> {
-        let handle = self.best(query, now_ms)?;
+        let handle = self.owners(query, now_ms)?.choose()?;
         let node = self.node_mut(handle)?;
         node.in_flight += 1;
         if node.is_cold(now_ms) {
             node.cold.sent(now_ms);
         }
-        Some(Choice { handle, backend: Arc::clone(&node.backend) })
+        let in_flight = node.total_in_flight() - 1;
+        Some(Choice { handle, backend: Arc::clone(&node.backend), in_flight })
+    }
+
+    /// What [`Balancer::choose`] goes by for `query`.
+    pub fn basis(&mut self, query: &Query<'_>, now_ms: u64) -> Basis {
+        let owners = self.owners(query, now_ms).unwrap_or_default();
+        let rooms = [owners.first, owners.second].into_iter().flatten().map(|(_, room)| room);
+        let servers = rooms.filter_map(|room| {
+            let backend = self.backend(room.handle)?;
+            Some((backend.id.clone(), room.in_flight, room.slots))
+        });
+        Basis {
+            open_servers: owners.open_servers,
+            servers: servers.collect(),
+            oldest_word_ms: self.oldest_word_ms(now_ms),
+        }
     }
 
-    fn best(&mut self, query: &Query<'_>, now_ms: u64) -> Option<BackendHandle> {
+    fn owners(&mut self, query: &Query<'_>, now_ms: u64) -> Option<Owners> {
         let mut group = self.services.remove(query.service)?;
         let usual = group.usual(now_ms);
         let mut owners = Owners::default();
@@ -74,9 +114,8 @@
                 owners.add(rank(node, query, &usual, now_ms), node);
             }
         }
-        let best = owners.choose();
         self.services.insert(query.service.clone(), group);
-        best
+        Some(owners)
     }
 
     fn is_open(&self, node: &mut Node, query: &Query<'_>, now_ms: u64) -> bool {
@@ -104,6 +143,7 @@
 struct Owners {
     first: Option<(Rank, Room)>,
     second: Option<(Rank, Room)>,
+    open_servers: usize,
 }
 
 /// How much room a server has.
@@ -116,6 +156,7 @@
 
 impl Owners {
     fn add(&mut self, rank: Rank, node: &Node) {
+        self.open_servers += 1;
         let room = Room {
             handle: node.handle,
             in_flight: node.total_in_flight(),
@@ -128,7 +169,7 @@
         }
     }
 
-    fn choose(self) -> Option<BackendHandle> {
+    fn choose(&self) -> Option<BackendHandle> {
         let (_, first) = self.first?;
         if first.in_flight < first.slots + SHORT_QUEUE {
             return Some(first.handle);
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -78,6 +78,10 @@
     backend: String,
     tries: usize,
     causes: String,
+    in_flight: u32,
+    deadline_ms: u64,
+    /// What a refusal is based on, empty for others.
+    basis: String,
     code: &'static str,
 }
 
@@ -93,12 +97,16 @@
             backend: String::new(),
             tries: 0,
             causes: String::new(),
+            in_flight: 0,
+            deadline_ms: 0,
+            basis: String::new(),
             code: "answered",
         }
     }
 
     fn tried(&mut self, choice: &Choice) {
         self.tries += 1;
+        self.in_flight = choice.in_flight;
         self.backend = choice.backend.id.as_str().to_owned();
     }
 
@@ -123,6 +131,9 @@
             backend = self.backend.as_str(),
             tries = self.tries,
             failed = self.causes.as_str(),
+            in_flight = self.in_flight,
+            basis = self.basis.as_str(),
+            deadline_ms = self.deadline_ms,
             taken_ms = taken_ms;
             "request"
         );
@@ -146,6 +157,7 @@
     let route = Arc::clone(route);
     record.route.push_str(&route.name);
     let wait_ms = deadline_ms(&parts.headers).min(route.timeout_ms);
+    record.deadline_ms = wait_ms;
     let deadline = received_at + Duration::from_millis(wait_ms);
     let service = state.next_service(&route);
     record.service.push_str(service.as_str());
@@ -257,7 +269,7 @@
             if is_retry && !self.may_retry(progress, left_ms) {
                 break;
             }
-            let Some(choice) = self.choose(progress) else { break };
+            let Some(choice) = self.choose(progress, record) else { break };
             record.tried(&choice);
             progress.tried.push(choice.handle);
             progress.is_sent = true;
@@ -302,7 +314,7 @@
             && self.state.take_retry(self.service)
     }
 
-    fn choose(&self, progress: &Progress) -> Option<Choice> {
+    fn choose(&self, progress: &Progress, record: &mut Record) -> Option<Choice> {
         let headers = &self.outgoing.headers;
         let object = match headers.get(request::OBJECT_KEY) {
             Some(key) if self.route.has_warm_objects => xxh3_64(key.as_bytes()),
@@ -315,7 +327,13 @@
             tried: &progress.tried,
             home_regions: &self.route.home_regions,
         };
-        self.state.balancer.borrow_mut().choose(&query, self.state.now_ms())
+        let now_ms = self.state.now_ms();
+        let mut balancer = self.state.balancer.borrow_mut();
+        let choice = balancer.choose(&query, now_ms);
+        if choice.is_none() {
+            record.basis = balancer.basis(&query, now_ms).to_string();
+        }
+        choice
     }
 
     /// A status that promises that the request has not run must be true. A backend
