Untangle the modules of the instance on the platform

The phases of a stop, the closing of idle connections and the metrics no longer need the state that needs them; one module answers all ports for questions, and metrics only where operators ask.

--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -11,10 +11,11 @@
 
 use super::{
     client_stream,
+    phase::Phase,
     pipeline::{Pipeline, Scanner},
     request,
     state::State,
-    stop::{self, Phase},
+    stop,
 };
 
 /// The smallest buffer that the HTTP server accepts.
--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -10,11 +10,7 @@
     time,
 };
 
-use super::{
-    ServeError, connection,
-    state::State,
-    stop::{self, Phase},
-};
+use super::{ServeError, connection, phase::Phase, state::State, stop};
 
 /// The pause after an accept that failed, mostly because no descriptor is free.
 const ACCEPT_PAUSE_MS: u64 = 50;
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -1,13 +1,8 @@
 //! Counters and latency histograms, served as text.
 
-use std::{cell::RefCell, collections::BTreeMap, convert::Infallible, fmt::Write, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write};
 
 use hdrhistogram::Histogram;
-use hyper::{StatusCode, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, task::spawn_local};
-
-use super::{answer::plain, state::State};
 
 /// The longest latency that is told apart.
 const LATENCY_LIMIT_MS: u64 = 60_000;
@@ -20,6 +15,17 @@
     series: RefCell<BTreeMap<Labels, Histogram<u64>>>,
 }
 
+/// What is true of the instance at one moment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Gauges {
+    /// Whether it takes requests.
+    pub(super) is_ready: bool,
+    /// Open connections of clients.
+    pub(super) connections: usize,
+    /// Registered instances.
+    pub(super) instances: usize,
+}
+
 /// What tells one histogram from another.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Labels {
@@ -42,15 +48,16 @@
         histogram.saturating_record(taken_ms);
     }
 
-    fn text(&self, state: &State) -> String {
+    /// All of them as text, a line each.
+    pub(super) fn text(&self, gauges: Gauges) -> String {
         let mut text = String::new();
         let mut line = |line: std::fmt::Arguments<'_>| {
             let _ = text.write_fmt(line);
             text.push('\n');
         };
-        line(format_args!("azuregate_ready {}", u8::from(state.is_ready())));
-        line(format_args!("azuregate_connections {}", state.connections.get()));
-        line(format_args!("azuregate_instances {}", state.members.borrow().len()));
+        line(format_args!("azuregate_ready {}", u8::from(gauges.is_ready)));
+        line(format_args!("azuregate_connections {}", gauges.connections));
+        line(format_args!("azuregate_instances {}", gauges.instances));
         for (Labels { service, route, code }, histogram) in self.series.borrow().iter() {
             let labels = format!("service=\"{service}\",route=\"{route}\",code=\"{code}\"");
             line(format_args!("azuregate_requests_total{{{labels}}} {}", histogram.len()));
@@ -64,19 +71,3 @@
         text
     }
 }
-
-/// Serves the metrics until the process ends.
-pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let state = Rc::clone(&state);
-        spawn_local(async move {
-            let service = service_fn(move |_| {
-                let text = state.metrics.text(&state).into_bytes();
-                async move { Ok::<_, Infallible>(plain(StatusCode::OK, "text/plain", text)) }
-            });
-            // An error means that whoever reads the metrics has left.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
-}
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -17,7 +17,7 @@
 * `pipeline` starts requests that wait behind others on their connection.
 * `request` takes one request to its answer, `attempt` to one backend server,
   `pool` keeps connections to them.
-* `lookup` answers the platform's and the clients' questions.
+* `ports` answers the platform's and the clients' questions.
 * `stop` ends the process without cutting a request off.
 */
 
@@ -28,10 +28,11 @@
 mod heartbeat;
 mod in_flight;
 mod listen;
-mod lookup;
 mod metrics;
+mod phase;
 mod pipeline;
 mod pool;
+mod ports;
 mod reload;
 mod request;
 mod state;
@@ -52,7 +53,7 @@
     task::{LocalSet, spawn_local},
 };
 
-use self::{listen::Listeners, state::State, stop::Phase};
+use self::{listen::Listeners, phase::Phase, ports::Audience, state::State};
 use crate::stop::Stop;
 
 /// An instance that cannot run.
@@ -107,14 +108,22 @@
         spawn_local(reload::serve(Rc::clone(&state), file));
     }
     spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats));
-    spawn_local(pool::sweep(Rc::clone(&state)));
-    spawn_local(lookup::serve(Rc::clone(&state), listeners.ready));
-    spawn_local(lookup::serve(Rc::clone(&state), listeners.lookups));
+    spawn_local(close_idle(Rc::clone(&state)));
+    spawn_local(ports::serve(Rc::clone(&state), listeners.ready, Audience::Clients));
+    spawn_local(ports::serve(Rc::clone(&state), listeners.lookups, Audience::Clients));
     if let Some(metrics) = listeners.metrics {
-        spawn_local(metrics::serve(Rc::clone(&state), metrics));
+        spawn_local(ports::serve(Rc::clone(&state), metrics, Audience::Operators));
     }
     spawn_local(listen::serve(Rc::clone(&state), listeners.traffic));
     stop::finish(&state, phase).await;
     log::info!(instance:% = state.settings.instance; "entry instance stopped");
     Ok(())
 }
+
+/// Closes idle connections to backend servers until the process ends.
+async fn close_idle(state: Rc<State>) {
+    let mut ticks = state.timer.subscribe(pool::SWEEP_EVERY_MS);
+    while ticks.recv().await.is_some() {
+        state.pool.sweep(state.now_ms());
+    }
+}
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to backend servers.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
 
 use azuregate_core::balance::BackendHandle;
 use bytes::Bytes;
@@ -14,8 +14,6 @@
     time,
 };
 
-use super::state::State;
-
 /// How long opening a connection may take: several times the longest way there
 /// and back between regions.
 const CONNECT_TIMEOUT_MS: u64 = 200;
@@ -30,8 +28,8 @@
 const FRESH_LIMIT_MS: u64 = 1_000;
 /// Idle connections that are kept to one server.
 const IDLE_CONNECTIONS: usize = 6;
-/// How often idle connections are looked through.
-const SWEEP_EVERY_MS: u64 = 1_000;
+/// How often idle connections are to be looked through.
+pub(super) const SWEEP_EVERY_MS: u64 = 1_000;
 
 /// A connection that is used for one request at a time.
 pub(super) struct Connection {
@@ -94,7 +92,7 @@
     }
 
     /// Closes connections that were idle for too long.
-    fn sweep(&self, now_ms: u64) {
+    pub(super) fn sweep(&self, now_ms: u64) {
         self.idle.borrow_mut().retain(|_, connections| {
             connections.retain(|connection| {
                 let idle_ms = now_ms.saturating_sub(connection.idle_since_ms);
@@ -105,14 +103,6 @@
     }
 }
 
-/// Closes idle connections until the process ends.
-pub(super) async fn sweep(state: Rc<State>) {
-    let mut ticks = state.timer.subscribe(SWEEP_EVERY_MS);
-    while ticks.recv().await.is_some() {
-        state.pool.sweep(state.now_ms());
-    }
-}
-
 /// Opens a connection to a backend server.
 ///
 /// # Errors
--- a/crates/azuregate/src/serve/lookup.rs
+++ b/crates/azuregate/src/serve/ports.rs
@@ -1,4 +1,5 @@
-//! Answers which instances to use, and whether this one is ready.
+//! The ports for questions: which instances to use, whether this one is ready, and
+//! its metrics.
 
 use std::{convert::Infallible, rc::Rc};
 
@@ -11,20 +12,32 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, task::spawn_local};
 
-use super::{answer::plain, state::State};
+use super::{answer::plain, metrics::Gauges, state::State};
 
 /// For how long clients may keep the answer to a lookup. Short, so that they
 /// learn soon of an instance that has left; each client asks that often.
 pub(super) const KEEP_MS: u64 = 2_000;
 
+/// Where metrics are served.
+const METRICS_PATH: &str = "/metrics";
+
+/// Who asks at a port.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Audience {
+    /// Clients and the platform, whom metrics do not concern.
+    Clients,
+    /// Whoever is on call.
+    Operators,
+}
+
 /// Serves a port until the process ends.
-pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
+pub(super) async fn serve(state: Rc<State>, listener: TcpListener, audience: Audience) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let state = Rc::clone(&state);
         spawn_local(async move {
             let service = service_fn(move |request| {
-                let response = respond(&state, &request);
+                let response = respond(&state, audience, &request);
                 async move { Ok::<_, Infallible>(response) }
             });
             // An error means that the client has left.
@@ -33,9 +46,14 @@
     }
 }
 
-fn respond(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn respond(
+    state: &State,
+    audience: Audience,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
     match request.uri().path() {
         READY_PATH => ready(state),
+        METRICS_PATH if audience == Audience::Operators => metrics(state),
         LOOKUP_PATH => lookup(state, request.uri().query().unwrap_or_default()),
         _ => plain(StatusCode::NOT_FOUND, "text/plain", Vec::new()),
     }
@@ -49,6 +67,15 @@
     plain(status, "text/plain", Vec::new())
 }
 
+fn metrics(state: &State) -> Response<Full<Bytes>> {
+    let gauges = Gauges {
+        is_ready: state.is_ready(),
+        connections: state.connections.get(),
+        instances: state.members.borrow().len(),
+    };
+    plain(StatusCode::OK, "text/plain", state.metrics.text(gauges).into_bytes())
+}
+
 fn lookup(state: &State, query: &str) -> Response<Full<Bytes>> {
     let lookup = Lookup::parse(query);
     let region = match lookup.region.as_str() {
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -14,7 +14,7 @@
 use azuregate_platform::settings::{Bounds, Settings};
 use tokio::sync::{Notify, watch};
 
-use super::{metrics::Metrics, pool::Pool, stop::Phase};
+use super::{metrics::Metrics, phase::Phase, pool::Pool};
 use crate::{stop::Stop, timer::Timer};
 
 /// The share of the retry budget that is used. Backend servers count when a
--- a/crates/azuregate/src/serve/stop.rs
+++ b/crates/azuregate/src/serve/stop.rs
@@ -9,7 +9,7 @@
 
 use tokio::{sync::watch, time};
 
-use super::{lookup::KEEP_MS, state::State, watch as tables};
+use super::{phase::Phase, ports::KEEP_MS, state::State, watch as tables};
 
 /// Time for the heartbeat that tells of the leave to reach all instances.
 const LEAVE_MS: u64 = 600;
@@ -18,19 +18,6 @@
 /// How often connections are counted while the last requests end.
 const CHECK_EVERY_MS: u64 = 50;
 
-/// How far a planned stop has come.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum Phase {
-    /// No stop was asked for.
-    Serving,
-    /// Clients are told to go elsewhere, and are served meanwhile.
-    Leaving,
-    /// Idle connections are closed.
-    ClosingIdle,
-    /// No more connections are taken.
-    Closed,
-}
-
 /// Resolves when the stop has come as far as `phase`.
 pub(super) async fn reached(state: &State, phase: Phase) {
     // An error means that the process ends.
--- a/crates/azuregate/tests/serve/lookups.rs
+++ b/crates/azuregate/tests/serve/lookups.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::world::{World, eventually};
+use crate::world::{World, eventually, get, read_request};
 
 /// Two instances know each other by the store and by heartbeats. When one stops,
 /// the other names it no more, long before clients could tell.
@@ -43,3 +43,20 @@
     // Clients of a place without instances are sent to those that there are.
     assert_eq!(entry.lookup("zone-c", "region-2").await, [entry.traffic]);
 }
+
+/// Counters and latencies are for whoever is on call, on a port of their own.
+#[tokio::test]
+async fn metrics_are_served_to_operators_only() {
+    let world = World::start(1).await;
+    let entry = world.instance(1).await;
+    entry.send(&read_request("/read/x", "r1")).await.unwrap();
+    let text = get(entry.metrics, "/metrics").await.unwrap().body;
+    assert!(text.contains("azuregate_ready 1\n"), "{text}");
+    let labels = "service=\"shop\",route=\"r-read-\",code=\"answered\"";
+    assert!(text.contains(&format!("azuregate_requests_total{{{labels}}} 1\n")), "{text}");
+    assert!(
+        text.contains(&format!("azuregate_latency_ms{{{labels},quantile=\"0.99\"}}")),
+        "{text}"
+    );
+    assert_eq!(get(entry.lookups, "/metrics").await.unwrap().status, 404);
+}
--- a/crates/azuregate/tests/serve/world.rs
+++ b/crates/azuregate/tests/serve/world.rs
@@ -27,6 +27,8 @@
 /// Ports of every instance; each has an address of its own.
 const FIRST_PORT: u16 = 18_160;
 const PEER_PORT: u16 = 18_170;
+/// Where `deploy/system.toml` says that metrics are.
+const METRICS_PORT: u16 = 9_464;
 /// How long anything may take that must happen at last.
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -93,7 +95,8 @@
             let runtime = runtime.expect("a runtime can be built");
             runtime.block_on(serve::run(settings, Some(file), stop)).expect("the ports are free");
         });
-        Instance { traffic, ready, lookups, stopper, thread }
+        let metrics = SocketAddr::new(traffic.ip(), METRICS_PORT);
+        Instance { traffic, ready, lookups, metrics, stopper, thread }
     }
 
     /// The settings of an instance.
@@ -120,6 +123,7 @@
     pub(crate) traffic: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) lookups: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) stopper: Stopper,
     pub(crate) thread: JoinHandle<()>,
 }
