Compare the servers of a service ten times a second, not for each choice

Cause: weighing what fades with time for each server took a third of a choice.

What instances tell each other is called a report.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -12,8 +12,8 @@
     route::hash::score,
 };
 
-/// How often it is worked out what is usual among the servers of a service.
-const USUAL_EVERY_MS: u64 = 100;
+/// How often the servers of a service are compared with each other.
+const COMPARE_EVERY_MS: u64 = 100;
 
 /// A backend server as it registered itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -78,6 +78,8 @@
     /// Requests that other instances have at the server.
     pub(super) others_in_flight: u32,
     pub(super) health: Health,
+    /// Whether it does much worse than the other servers of its service.
+    pub(super) is_outlier: bool,
     was_unreachable: bool,
 }
 
@@ -100,19 +102,22 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Group {
     pub(super) nodes: Vec<Node>,
-    usual: Usual,
-    usual_until_ms: u64,
+    compared_until_ms: u64,
 }
 
 impl Group {
-    /// What is usual among the servers; worked out anew now and then, since a
-    /// request's choice must not cost a median.
-    pub(super) fn usual(&mut self, now_ms: u64) -> Usual {
-        if now_ms >= self.usual_until_ms {
-            self.usual = Usual::of(self.nodes.iter().map(|node| &node.health), now_ms);
-            self.usual_until_ms = now_ms + USUAL_EVERY_MS;
+    /// Works out now and then which servers do much worse than the others. A choice
+    /// only reads it: comparing for each choice made one among 309 servers take 3.1 us
+    /// in place of 2.2 (median of the benchmark `balance`).
+    pub(super) fn compare(&mut self, now_ms: u64) {
+        if now_ms < self.compared_until_ms {
+            return;
+        }
+        self.compared_until_ms = now_ms + COMPARE_EVERY_MS;
+        let usual = Usual::of(self.nodes.iter().map(|node| &node.health), now_ms);
+        for node in &mut self.nodes {
+            node.is_outlier = usual.is_outlier(&node.health, now_ms);
         }
-        self.usual
     }
 }
 
@@ -170,6 +175,7 @@
             in_flight: 0,
             others_in_flight: 0,
             health: Health::default(),
+            is_outlier: false,
             was_unreachable: false,
             backend: Arc::new(backend),
         };
@@ -275,7 +281,7 @@
         self.count_others();
     }
 
-    pub(super) fn oldest_word_ms(&self, now_ms: u64) -> u64 {
+    pub(super) fn oldest_report_ms(&self, now_ms: u64) -> u64 {
         self.others.oldest_ms(now_ms)
     }
 
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -3,7 +3,7 @@
 
 Backend servers work several times faster on an object that they handled
 recently. [`Balancer`] therefore sends requests for one object to the same
-server on all instances, by rendezvous hashing and without a word between them,
+server on all instances, by rendezvous hashing and without any message between them,
 and leaves that server only when it is full, failing or leaving.
 
 # Design
--- a/crates/azuregate-core/src/balance/others.rs
+++ b/crates/azuregate-core/src/balance/others.rs
@@ -1,4 +1,4 @@
-//! What other instances have at the backend servers.
+//! What other instances report that they have at the backend servers.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -6,8 +6,8 @@
 
 use crate::names::InstanceId;
 
-/// What an instance said is believed for this long. Instances say it several
-/// times a second while they have requests.
+/// A report is believed for this long. Instances report several times a second
+/// while they have requests.
 const BELIEVED_MS: u64 = 1_500;
 
 /// Requests that an instance has at one backend server.
@@ -20,37 +20,37 @@
     pub count: u32,
 }
 
-/// What each of the other instances said last.
+/// The last report of each of the other instances.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Others {
-    said: BTreeMap<InstanceId, Said>,
+    reports: BTreeMap<InstanceId, Report>,
 }
 
 #[derive(Clone, Debug)]
-struct Said {
+struct Report {
     in_flight: Vec<InFlightAt>,
     at_ms: u64,
 }
 
 impl Others {
     pub(super) fn put(&mut self, instance: &InstanceId, in_flight: Vec<InFlightAt>, now_ms: u64) {
-        self.said.insert(instance.clone(), Said { in_flight, at_ms: now_ms });
+        self.reports.insert(instance.clone(), Report { in_flight, at_ms: now_ms });
     }
 
     pub(super) fn forget_silent(&mut self, now_ms: u64) {
-        self.said.retain(|_, said| now_ms.saturating_sub(said.at_ms) <= BELIEVED_MS);
+        self.reports.retain(|_, report| now_ms.saturating_sub(report.at_ms) <= BELIEVED_MS);
     }
 
-    /// The age of the oldest word that is believed; 0 if there is none.
+    /// The age of the oldest report that is believed; 0 if there is none.
     pub(super) fn oldest_ms(&self, now_ms: u64) -> u64 {
-        let ages = self.said.values().map(|said| now_ms.saturating_sub(said.at_ms));
+        let ages = self.reports.values().map(|report| now_ms.saturating_sub(report.at_ms));
         ages.max().unwrap_or_default()
     }
 
     /// The requests of all of them at each server.
     pub(super) fn counts(&self) -> HashMap<u32, u32> {
         let mut counts = HashMap::new();
-        for at in self.said.values().flat_map(|said| &said.in_flight) {
+        for at in self.reports.values().flat_map(|report| &report.in_flight) {
             *counts.entry(at.backend).or_default() += at.count;
         }
         counts
--- a/crates/azuregate-core/src/balance/place.rs
+++ b/crates/azuregate-core/src/balance/place.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Reverse, fmt, sync::Arc};
 
 use super::{
-    Backend, BackendHandle, Balancer, Usual,
+    Backend, BackendHandle, Balancer,
     backends::{Distance, Node},
 };
 use crate::names::{BackendId, RegionName, ServiceName};
@@ -43,13 +43,13 @@
     /// The object's first and second server, with the requests of all instances
     /// there and the server's slots.
     pub servers: Vec<(BackendId, u32, u32)>,
-    /// The age of the oldest word of another instance that is believed.
-    pub oldest_word_ms: u64,
+    /// The age of the oldest report of another instance that is believed.
+    pub oldest_report_ms: u64,
 }
 
 impl fmt::Display for Basis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "open:{} oldest_word_ms:{}", self.open_servers, self.oldest_word_ms)?;
+        write!(f, "open:{} oldest_report_ms:{}", self.open_servers, self.oldest_report_ms)?;
         for (id, in_flight, slots) in &self.servers {
             write!(f, " {id}:{in_flight}/{slots}")?;
         }
@@ -101,17 +101,17 @@
         Basis {
             open_servers: owners.open_servers,
             servers: servers.collect(),
-            oldest_word_ms: self.oldest_word_ms(now_ms),
+            oldest_report_ms: self.oldest_report_ms(now_ms),
         }
     }
 
     fn owners(&mut self, query: &Query<'_>, now_ms: u64) -> Option<Owners> {
         let mut group = self.services.remove(query.service)?;
-        let usual = group.usual(now_ms);
+        group.compare(now_ms);
         let mut owners = Owners::default();
         for node in &mut group.nodes {
             if self.is_open(node, query, now_ms) {
-                owners.add(rank(node, query, &usual, now_ms), node);
+                owners.add(rank(node, query, now_ms), node);
             }
         }
         self.services.insert(query.service.clone(), group);
@@ -131,11 +131,10 @@
 /// and those that do much worse than others come last.
 type Rank = (bool, bool, Distance, Reverse<u64>);
 
-fn rank(node: &Node, query: &Query<'_>, usual: &Usual, now_ms: u64) -> Rank {
+fn rank(node: &Node, query: &Query<'_>, now_ms: u64) -> Rank {
     let distance = if query.is_large { node.distance } else { Distance::Zone };
-    let is_outlier = usual.is_outlier(&node.health, now_ms);
     let hash = Reverse(mix(node.seed ^ query.object));
-    (node.health.is_paused(now_ms), is_outlier, distance, hash)
+    (node.health.is_paused(now_ms), node.is_outlier, distance, hash)
 }
 
 /// The first two servers of an object.
--- a/crates/azuregate-core/tests/balance/place.rs
+++ b/crates/azuregate-core/tests/balance/place.rs
@@ -87,7 +87,7 @@
     assert_eq!(servers.iter().collect::<Vec<_>>(), expected);
     // Whoever asks why gets what the refusal went by.
     let basis = balancer.basis(&query(&service, 7), 0).to_string();
-    assert_eq!(basis, format!("open:24 oldest_word_ms:0 {first}:8/3 {second}:3/3"));
+    assert_eq!(basis, format!("open:24 oldest_report_ms:0 {first}:8/3 {second}:3/3"));
 }
 
 /// Another instance says that it has eight requests at an object's server. This
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -30,7 +30,7 @@
 /// How often an unknown instance may cause the members to be read anew.
 const UNKNOWN_EVERY_MS: u64 = 2_000;
 
-/// The shortest time between two words on requests in flight. A backend server
+/// The shortest time between two reports on requests in flight. A backend server
 /// gets one or two requests in that time, so what is not known yet is little.
 const LOAD_EVERY_MS: u64 = 100;
 /// Datagrams on requests in flight that an instance sends in a second at the most;
