Work out a cold server's part once, and say what lookups name

Behaviour stays. Found by reading the change again: each new row of a server worked out the part of every server's cold rate anew, and each row of an instance as well, so that a start cost the square of the servers; now a new server's alone, and all once after the members' rows. A lookup kept a constant of one whose comment spoke of two: it names the instances of the nearest place that has any. Two functions that nothing calls are gone.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -170,7 +170,7 @@
             distance: self.distance(&backend.zone),
             is_evacuated: self.evacuated.contains(&backend.zone),
             cold_until_ms,
-            cold_limit: 0,
+            cold_limit: self.cold_limit(&backend, members),
             cold: ColdBudget::default(),
             in_flight: 0,
             others_in_flight: 0,
@@ -181,7 +181,6 @@
         };
         let group = self.services.entry(node.backend.service.clone()).or_default();
         group.nodes.push(node);
-        self.set_cold_limits(members);
         true
     }
 
@@ -201,11 +200,6 @@
         self.nodes().map(|node| node.backend.id.clone()).collect()
     }
 
-    /// Whether any backend server is known.
-    pub fn is_empty(&self) -> bool {
-        self.nodes().next().is_none()
-    }
-
     /// Sends nothing more to the backend servers of `zone`, or takes them back.
     ///
     /// Servers that got nothing for a while have forgotten their objects and may
@@ -244,18 +238,25 @@
     /// Works out again what this instance may send to each cold server, after
     /// the members or the configuration have changed.
     pub fn set_cold_limits(&mut self, members: &Members) {
-        let Some(config) = self.config.clone() else { return };
-        for node in self.services.values_mut().flat_map(|group| &mut group.nodes) {
-            let rate = config.service(&node.backend.service).map_or(0.0, |s| s.cold_rate_per_s);
-            if rate == 0.0 {
-                node.cold_limit = u32::MAX;
-                continue;
-            }
-            let rate = rate * self.settings.cold_rate_factor + self.settings.cold_rate_slack;
-            let names = members.registered().map(|member| member.instance.as_str());
-            let own = self.settings.instance.as_str();
-            node.cold_limit = ColdBudget::part(node.backend.id.as_str(), own, names, rate);
+        // Taken out, since the limits are worked out from the rest.
+        let mut services = std::mem::take(&mut self.services);
+        for node in services.values_mut().flat_map(|group| &mut group.nodes) {
+            node.cold_limit = self.cold_limit(&node.backend, members);
+        }
+        self.services = services;
+    }
+
+    /// What this instance may send to a server in a second while that is cold;
+    /// nothing before there is a configuration.
+    fn cold_limit(&self, backend: &Backend, members: &Members) -> u32 {
+        let Some(config) = &self.config else { return 0 };
+        let rate = config.service(&backend.service).map_or(0.0, |s| s.cold_rate_per_s);
+        if rate == 0.0 {
+            return u32::MAX;
         }
+        let rate = rate * self.settings.cold_rate_factor + self.settings.cold_rate_slack;
+        let names = members.registered().map(|member| member.instance.as_str());
+        ColdBudget::part(backend.id.as_str(), self.settings.instance.as_str(), names, rate)
     }
 
     /// The backend server behind a handle, while it is registered.
--- a/crates/azuregate-core/src/balance/config.rs
+++ b/crates/azuregate-core/src/balance/config.rs
@@ -144,11 +144,6 @@
         self.services.get(service)
     }
 
-    /// All services.
-    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &Service)> {
-        self.services.iter()
-    }
-
     /// The route of a request: among those of its host the one with the longest
     /// prefix that begins `path`. A port in `host` is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -12,10 +12,6 @@
 
 /// How many addresses a lookup names at the most.
 const LOOKUP_LIMIT: usize = 64;
-/// Instances that a lookup names at the least, if there are so many in the
-/// region: a client that knows just one has nowhere to go when that one fails.
-const LOOKUP_WANTED: usize = 1;
-
 /// An entry instance as it registered itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Member {
@@ -114,7 +110,7 @@
     }
 
     /// The addresses that a client in `zone` should use at `now_ms`: those of its
-    /// zone, with those of its region if they are few, else all.
+    /// zone, else those of its region, else all.
     pub fn lookup(&self, zone: &str, region: &str, now_ms: u64) -> Vec<SocketAddr> {
         let mut ranked: Vec<(u8, u64, &Known)> = self
             .known
@@ -126,14 +122,8 @@
             })
             .collect();
         ranked.sort_by_key(|&(rank, score, _)| (rank, score));
-        let is_near = |rank: u8| rank == 0;
-        let near = ranked.iter().filter(|&&(rank, ..)| is_near(rank)).count();
-        let widest = match ranked.first() {
-            Some(&(0, ..)) if near >= LOOKUP_WANTED => 0,
-            Some(&(0 | 1, ..)) => 1,
-            _ => 2,
-        };
-        let named = ranked.iter().filter(|&&(rank, ..)| rank <= widest).take(LOOKUP_LIMIT);
+        let Some(&(nearest, ..)) = ranked.first() else { return Vec::new() };
+        let named = ranked.iter().filter(|&&(rank, ..)| rank == nearest).take(LOOKUP_LIMIT);
         named.map(|(.., known)| known.member.traffic_addr).collect()
     }
 
--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
 
 use azuregate_core::balance::CallerLimits;
-use hyper::{Request, body::Incoming, header, server::conn::http1, service::service_fn};
+use hyper::{Request, Response, body::Incoming, header, server::conn::http1, service::service_fn};
 use tokio::{
     net::TcpStream,
     time::{self, Instant},
@@ -16,6 +16,7 @@
     request,
     state::State,
     stop,
+    streaming::Answer,
 };
 
 /// The smallest buffer that the HTTP server accepts.
@@ -30,7 +31,6 @@
 /// How much longer than allowed a connection may stay idle: what clients send in
 /// the last moment must not meet a closed connection.
 const IDLE_SLACK_MS: u64 = 1_000;
-
 /// How long a client that has connected may take to send its first request while
 /// the instance stops: several times the way there, with a packet lost.
 const FIRST_REQUEST_MS: u64 = 700;
@@ -106,7 +106,7 @@
     state: Rc<State>,
     usage: Rc<Usage>,
     request: Request<Incoming>,
-) -> Result<hyper::Response<super::streaming::Answer>, Infallible> {
+) -> Result<Response<Answer>, Infallible> {
     usage.at_work.set(usage.at_work.get() + 1);
     usage.has_served.set(true);
     let (parts, body) = request.into_parts();
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -255,8 +255,12 @@
         raise(&self.state.changed, self.table, version);
     }
 
+    /// Notes that all rows up to `version` have been taken in.
     fn cover(&self, version: u64) {
         raise(&self.state.covered, self.table, version);
+        if self.table == Table::Members {
+            self.members_changed();
+        }
     }
 
     fn operator_row(&self, key: &str, value: &[u8]) {
@@ -295,7 +299,6 @@
             Ok(member) => self.state.members.borrow_mut().put(member),
             Err(e) => log::warn!(instance = key, error:% = e; "instance's row ignored"),
         }
-        self.members_changed();
     }
 
     fn members_changed(&self) {
@@ -313,10 +316,7 @@
                 }
             }
             Table::Backends => self.backend_removed(key),
-            Table::Members => {
-                self.state.members.borrow_mut().remove(key);
-                self.members_changed();
-            }
+            Table::Members => self.state.members.borrow_mut().remove(key),
         }
     }
 
