--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -27,11 +27,25 @@
     pub zone: ZoneName,
 }
 
+/// What an instance says of itself in a heartbeat.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LifeSign<'a> {
+    /// Who says it.
+    pub instance: &'a str,
+    /// Its start.
+    pub start: StartNumber,
+    /// Whether it ends by a planned stop.
+    pub is_leaving: bool,
+    /// Whether it has heard of the store lately.
+    pub has_store: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     member: Member,
     heard_at_ms: Option<u64>,
     is_leaving: bool,
+    has_store: bool,
 }
 
 /// All registered instances, and when each was last heard.
@@ -40,6 +54,7 @@
     own: InstanceId,
     zones: BTreeMap<ZoneName, RegionName>,
     silence_ms: u64,
+    own_has_store: bool,
     known: BTreeMap<InstanceId, Known>,
 }
 
@@ -47,16 +62,18 @@
     /// The members of a deployment with these `zones`, seen from `own`; one that
     /// is silent for `silence_ms` is not named to clients.
     pub fn new(own: InstanceId, zones: BTreeMap<ZoneName, RegionName>, silence_ms: u64) -> Members {
-        Members { own, zones, silence_ms, known: BTreeMap::new() }
+        Members { own, zones, silence_ms, own_has_store: false, known: BTreeMap::new() }
     }
 
     /// Takes in the row of an instance.
     pub fn put(&mut self, member: Member) {
-        let heard_at_ms = match self.known.get(&member.instance) {
-            Some(known) if known.member.start == member.start => known.heard_at_ms,
-            _ => None,
-        };
-        let known = Known { heard_at_ms, is_leaving: false, member };
+        if let Some(known) = self.known.get_mut(&member.instance)
+            && known.member.start == member.start
+        {
+            known.member = member;
+            return;
+        }
+        let known = Known { heard_at_ms: None, is_leaving: false, has_store: false, member };
         self.known.insert(known.member.instance.clone(), known);
     }
 
@@ -65,30 +82,25 @@
         self.known.remove(instance);
     }
 
-    /// Keeps only the instances for which `is_there` holds.
-    pub fn retain(&mut self, is_there: impl Fn(&InstanceId) -> bool) {
-        self.known.retain(|instance, _| is_there(instance));
-    }
-
     /// Takes in a heartbeat. One of an earlier or later start than the row's is
     /// of no use: its address may be another's by now. Returns whether the
     /// instance is known in that start.
-    pub fn heard(
-        &mut self,
-        instance: &str,
-        start: StartNumber,
-        is_leaving: bool,
-        now_ms: u64,
-    ) -> bool {
-        let Some(known) = self.known.get_mut(instance) else { return false };
-        if known.member.start != start {
+    pub fn heard(&mut self, sign: &LifeSign<'_>, now_ms: u64) -> bool {
+        let Some(known) = self.known.get_mut(sign.instance) else { return false };
+        if known.member.start != sign.start {
             return false;
         }
         known.heard_at_ms = Some(now_ms);
-        known.is_leaving = is_leaving;
+        known.is_leaving = sign.is_leaving;
+        known.has_store = sign.has_store;
         true
     }
 
+    /// Takes in whether this instance itself has the store.
+    pub fn set_own_store(&mut self, has_store: bool) {
+        self.own_has_store = has_store;
+    }
+
     /// How many instances are registered.
     pub fn len(&self) -> usize {
         self.known.len()
@@ -127,6 +139,24 @@
         named.map(|(.., known)| known.member.traffic_addr).collect()
     }
 
+    /// The live instances that have the store.
+    pub(super) fn with_store(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
+        let usable = self.known.values().filter(move |known| self.is_usable(known, now_ms));
+        let has_store = |known: &&Known| match known.member.instance == self.own {
+            true => self.own_has_store,
+            false => known.has_store,
+        };
+        usable.filter(has_store).map(|known| &known.member)
+    }
+
+    pub(super) fn own(&self) -> &InstanceId {
+        &self.own
+    }
+
+    pub(super) fn zones(&self) -> &BTreeMap<ZoneName, RegionName> {
+        &self.zones
+    }
+
     fn is_usable(&self, known: &Known, now_ms: u64) -> bool {
         if known.is_leaving {
             return false;
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -26,6 +26,7 @@
 mod others;
 mod place;
 mod retry_budget;
+mod sources;
 mod split;
 
 pub use backends::{Backend, BackendHandle, Balancer, Settings};
@@ -35,8 +36,9 @@
 };
 pub use health::{Health, Outcome, Usual};
 pub use lapsed::Lapsed;
-pub use members::{Member, Members};
+pub use members::{LifeSign, Member, Members};
 pub use others::InFlightAt;
 pub use place::{Basis, Choice, Query};
 pub use retry_budget::RetryBudget;
+pub use sources::Sources;
 pub use split::Split;
--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -25,6 +25,7 @@
 * [`claim`] decides whether a request with an idempotency key may run.
 * [`home`] decides the same for keys that belong to one start of an instance.
 * [`balance`] chooses a backend server by the object that a request is about.
+* [`replica`] holds copies of the store's tables, and tells whether they are fresh.
 * [`blocks`] finds the site of a client from its address.
 * [`membership`] tells which instances take new work, [`neighbours`] which keep
   links to each other.
@@ -47,6 +48,7 @@
 pub mod neighbours;
 pub mod policy;
 pub mod probe;
+pub mod replica;
 pub mod retry;
 pub mod route;
 pub mod shift;
--- /dev/null
+++ b/crates/azuregate-core/src/replica/contact.rs
@@ -0,0 +1,101 @@
+//! Whether what is known of the store is fresh.
+
+use std::collections::BTreeMap;
+
+use crate::names::InstanceId;
+
+/// The share of the time in which a change must be in force after which a source
+/// without word of the store counts as lost. The rest is for watching the store
+/// itself: a tick of the timer, a new connection and a read.
+const LOST_SHARE: f64 = 0.6;
+/// The same share for the wait of one call. Two of them fit into the time above
+/// if neither the way nor the store is slow.
+const WAIT_SHARE: f64 = 0.4;
+
+/// What a source said last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SourceReport {
+    /// When that arrived.
+    pub heard_at_ms: u64,
+    /// How long before that the store had answered the source.
+    pub store_age_ms: u64,
+}
+
+/// From whom changes of the store come, and how old the last word is.
+///
+/// The failure: an instance follows others that have lost the store without
+/// noticing, are frozen, or cut off. It sees no change and sends to servers that
+/// left long ago. Each word of a source therefore carries the age of the store's
+/// last answer, and an instance without a recent one watches the store itself.
+/// That holds whatever became of the sources, since silence counts as age.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    change_ms: u64,
+    own_answer_at_ms: Option<u64>,
+    sources: BTreeMap<InstanceId, SourceReport>,
+}
+
+impl Contact {
+    /// For a deployment in which a change must be in force after `change_ms`.
+    pub fn new(change_ms: u64) -> Contact {
+        Contact { change_ms, own_answer_at_ms: None, sources: BTreeMap::new() }
+    }
+
+    /// Changes the time after which a change must be in force.
+    pub fn set_change_ms(&mut self, change_ms: u64) {
+        self.change_ms = change_ms;
+    }
+
+    /// How long a call to the store may wait for changes.
+    pub fn wait_ms(&self) -> u64 {
+        (self.change_ms as f64 * WAIT_SHARE) as u64
+    }
+
+    /// Age from which word of the store is too old.
+    pub fn lost_ms(&self) -> u64 {
+        (self.change_ms as f64 * LOST_SHARE) as u64
+    }
+
+    /// The store answered this instance.
+    pub fn answered(&mut self, now_ms: u64) {
+        self.own_answer_at_ms = Some(now_ms);
+    }
+
+    /// The store did not answer this instance, or refused its call.
+    pub fn failed(&mut self) {
+        self.own_answer_at_ms = None;
+    }
+
+    /// Time since the store last answered this instance.
+    pub fn own_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.own_answer_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
+    /// A source has had the store, as `report` says; `None` if it has lost it.
+    pub fn heard(&mut self, source: &InstanceId, report: Option<SourceReport>) {
+        match report {
+            Some(report) => self.sources.insert(source.clone(), report),
+            None => self.sources.remove(source),
+        };
+    }
+
+    /// A source is followed no longer.
+    pub fn forget(&mut self, source: &InstanceId) {
+        self.sources.remove(source);
+    }
+
+    /// Whether a source's word is recent enough to rely on.
+    pub fn has_fresh_source(&self, now_ms: u64) -> bool {
+        let mut reports = self.sources.values();
+        reports.any(|report| {
+            let since_ms = now_ms.saturating_sub(report.heard_at_ms);
+            since_ms + report.store_age_ms < self.lost_ms()
+        })
+    }
+
+    /// Whether the store was heard of lately, by any way.
+    pub fn is_fresh(&self, now_ms: u64) -> bool {
+        self.own_age_ms(now_ms).is_some_and(|age_ms| age_ms < self.lost_ms())
+            || self.has_fresh_source(now_ms)
+    }
+}
--- a/crates/azuregate-core/tests/balance/members.rs
+++ b/crates/azuregate-core/tests/balance/members.rs
@@ -3,17 +3,22 @@
 use std::net::SocketAddr;
 
 use azuregate_core::{
-    balance::Members,
-    names::{InstanceId, StartNumber},
+    balance::{LifeSign, Members, Sources},
+    names::StartNumber,
 };
 
 use crate::world::{instance, member, members};
 
+/// A heartbeat of an instance that lives and has the store.
+fn sign(instance: &str, start: u64) -> LifeSign<'_> {
+    LifeSign { instance, start: StartNumber(start), is_leaving: false, has_store: true }
+}
+
 /// Nine instances seen from the first, all heard at 1 s but for `silent` ones.
 fn heard(silent: &[usize]) -> Members {
     let mut members = members(0, 9);
     for number in (0..9).filter(|number| !silent.contains(number)) {
-        assert!(members.heard(instance(number).as_str(), StartNumber(1), false, 1_000));
+        assert!(members.heard(&sign(instance(number).as_str(), 1), 1_000));
     }
     members
 }
@@ -56,7 +61,7 @@
 #[test]
 fn an_instance_that_leaves_is_not_named() {
     let mut members = heard(&[]);
-    members.heard("entry-6", StartNumber(1), true, 1_100);
+    members.heard(&LifeSign { is_leaving: true, ..sign("entry-6", 1) }, 1_100);
     assert_eq!(named(&members, "a1", "a", 1_200), addrs(&[0]));
 }
 
@@ -68,9 +73,9 @@
     let mut anew = member(6);
     anew.start = StartNumber(2);
     members.put(anew);
-    assert!(!members.heard("entry-6", StartNumber(1), false, 1_100));
+    assert!(!members.heard(&sign("entry-6", 1), 1_100));
     assert_eq!(named(&members, "a1", "a", 1_200), addrs(&[0]));
-    assert!(members.heard("entry-6", StartNumber(2), false, 1_300));
+    assert!(members.heard(&sign("entry-6", 2), 1_300));
     assert_eq!(named(&members, "a1", "a", 1_400), addrs(&[0, 6]));
 }
 
@@ -79,7 +84,68 @@
     let mut members = heard(&[]);
     members.remove("entry-6");
     assert_eq!((members.len(), members.others().count()), (8, 7));
-    members.retain(|instance| *instance == InstanceId::new("entry-1"));
+    (0..9).filter(|&number| number != 1).for_each(|n| members.remove(instance(n).as_str()));
     assert_eq!(members.len(), 1);
     assert!(!members.is_empty());
 }
+
+/// The instances that `own` follows when all live; empty if it watches the store.
+fn followed(members: &Members, now_ms: u64) -> Vec<String> {
+    match members.sources(now_ms) {
+        Sources::Store => Vec::new(),
+        Sources::Instances(chosen) => {
+            chosen.iter().map(|member| member.instance.as_str().to_owned()).collect()
+        }
+    }
+}
+
+/// Nine instances as each of them sees them; all but `lost` have the store.
+fn views(lost: &[usize]) -> Vec<Members> {
+    let view = |own| {
+        let mut members = members(own, 9);
+        for number in 0..9 {
+            let has_store = !lost.contains(&number);
+            members.heard(&LifeSign { has_store, ..sign(instance(number).as_str(), 1) }, 1_000);
+        }
+        members.set_own_store(!lost.contains(&own));
+        members
+    };
+    (0..9).map(view).collect()
+}
+
+#[test]
+fn two_instances_in_two_regions_watch_the_store_for_all() {
+    let views = views(&[]);
+    let watchers: Vec<usize> =
+        (0..9).filter(|&own| views[own].sources(1_100) == Sources::Store).collect();
+    assert_eq!(watchers.len(), 2, "{watchers:?}");
+    let region = |number: usize| crate::world::ZONES[number % 6].1;
+    assert_ne!(region(watchers[0]), region(watchers[1]));
+    for own in (0..9).filter(|own| !watchers.contains(own)) {
+        let mut chosen = followed(&views[own], 1_100);
+        chosen.sort();
+        assert_eq!(chosen, watchers.iter().map(|n| format!("entry-{n}")).collect::<Vec<_>>());
+    }
+}
+
+/// The two that watch the store lose it, or are silent. The others choose two
+/// that have it.
+#[test]
+fn an_instance_without_the_store_is_not_followed() {
+    let watchers: Vec<usize> =
+        (0..9).filter(|&own| views(&[])[own].sources(1_100) == Sources::Store).collect();
+    let views = views(&watchers);
+    for view in &views {
+        let chosen = followed(view, 1_100);
+        assert!(watchers.iter().all(|n| !chosen.contains(&format!("entry-{n}"))), "{chosen:?}");
+    }
+    // Everyone is silent: the own store is all there is.
+    let alone = views.iter().enumerate().find(|(own, _)| !watchers.contains(own)).unwrap().1;
+    assert_eq!(alone.sources(9_000), Sources::Store);
+}
+
+#[test]
+fn nobody_is_followed_while_nobody_has_the_store() {
+    let all: Vec<usize> = (0..9).collect();
+    assert_eq!(views(&all)[3].sources(1_100), Sources::Instances(Vec::new()));
+}
--- /dev/null
+++ b/crates/azuregate-core/tests/replica.rs
@@ -0,0 +1,156 @@
+//! Copies of the store's tables, and whether they are fresh.
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+use std::collections::BTreeMap;
+
+use azuregate_core::{
+    names::InstanceId,
+    replica::{Changes, Contact, Replica, Row, SourceReport, Stale},
+};
+use proptest::prelude::*;
+
+fn row(key: &str, value: &str, version: u64) -> Row {
+    Row { key: key.to_owned(), value: Some(value.to_owned()), is_removed: false, version }
+}
+
+fn removal(key: &str, version: u64) -> Row {
+    Row { key: key.to_owned(), value: None, is_removed: true, version }
+}
+
+fn some(rows: Vec<Row>, version: u64) -> Changes {
+    Changes { is_whole: false, rows, version }
+}
+
+/// What a copy holds: keys and values of rows that are there.
+fn held(replica: &Replica) -> BTreeMap<String, String> {
+    let rows = replica.since(0).rows.into_iter();
+    rows.map(|row| (row.key, row.value.unwrap())).collect()
+}
+
+/// An instance has seen that a server left. A source that lags tells of the time
+/// before, once as changes and once as the whole table; the server must not come
+/// back.
+#[test]
+fn a_source_that_lags_brings_nothing_back() {
+    let mut replica = Replica::default();
+    replica.replace(vec![row("a", "ready", 3)], 3).unwrap();
+    replica.take(some(vec![removal("a", 5)], 5));
+    assert_eq!(replica.take(some(vec![row("a", "ready", 3)], 4)), []);
+    let whole = Changes { is_whole: true, rows: vec![row("a", "ready", 3)], version: 4 };
+    assert_eq!(replica.take(whole), []);
+    let stale = replica.replace(vec![row("a", "ready", 3)], 4);
+    assert_eq!(stale, Err(Stale { version: 4, known: 5 }));
+    assert!(held(&replica).is_empty());
+}
+
+#[test]
+fn rows_that_are_missing_from_a_whole_table_were_removed() {
+    let mut replica = Replica::default();
+    replica.replace(vec![row("a", "1", 1), row("b", "1", 2)], 2).unwrap();
+    let news = replica.replace(vec![row("b", "1", 2), row("c", "1", 7)], 9).unwrap();
+    assert_eq!(news, [removal("a", 9), row("c", "1", 7)]);
+    // One who follows and had everything up to 2 learns of both.
+    let lacks = replica.since(2);
+    assert_eq!((lacks.is_whole, lacks.rows.len(), lacks.version), (false, 2, 9));
+}
+
+/// So many rows were removed that not all removals are remembered. One who had
+/// seen the first of the rows gets the whole table, and drops them.
+#[test]
+fn one_who_missed_forgotten_removals_gets_the_whole_table() {
+    let mut source = Replica::default();
+    source.replace(vec![row("a", "1", 1)], 1).unwrap();
+    let mut follower = source.clone();
+    for version in 2..1_000 {
+        let key = format!("k{version}");
+        source.take(some(vec![row(&key, "1", version * 2)], version * 2));
+        source.take(some(vec![removal(&key, version * 2 + 1)], version * 2 + 1));
+    }
+    source.take(some(vec![removal("a", 3_000), row("b", "1", 3_001)], 3_001));
+    let lacks = source.since(follower.version());
+    assert!(lacks.is_whole);
+    follower.take(lacks);
+    assert_eq!(held(&follower), held(&source));
+    assert!(!source.since(2_990).is_whole);
+}
+
+/// Changes of the table, each a key and whether it is written or removed.
+fn history() -> impl Strategy<Value = Vec<(u8, bool)>> {
+    prop::collection::vec((0..6_u8, any::<bool>()), 1..60)
+}
+
+proptest! {
+    /// A store changes, two sources read it at moments of their own, and a follower
+    /// hears both in any order, now and then after a new connection. It never
+    /// steps back and ends with what the store holds.
+    #[test]
+    fn a_follower_of_two_sources_ends_with_what_the_store_holds(
+        history in history(),
+        reads in prop::collection::vec((0..2_usize, any::<bool>(), any::<bool>()), 1..80),
+    ) {
+        let mut store = Replica::default();
+        store.replace(Vec::new(), 1).unwrap();
+        let mut sources = [store.clone(), store.clone()];
+        let mut follower = store.clone();
+        let mut sent = [1, 1];
+        let mut changes = history.into_iter().zip(2_u64..);
+        for (source, reads, connects_anew) in reads {
+            if let Some(((key, is_written), version)) = changes.next() {
+                let key = key.to_string();
+                let change = if is_written { row(&key, "x", version) } else { removal(&key, version) };
+                store.take(some(vec![change], version));
+            }
+            if reads {
+                let lacks = store.since(sources[source].version());
+                sources[source].take(lacks);
+            }
+            if connects_anew {
+                sent[source] = follower.version();
+            }
+            let before = follower.version();
+            follower.take(sources[source].since(sent[source]));
+            sent[source] = sent[source].max(sources[source].version());
+            prop_assert!(follower.version() >= before);
+        }
+        sources[0].take(store.since(sources[0].version()));
+        follower.take(sources[0].since(sent[0]));
+        prop_assert_eq!(held(&follower), held(&store));
+    }
+}
+
+/// An instance follows two others, where a change must be in force within two
+/// seconds. Whatever becomes of them, it must know early enough to watch the
+/// store itself: they lose the store, they are silent, or they go on talking
+/// while the store has not answered them.
+#[test]
+fn a_source_is_relied_on_for_a_part_of_the_allowed_time() {
+    let name = InstanceId::new("entry-1");
+    let heard = |store_age_ms| Some(SourceReport { heard_at_ms: 10_000, store_age_ms });
+    let cases = [
+        ("just heard", heard(0), 10_000, true),
+        ("the store's answer was old", heard(1_300), 10_000, false),
+        ("silent for a while", heard(0), 11_199, true),
+        ("silent for too long", heard(0), 11_200, false),
+        ("both together", heard(800), 10_400, false),
+        ("it says that it has lost the store", None, 10_000, false),
+    ];
+    for (case, report, now_ms, is_fresh) in cases {
+        let mut contact = Contact::new(2_000);
+        contact.heard(&name, heard(0));
+        contact.heard(&name, report);
+        assert_eq!(contact.has_fresh_source(now_ms), is_fresh, "{case}");
+        assert_eq!(contact.is_fresh(now_ms), is_fresh, "{case}");
+        assert_eq!(contact.own_age_ms(now_ms), None, "only the store's own answers count");
+    }
+}
+
+#[test]
+fn the_own_watch_keeps_contact_without_sources() {
+    let mut contact = Contact::new(3_000);
+    contact.answered(10_000);
+    assert!(contact.is_fresh(11_000) && !contact.has_fresh_source(11_000));
+    assert!(contact.wait_ms() < contact.lost_ms(), "a watch at rest keeps contact");
+    contact.failed();
+    assert!(!contact.is_fresh(11_000));
+}
--- a/crates/azuregate/src/peer/mod.rs
+++ b/crates/azuregate/src/peer/mod.rs
@@ -4,6 +4,7 @@
 
 mod link;
 mod mesh;
+pub(crate) mod socket;
 mod ws;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/azuregate/src/peer/socket.rs
@@ -0,0 +1,114 @@
+//! A web socket that carries values in CBOR.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time,
+};
+use tokio_tungstenite::{
+    WebSocketStream,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
+
+use super::LinkError;
+
+/// What a socket allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Limits {
+    /// The largest frame that is taken.
+    pub(crate) frame_bytes: usize,
+    /// How long opening it may take.
+    pub(crate) open_ms: u64,
+}
+
+impl Limits {
+    fn config(self) -> WebSocketConfig {
+        WebSocketConfig::default()
+            .max_message_size(Some(self.frame_bytes))
+            .max_frame_size(Some(self.frame_bytes))
+    }
+
+    fn open(self) -> Duration {
+        Duration::from_millis(self.open_ms)
+    }
+}
+
+/// A web socket to another instance.
+#[derive(Debug)]
+pub(crate) struct CborSocket {
+    socket: WebSocketStream<TcpStream>,
+}
+
+impl CborSocket {
+    /// Opens a socket from `from` to the instance at `addr`.
+    pub(crate) async fn dial(
+        from: IpAddr,
+        addr: SocketAddr,
+        path: &str,
+        limits: Limits,
+    ) -> Result<CborSocket, LinkError> {
+        let dialling = time::timeout(limits.open(), open(from, addr, path, limits));
+        dialling.await.unwrap_or_else(|_| Err(LinkError::new(format!("no answer from {addr}"))))
+    }
+
+    /// Takes a socket that another instance opened.
+    pub(crate) async fn accept(stream: TcpStream, limits: Limits) -> Result<CborSocket, LinkError> {
+        // A frame is one small write; held back, it would wait for the answer to
+        // the one before, some 40 ms.
+        stream.set_nodelay(true).map_err(broken)?;
+        let accepting = tokio_tungstenite::accept_async_with_config(stream, Some(limits.config()));
+        let accepted = time::timeout(limits.open(), accepting).await;
+        let socket = accepted.map_err(broken)?.map_err(broken)?;
+        Ok(CborSocket { socket })
+    }
+
+    /// Sends a value.
+    pub(crate) async fn send<T: Serialize>(&mut self, value: &T) -> Result<(), LinkError> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(value, &mut bytes).map_err(broken)?;
+        self.socket.send(Message::Binary(Bytes::from(bytes))).await.map_err(broken)
+    }
+
+    /// Waits for the next value; `None` when the other side closed the socket.
+    /// Dropping the future loses no value.
+    pub(crate) async fn recv<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LinkError> {
+        loop {
+            match self.socket.next().await {
+                None | Some(Ok(Message::Close(_))) => return Ok(None),
+                Some(Ok(Message::Binary(bytes))) => {
+                    return ciborium::from_reader(bytes.as_ref()).map(Some).map_err(broken);
+                }
+                Some(Ok(_)) => continue,
+                Some(Err(e)) => return Err(broken(e)),
+            }
+        }
+    }
+}
+
+async fn open(
+    from: IpAddr,
+    addr: SocketAddr,
+    path: &str,
+    limits: Limits,
+) -> Result<CborSocket, LinkError> {
+    let tcp = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let tcp = tcp.map_err(broken)?;
+    tcp.bind(SocketAddr::new(from, 0)).map_err(broken)?;
+    let stream = tcp.connect(addr).await.map_err(broken)?;
+    stream.set_nodelay(true).map_err(broken)?;
+    let url = format!("ws://{addr}{path}");
+    let opening = tokio_tungstenite::client_async_with_config(url, stream, Some(limits.config()));
+    let (socket, _) = opening.await.map_err(broken)?;
+    Ok(CborSocket { socket })
+}
+
+fn broken(e: impl std::fmt::Display) -> LinkError {
+    LinkError::new(e.to_string())
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/follow.rs
@@ -0,0 +1,106 @@
+//! Follows the instances that watch the store, and decides when to watch it here.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use azuregate_core::{
+    balance::{Member, Sources},
+    names::InstanceId,
+    replica::{SourceReport, Table},
+};
+use tokio::{sync::oneshot, task::spawn_local, time};
+
+use super::{
+    relay::{Follow, LIMITS, PATH, Word},
+    state::State,
+};
+use crate::peer::{LinkError, socket::CborSocket};
+
+/// How often it is decided anew whom to follow, and whether that is enough.
+const DECIDE_EVERY_MS: u64 = 200;
+/// The pause before a lost source is tried again.
+const RETRY_MS: u64 = 500;
+
+/// Instances that are followed; dropping one ends its task.
+type Followed = BTreeMap<InstanceId, (Member, oneshot::Sender<()>)>;
+
+/// Decides until the process ends.
+pub(super) async fn serve(state: Rc<State>) {
+    let mut ticks = state.timer.subscribe(DECIDE_EVERY_MS);
+    let mut followed = Followed::new();
+    while ticks.recv().await.is_some() {
+        state.check_contact();
+        decide(&state, &mut followed);
+    }
+}
+
+fn decide(state: &Rc<State>, followed: &mut Followed) {
+    let now_ms = state.now_ms();
+    let sources = state.members.borrow().sources(now_ms);
+    let wanted = match &sources {
+        Sources::Store => &[][..],
+        Sources::Instances(members) => members,
+    };
+    followed.retain(|_, (member, _)| wanted.contains(member));
+    for member in wanted {
+        if !followed.contains_key(&member.instance) {
+            let (ends, ended) = oneshot::channel();
+            spawn_local(follow(Rc::clone(state), member.clone(), ended));
+            followed.insert(member.instance.clone(), (member.clone(), ends));
+        }
+    }
+    let is_enough = state.contact.borrow().has_fresh_source(now_ms);
+    let is_watching = sources == Sources::Store || state.followers.get() > 0 || !is_enough;
+    let has_changed = state.is_watching.send_if_modified(|now| {
+        let has_changed = *now != is_watching;
+        *now = is_watching;
+        has_changed
+    });
+    if has_changed {
+        let followers = state.followers.get();
+        log::info!(watching = is_watching, chosen = sources == Sources::Store, followers = followers, fresh_source = is_enough; "watch of the store");
+    }
+}
+
+/// Follows one instance until `ended` closes.
+async fn follow(state: Rc<State>, source: Member, mut ended: oneshot::Receiver<()>) {
+    loop {
+        let lost = tokio::select! {
+            lost = follow_once(&state, &source) => lost,
+            _ = &mut ended => break,
+        };
+        let error = lost.err().unwrap_or_else(|| LinkError::new("closed"));
+        log::info!(source:% = source.instance, error:% = error; "source lost");
+        state.contact.borrow_mut().forget(&source.instance);
+        tokio::select! {
+            () = time::sleep(Duration::from_millis(RETRY_MS)) => {}
+            _ = &mut ended => break,
+        }
+    }
+    state.contact.borrow_mut().forget(&source.instance);
+}
+
+async fn follow_once(state: &State, source: &Member) -> Result<(), LinkError> {
+    let addr = SocketAddr::new(source.ip, state.settings.peer_port);
+    let mut socket = CborSocket::dial(state.settings.ip, addr, PATH, LIMITS).await?;
+    let version = |table| (table, state.tables.borrow().get(table).version());
+    socket.send(&Follow { versions: Table::ALL.map(version).into() }).await?;
+    log::info!(source:% = source.instance; "follows");
+    loop {
+        let silence = Duration::from_millis(state.contact.borrow().lost_ms());
+        let word = time::timeout(silence, socket.recv::<Word>()).await;
+        let word = word.map_err(|_| LinkError::new("silent"))?;
+        let Some(word) = word? else { return Ok(()) };
+        take_in(state, &source.instance, word);
+    }
+}
+
+fn take_in(state: &State, source: &InstanceId, word: Word) {
+    let heard_at_ms = state.now_ms();
+    let report = word.store_age_ms.map(|store_age_ms| SourceReport { heard_at_ms, store_age_ms });
+    state.contact.borrow_mut().heard(source, report);
+    // Before the rows: whether a missing row ran out depends on it.
+    state.check_contact();
+    for (table, changes) in word.changes {
+        state.take(table, changes);
+    }
+}
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -6,29 +6,28 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use azuregate_core::{
-    balance::InFlightAt,
+    balance::{InFlightAt, LifeSign},
     names::{InstanceId, StartNumber},
+    replica::Table,
 };
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use super::state::{State, Versions};
+use super::state::State;
 
 /// Time between heartbeats.
 pub(super) const EVERY_MS: u64 = 500;
 /// The largest datagram that is read; a heartbeat has about a hundred bytes.
 const LIMIT_BYTES: usize = 1_200;
-/// For how many heartbeats in a row another instance must have seen more before
-/// this one reads its tables anew. One is not enough: changes reach the instances
-/// at slightly different moments.
-const BEHIND_LIMIT: u32 = 3;
+/// For how many heartbeats in a row another instance must have seen more, or be
+/// unknown, before this one reads its tables anew. One is not enough: changes
+/// reach the instances at slightly different moments.
+const BEATS_LIMIT: u32 = 3;
 
 /// For how long another instance must have had the store without a break to be
 /// sure that the store was not away. Rows run out only after several missed
 /// heartbeats of their servers, so a shorter outage takes none away.
 const HAD_STORE_MS: u64 = 3_000;
-/// How often an unknown instance may cause the members to be read anew.
-const UNKNOWN_EVERY_MS: u64 = 2_000;
 
 /// The shortest time between two reports on requests in flight. A backend server
 /// gets one or two requests in that time, so what is not known yet is little.
@@ -120,14 +119,14 @@
 }
 
 fn heartbeat(state: &State) -> Datagram {
-    let changed = state.changed.get();
+    let tables = state.tables.borrow();
     let since_ms = state.has_store_since_ms.get();
     Datagram::Heartbeat(Heartbeat {
         instance: state.settings.instance.as_str().to_owned(),
         start: state.start,
         is_leaving: state.stop.is_stopping(),
-        operator_version: changed.operator,
-        backends_version: changed.backends,
+        operator_version: tables.get(Table::Operator).last_change(),
+        backends_version: tables.get(Table::Backends).last_change(),
         had_store_ms: since_ms.map_or(0, |since_ms| state.now_ms().saturating_sub(since_ms)),
     })
 }
@@ -166,20 +165,17 @@
 
 fn receive_heartbeat(state: &State, peers: &mut Peers, heartbeat: &Heartbeat) {
     let now_ms = state.now_ms();
-    let is_known = state.members.borrow_mut().heard(
-        &heartbeat.instance,
-        heartbeat.start,
-        heartbeat.is_leaving,
-        now_ms,
-    );
+    let sign = LifeSign {
+        instance: &heartbeat.instance,
+        start: heartbeat.start,
+        is_leaving: heartbeat.is_leaving,
+        has_store: heartbeat.had_store_ms > 0,
+    };
+    let is_known = state.members.borrow_mut().heard(&sign, now_ms);
     // One that leaves has removed its row already.
-    let is_new = !is_known && !heartbeat.is_leaving;
-    if is_new && now_ms >= peers.unknown_at_ms + UNKNOWN_EVERY_MS {
-        peers.unknown_at_ms = now_ms;
-        state.unknown_member.notify_one();
-    }
-    peers.changed.operator = peers.changed.operator.max(heartbeat.operator_version);
-    peers.changed.backends = peers.changed.backends.max(heartbeat.backends_version);
+    peers.heard_unknown |= !is_known && !heartbeat.is_leaving;
+    peers.operator_version = peers.operator_version.max(heartbeat.operator_version);
+    peers.backends_version = peers.backends_version.max(heartbeat.backends_version);
     if heartbeat.had_store_ms >= HAD_STORE_MS {
         state.remove_lapsed(true);
     }
@@ -188,21 +184,37 @@
 /// What the other instances say, compared with what this one knows.
 #[derive(Default)]
 struct Peers {
-    changed: Versions,
+    operator_version: u64,
+    backends_version: u64,
+    heard_unknown: bool,
     beats_behind: u32,
-    unknown_at_ms: u64,
+    beats_with_unknown: u32,
 }
 
 impl Peers {
-    /// Notices that other instances have seen changes which this one has not.
+    /// Notices what other instances know and this one does not.
     fn check(&mut self, state: &State) {
-        let covered = state.covered.get();
-        let is_behind =
-            self.changed.operator > covered.operator || self.changed.backends > covered.backends;
-        self.beats_behind = if is_behind { self.beats_behind + 1 } else { 0 };
-        if self.beats_behind >= BEHIND_LIMIT {
-            self.beats_behind = 0;
+        let (operator, backends) = {
+            let tables = state.tables.borrow();
+            (tables.get(Table::Operator).version(), tables.get(Table::Backends).version())
+        };
+        let is_behind = self.operator_version > operator || self.backends_version > backends;
+        if lasts(&mut self.beats_behind, is_behind) {
             state.behind.notify_waiters();
         }
+        let heard_unknown = std::mem::take(&mut self.heard_unknown);
+        if lasts(&mut self.beats_with_unknown, heard_unknown) {
+            state.unknown_member.notify_waiters();
+        }
+    }
+}
+
+/// Whether something held for as many beats as count; counts anew after that.
+fn lasts(beats: &mut u32, holds: bool) -> bool {
+    *beats = if holds { *beats + 1 } else { 0 };
+    let has_lasted = *beats >= BEATS_LIMIT;
+    if has_lasted {
+        *beats = 0;
     }
+    has_lasted
 }
--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -23,6 +23,8 @@
     pub(super) ready: TcpListener,
     pub(super) lookups: TcpListener,
     pub(super) heartbeats: UdpSocket,
+    /// For instances that follow this one.
+    pub(super) followers: TcpListener,
     /// An instance without metrics still serves.
     pub(super) metrics: Option<TcpListener>,
 }
@@ -47,6 +49,7 @@
             ready: bind(settings.ready_addr).await?,
             lookups: bind(settings.lookup_addr).await?,
             heartbeats,
+            followers: bind(heartbeats_addr).await?,
             metrics,
         })
     }
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -11,7 +11,9 @@
 it; nothing is borrowed across a wait. Requests read it without a message or a
 lock, which the request path would pay for on every request.
 
-* `watch` follows the store's tables, `heartbeat` the other instances.
+* `tables` holds copies of the store's tables and does what their rows ask for.
+  `watch` brings changes from the store, `follow` from instances that watch it,
+  `relay` passes them on. `heartbeat` tells which other instances live.
 * `listen` accepts connections, `connection` serves one, `client_stream` notices
   that its client has left.
 * `pipeline` starts requests that wait behind others on their connection.
@@ -25,6 +27,7 @@
 mod attempt;
 mod client_stream;
 mod connection;
+mod follow;
 mod heartbeat;
 mod in_flight;
 mod listen;
@@ -33,11 +36,13 @@
 mod pipeline;
 mod pool;
 mod ports;
+mod relay;
 mod reload;
 mod request;
 mod state;
 mod stop;
 mod streaming;
+mod tables;
 mod watch;
 
 use std::{
@@ -108,6 +113,8 @@
         spawn_local(reload::serve(Rc::clone(&state), file));
     }
     spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats));
+    spawn_local(relay::serve(Rc::clone(&state), listeners.followers));
+    spawn_local(follow::serve(Rc::clone(&state)));
     spawn_local(close_idle(Rc::clone(&state)));
     spawn_local(ports::serve(Rc::clone(&state), listeners.ready, Audience::Clients));
     spawn_local(ports::serve(Rc::clone(&state), listeners.lookups, Audience::Clients));
--- /dev/null
+++ b/crates/azuregate/src/serve/relay.rs
@@ -0,0 +1,119 @@
+//! Passes the store's changes on to the instances that follow this one.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use azuregate_core::replica::{Changes, Table};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time,
+};
+
+use super::state::State;
+use crate::peer::{
+    LinkError,
+    socket::{CborSocket, Limits},
+};
+
+/// Where followers connect to.
+pub(super) const PATH: &str = "/v1/changes";
+/// A whole table with a configuration of some thousand routes fits into a frame;
+/// opening takes two ways there and back.
+pub(super) const LIMITS: Limits = Limits { frame_bytes: 8 << 20, open_ms: 700 };
+/// Time between two words if nothing changes: three fit into the time after which
+/// followers take a source for lost.
+const WORD_EVERY_MS: u64 = 400;
+/// How long a word may take to be sent. A follower that is frozen takes nothing.
+const SEND_MS: u64 = 2_000;
+/// The pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The first frame of a follower.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Follow {
+    /// The versions up to which it has the tables.
+    pub(super) versions: BTreeMap<Table, u64>,
+}
+
+/// What followers are told.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Word {
+    /// Time since the store last answered the sender itself, not what it heard
+    /// from others; `None` if it has lost the store.
+    pub(super) store_age_ms: Option<u64>,
+    /// What the follower lacks, and up to which version nothing is missing.
+    pub(super) changes: Vec<(Table, Changes)>,
+}
+
+/// Takes followers until the process ends.
+pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let state = Rc::clone(&state);
+        spawn_local(async move {
+            if let Err(e) = serve_follower(&state, stream).await {
+                log::info!(error:% = e; "follower lost");
+            }
+        });
+    }
+}
+
+/// Counts a follower until it is dropped.
+struct Counted<'a>(&'a State);
+
+impl<'a> Counted<'a> {
+    fn new(state: &'a State) -> Counted<'a> {
+        state.followers.set(state.followers.get() + 1);
+        Counted(state)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.followers.set(self.0.followers.get() - 1);
+    }
+}
+
+async fn serve_follower(state: &State, stream: TcpStream) -> Result<(), LinkError> {
+    let mut socket = CborSocket::accept(stream, LIMITS).await?;
+    let first = time::timeout(Duration::from_millis(LIMITS.open_ms), socket.recv::<Follow>());
+    let first = first.await.map_err(|_| LinkError::new("no first frame"))?;
+    let Some(Follow { mut versions }) = first? else { return Ok(()) };
+    let _counted = Counted::new(state);
+    let mut changed = state.changed.subscribe();
+    let mut ticks = state.timer.subscribe(WORD_EVERY_MS);
+    loop {
+        let word = next_word(state, &mut versions);
+        let sending = time::timeout(Duration::from_millis(SEND_MS), socket.send(&word));
+        sending.await.map_err(|_| LinkError::new("takes nothing"))??;
+        tokio::select! {
+            _ = changed.changed() => {}
+            tick = ticks.recv() => {
+                if tick.is_none() {
+                    return Ok(());
+                }
+            }
+            // Followers say nothing after the first frame but that they leave.
+            frame = socket.recv::<Follow>() => return frame.map(drop),
+        }
+    }
+}
+
+fn next_word(state: &State, versions: &mut BTreeMap<Table, u64>) -> Word {
+    let tables = state.tables.borrow();
+    let mut changes = Vec::new();
+    for table in Table::ALL {
+        let replica = tables.get(table);
+        let sent = versions.entry(table).or_default();
+        if replica.version() > *sent {
+            changes.push((table, replica.since(*sent)));
+            *sent = replica.version();
+        }
+    }
+    let store_age_ms = state.contact.borrow().own_age_ms(state.now_ms());
+    Word { store_age_ms, changes }
+}
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -162,7 +162,7 @@
     let service = state.next_service(&route);
     record.service.push_str(service.as_str());
     state.count_request(&service);
-    if !state.has_backends.get() {
+    if !state.has_backends() {
         return Err(Refusal::NotReady);
     }
     let body_limit = config.limits().body_bytes;
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -10,11 +10,12 @@
 use azuregate_core::{
     balance::{self, Balancer, Config, Lapsed, Members, RetryBudget, Split},
     names::{ServiceName, StartNumber},
+    replica::{Contact, Table},
 };
 use azuregate_platform::settings::{Bounds, Settings};
 use tokio::sync::{Notify, watch};
 
-use super::{metrics::Metrics, phase::Phase, pool::Pool};
+use super::{metrics::Metrics, phase::Phase, pool::Pool, tables::Tables};
 use crate::{stop::Stop, timer::Timer};
 
 /// The share of the retry budget that is used. Backend servers count when a
@@ -24,13 +25,6 @@
 /// clients: four of them, which packet loss alone hardly takes.
 const SILENCE_MS: u64 = 2_000;
 
-/// Versions of the store up to which the tables are known.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) struct Versions {
-    pub(super) operator: u64,
-    pub(super) backends: u64,
-}
-
 /// What an entry instance believes.
 pub(super) struct State {
     pub(super) settings: Settings,
@@ -43,16 +37,20 @@
     pub(super) members: RefCell<Members>,
     pub(super) pool: Pool,
     pub(super) metrics: Metrics,
-    /// Whether the table of backend servers was read since the start.
-    pub(super) has_backends: Cell<bool>,
-    /// The last changes that were seen; the other instances are told.
-    pub(super) changed: Cell<Versions>,
-    /// Up to where nothing was missed.
-    pub(super) covered: Cell<Versions>,
+    /// Copies of the store's tables.
+    pub(super) tables: RefCell<Tables>,
+    /// Wakes what passes changes on.
+    pub(super) changed: watch::Sender<()>,
+    /// From whom changes come, and how old the last word of the store is.
+    pub(super) contact: RefCell<Contact>,
+    /// Whether this instance watches the store itself.
+    pub(super) is_watching: watch::Sender<bool>,
+    /// Instances that follow this one.
+    pub(super) followers: Cell<usize>,
     /// Backend servers whose rows are missing, but may come back.
     pub(super) lapsed: RefCell<Lapsed>,
-    /// Since when the table of backend servers has been watched without a break;
-    /// `None` while the store does not answer.
+    /// Since when the store has been there without a break, by any way; `None`
+    /// while it is not.
     pub(super) has_store_since_ms: Cell<Option<u64>>,
     /// Wakes the watches when another instance has seen more.
     pub(super) behind: Notify,
@@ -87,9 +85,11 @@
             members: RefCell::new(members),
             pool: Pool::default(),
             metrics: Metrics::default(),
-            has_backends: Cell::new(false),
-            changed: Cell::default(),
-            covered: Cell::default(),
+            tables: RefCell::default(),
+            changed: watch::Sender::new(()),
+            contact: RefCell::new(Contact::new(settings.bounds.change_ms)),
+            is_watching: watch::Sender::new(true),
+            followers: Cell::new(0),
             lapsed: RefCell::default(),
             has_store_since_ms: Cell::new(None),
             behind: Notify::new(),
@@ -127,15 +127,41 @@
         let mut balancer = self.balancer.borrow_mut();
         balancer.set_cold_rates(bounds.cold_rate_factor, bounds.cold_rate_slack);
         balancer.set_cold_limits(&self.members.borrow());
+        self.contact.borrow_mut().set_change_ms(bounds.change_ms);
         *self.bounds.borrow_mut() = bounds;
         // They are made anew with the new share, and start empty, which allows less.
         self.retries.borrow_mut().clear();
         true
     }
 
+    /// Whether the table of backend servers was read since the start.
+    pub(super) fn has_backends(&self) -> bool {
+        self.tables.borrow().get(Table::Backends).is_loaded()
+    }
+
+    /// Notes when the store is lost and when it is back.
+    pub(super) fn check_contact(&self) {
+        let now_ms = self.now_ms();
+        let is_fresh = self.contact.borrow().is_fresh(now_ms);
+        match (self.has_store_since_ms.get(), is_fresh) {
+            (None, true) => {
+                self.lapsed.borrow_mut().store_regained(now_ms);
+                self.has_store_since_ms.set(Some(now_ms));
+                log::info!("contact with the store");
+            }
+            (Some(since_ms), false) => {
+                self.lapsed.borrow_mut().store_lost();
+                self.has_store_since_ms.set(None);
+                log::warn!(had_ms = now_ms.saturating_sub(since_ms); "no contact with the store");
+            }
+            (None, false) | (Some(_), true) => return,
+        }
+        self.members.borrow_mut().set_own_store(is_fresh);
+    }
+
     /// Whether requests can be served.
     pub(super) fn is_ready(&self) -> bool {
-        self.config.borrow().is_some() && self.has_backends.get() && !self.stop.is_stopping()
+        self.config.borrow().is_some() && self.has_backends() && !self.stop.is_stopping()
     }
 
     /// Takes in a configuration, unless a newer one is in force. The store may
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -1,17 +1,18 @@
 //! Follows the store's tables: what operators decide, and who is there.
 
-use std::{cell::Cell, collections::BTreeSet, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use azuregate_core::{balance::Member, names::BackendId};
+use azuregate_core::{
+    balance::Member,
+    replica::{Changes, Table},
+};
 use azuregate_platform::{
-    backend,
-    config::{self, OperatorRow},
     member,
-    store::{Row, Rows, Store, StoreError, Table},
+    store::{Store, StoreError},
 };
 use tokio::{sync::Notify, task::spawn_local, time};
 
-use super::state::{State, Versions};
+use super::state::State;
 
 /// The longest time for which the watch of members waits. Heartbeats tell of an
 /// unknown member sooner.
@@ -80,45 +81,32 @@
     }
 }
 
-/// Follows one table.
+/// Follows one table at the store, while this instance has to.
 struct Watch {
     state: Rc<State>,
     store: Store,
     table: Table,
     pause: Pause,
-    /// Where the next watch goes on; `None` before the table was read.
-    version: Option<u64>,
-    /// The store's newest version that was seen; an answer from before it comes
-    /// from a copy that is behind.
-    newest_version: u64,
+    /// Whether the table must be read whole, since changes may have been missed.
+    must_read: bool,
     is_away: bool,
 }
 
 impl Watch {
     fn new(state: Rc<State>, table: Table) -> Watch {
         let store = Store::new(state.settings.store_addr);
-        Watch {
-            state,
-            store,
-            table,
-            pause: Pause::default(),
-            version: None,
-            newest_version: 0,
-            is_away: false,
-        }
+        Watch { state, store, table, pause: Pause::default(), must_read: true, is_away: false }
     }
 
     async fn serve(mut self) {
         loop {
+            self.until_needed().await;
             let next_at = time::Instant::now() + Duration::from_millis(LEAST_INTERVAL_MS);
             match self.step().await {
-                Ok(()) => {
-                    self.returned();
-                    time::sleep_until(next_at).await;
-                }
+                Ok(()) => time::sleep_until(next_at).await,
                 Err(StoreError::HistoryGone) => {
                     log::info!(table = self.table.as_str(); "history is gone, table is read anew");
-                    self.version = None;
+                    self.must_read = true;
                 }
                 Err(e) => {
                     self.failed(&e);
@@ -128,54 +116,67 @@
         }
     }
 
+    /// Waits while others bring the table's changes.
+    async fn until_needed(&mut self) {
+        if self.must_read {
+            return;
+        }
+        let state = Rc::clone(&self.state);
+        let mut is_watching = state.is_watching.subscribe();
+        tokio::select! {
+            // An error means that the process ends.
+            _ = is_watching.wait_for(|&is_watching| is_watching) => {}
+            () = news(&state, self.table).notified() => self.is_behind(),
+        }
+    }
+
+    /// Another instance has seen what this one has not: the connection is dead,
+    /// the store holds changes back from it, or those it follows lag.
+    fn is_behind(&mut self) {
+        log::info!(table = self.table.as_str(); "behind others, table is read anew");
+        self.store = Store::new(self.state.settings.store_addr);
+        self.must_read = true;
+    }
+
     async fn step(&mut self) -> Result<(), StoreError> {
-        let Some(version) = self.version else { return self.read().await };
+        if self.must_read {
+            return self.read().await;
+        }
+        let version = self.state.tables.borrow().get(self.table).version();
         let wait_ms = self.wait_ms();
         let state = Rc::clone(&self.state);
-        let news = match self.table {
-            Table::Members => &state.unknown_member,
-            Table::Operator | Table::Backends => &state.behind,
-        };
-        let Some(rows) = watch_or_news(&mut self.store, self.table, version, wait_ms, news).await
+        let news = news(&state, self.table);
+        let Some(changes) =
+            watch_or_news(&mut self.store, self.table, version, wait_ms, news).await
         else {
-            // Another instance has seen what this watch has not: the connection
-            // is dead, or the store holds changes back from it.
-            log::info!(table = self.table.as_str(); "behind others, table is read anew");
-            self.store = Store::new(self.state.settings.store_addr);
-            self.version = None;
+            self.is_behind();
             return Ok(());
         };
-        let rows = rows?;
+        let changes = changes?;
         self.returned();
-        self.version = Some(rows.version.max(version));
-        self.newest_version = self.newest_version.max(rows.version);
-        for row in rows.rows {
-            self.apply(&row);
-        }
-        self.cover(rows.version);
+        self.state.take(self.table, changes);
         Ok(())
     }
 
     async fn read(&mut self) -> Result<(), StoreError> {
-        let rows = self.store.read(self.table).await?;
-        if rows.version < self.newest_version {
-            let detail = format!("version {} after {}", rows.version, self.newest_version);
-            return Err(StoreError::BadAnswer(detail));
-        }
+        let whole = self.store.read(self.table).await?;
+        // Before the rows: whether a missing row ran out depends on it.
         self.returned();
-        self.version = Some(rows.version);
-        self.newest_version = rows.version;
-        self.apply_all(&rows);
-        self.cover(rows.version);
+        let replaced = self.state.replace(self.table, whole);
+        replaced.map_err(|e| StoreError::BadAnswer(e.to_string()))?;
+        self.must_read = false;
         Ok(())
     }
 
-    /// A silent connection is noticed when the wait is over, so the wait is as
-    /// short as the time in which an instance must be in contact again.
+    /// A silent connection is noticed when the wait is over. That of the backend
+    /// servers tells whether the store is there at all, and waits least; that of
+    /// the operator's decisions waits as long as an instance has to be in contact
+    /// again.
     fn wait_ms(&self) -> u64 {
         match self.table {
             Table::Members => MEMBERS_WAIT_MS,
-            Table::Operator | Table::Backends => self.state.bounds().contact_ms,
+            Table::Operator => self.state.bounds().contact_ms,
+            Table::Backends => self.state.contact.borrow().wait_ms(),
         }
     }
 
@@ -185,8 +186,8 @@
         }
         self.is_away = true;
         if self.table == Table::Backends {
-            self.state.lapsed.borrow_mut().store_lost();
-            self.state.has_store_since_ms.set(None);
+            self.state.contact.borrow_mut().failed();
+            self.state.check_contact();
         }
     }
 
@@ -196,148 +197,19 @@
             self.is_away = false;
             log::info!(table = self.table.as_str(); "store regained");
         }
-        if self.table == Table::Backends && self.state.has_store_since_ms.get().is_none() {
-            let now_ms = self.state.now_ms();
-            self.state.lapsed.borrow_mut().store_regained(now_ms);
-            self.state.has_store_since_ms.set(Some(now_ms));
-        }
-    }
-
-    fn apply_all(&mut self, rows: &Rows) {
-        let keys: BTreeSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
-        for key in self.known_keys() {
-            if !keys.contains(key.as_str()) {
-                self.removed(&key);
-            }
-        }
-        for row in &rows.rows {
-            self.apply(row);
-        }
-        if self.table == Table::Backends {
-            self.state.has_backends.set(true);
-        }
-    }
-
-    fn known_keys(&self) -> Vec<String> {
-        match self.table {
-            Table::Operator => {
-                let balancer = self.state.balancer.borrow();
-                balancer.evacuated().map(config::evacuation_key).collect()
-            }
-            Table::Backends => {
-                let ids = self.state.balancer.borrow().ids();
-                ids.iter().map(|id| id.as_str().to_owned()).collect()
-            }
-            Table::Members => {
-                let members = self.state.members.borrow();
-                members.registered().map(|member| member.instance.as_str().to_owned()).collect()
-            }
-        }
-    }
-
-    fn apply(&mut self, row: &Row) {
-        self.saw(row.version);
-        if row.is_removed {
-            return self.removed(&row.key);
-        }
         if self.table == Table::Backends {
-            self.state.lapsed.borrow_mut().is_back(&row.key);
-        }
-        let value = row.value.as_deref().unwrap_or_default();
-        match self.table {
-            Table::Operator => self.operator_row(&row.key, value),
-            Table::Backends => self.backend_row(&row.key, value),
-            Table::Members => self.member_row(&row.key, value),
-        }
-    }
-
-    fn saw(&self, version: u64) {
-        raise(&self.state.changed, self.table, version);
-    }
-
-    /// Notes that all rows up to `version` have been taken in.
-    fn cover(&self, version: u64) {
-        raise(&self.state.covered, self.table, version);
-        if self.table == Table::Members {
-            self.members_changed();
-        }
-    }
-
-    fn operator_row(&self, key: &str, value: &[u8]) {
-        match config::operator_row(key) {
-            OperatorRow::Config => match config::decode(value) {
-                Ok(config) => self.state.set_config(config),
-                Err(e) => log::warn!(key = key, error:% = e; "configuration ignored"),
-            },
-            OperatorRow::Evacuate(zone) => {
-                let now_ms = self.state.now_ms();
-                if self.state.balancer.borrow_mut().set_evacuated(&zone, true, now_ms) {
-                    log::info!(zone:% = zone; "zone evacuated");
-                }
-            }
-            OperatorRow::Other => log::warn!(key = key; "unknown row of the operator ignored"),
-        }
-    }
-
-    fn backend_row(&self, key: &str, value: &[u8]) {
-        let backend = match backend::decode(key, value) {
-            Ok(backend) => backend,
-            Err(e) => {
-                log::warn!(backend = key, error:% = e; "backend server's row ignored");
-                return;
-            }
-        };
-        let now_ms = self.state.now_ms();
-        let (draining, cold_left_ms) = (backend.is_draining, backend.cold_left_ms);
-        let members = self.state.members.borrow();
-        let is_new = self.state.balancer.borrow_mut().put(backend, &members, now_ms);
-        log::info!(backend = key, new = is_new, draining = draining, cold_left_ms = cold_left_ms; "backend server");
-    }
-
-    fn member_row(&self, key: &str, value: &[u8]) {
-        match member::decode(key, value) {
-            Ok(member) => self.state.members.borrow_mut().put(member),
-            Err(e) => log::warn!(instance = key, error:% = e; "instance's row ignored"),
-        }
-    }
-
-    fn members_changed(&self) {
-        let members = self.state.members.borrow();
-        self.state.balancer.borrow_mut().set_cold_limits(&members);
-    }
-
-    fn removed(&mut self, key: &str) {
-        match self.table {
-            Table::Operator => {
-                let OperatorRow::Evacuate(zone) = config::operator_row(key) else { return };
-                let now_ms = self.state.now_ms();
-                if self.state.balancer.borrow_mut().set_evacuated(&zone, false, now_ms) {
-                    log::info!(zone:% = zone; "zone taken back");
-                }
-            }
-            Table::Backends => self.backend_removed(key),
-            Table::Members => self.state.members.borrow_mut().remove(key),
-        }
-    }
-
-    fn backend_removed(&self, key: &str) {
-        let now_ms = self.state.now_ms();
-        if !self.state.lapsed.borrow_mut().is_gone(&BackendId::new(key), now_ms) {
-            log::info!(backend = key; "backend server's row ran out while the store was away");
-        } else if self.state.balancer.borrow_mut().remove(key) {
-            log::info!(backend = key; "backend server gone");
+            self.state.contact.borrow_mut().answered(self.state.now_ms());
+            self.state.check_contact();
         }
     }
 }
 
-fn raise(versions: &Cell<Versions>, table: Table, version: u64) {
-    let mut raised = versions.get();
+/// What tells a watch that it has missed something.
+fn news(state: &State, table: Table) -> &Notify {
     match table {
-        Table::Operator => raised.operator = raised.operator.max(version),
-        Table::Backends => raised.backends = raised.backends.max(version),
-        Table::Members => {}
+        Table::Members => &state.unknown_member,
+        Table::Operator | Table::Backends => &state.behind,
     }
-    versions.set(raised);
 }
 
 /// Waits for rows; `None` when there is news elsewhere that the watch should
@@ -348,7 +220,7 @@
     version: u64,
     wait_ms: u64,
     news: &Notify,
-) -> Option<Result<Rows, StoreError>> {
+) -> Option<Result<Changes, StoreError>> {
     tokio::select! {
         rows = store.watch(table, version, wait_ms) => Some(rows),
         () = news.notified() => None,
--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -8,6 +8,7 @@
 mod clients;
 mod configuration;
 mod lookups;
+mod relay;
 mod reload;
 mod servers;
 mod stops;
--- /dev/null
+++ b/crates/azuregate/tests/serve/relay.rs
@@ -0,0 +1,66 @@
+//! Two instances watch the store, the others follow them.
+
+use std::time::Duration;
+
+use tokio::time;
+
+use crate::world::{Instance, World, eventually, read_request};
+
+/// Time in which instances find out whom to follow.
+const SETTLED: Duration = Duration::from_millis(3_000);
+
+async fn serves(entry: &Instance, path: &str) -> bool {
+    let answer = entry.send(&read_request(path, "r1")).await;
+    answer.is_some_and(|answer| answer.status == 200)
+}
+
+fn watches_of_backends(world: &World) -> usize {
+    let calls = world.store.calls();
+    calls.iter().filter(|call| call.starts_with("/-/rows-feed?table=servers")).count()
+}
+
+/// Five instances, and backend servers that change one after the other. Every
+/// instance learns of each, and only two ask the store.
+#[tokio::test]
+async fn a_change_costs_calls_of_two_instances_only() {
+    let mut world = World::start(1).await;
+    let mut entries = Vec::new();
+    for number in 1..=5 {
+        entries.push(world.instance(number).await);
+    }
+    time::sleep(SETTLED).await;
+    let before = watches_of_backends(&world);
+    let changes = 6;
+    for _ in 0..changes {
+        world.add_backend("zone-a").await;
+        time::sleep(Duration::from_millis(400)).await;
+    }
+    // A call for each change, and one for a wait that ended before it.
+    let calls = watches_of_backends(&world) - before;
+    assert!(calls <= 2 * 2 * changes, "{calls} calls for {changes} changes");
+    world.configure(|config| config.more_prefixes.push("/new/".to_owned()));
+    for entry in &entries {
+        eventually("the change is in force", async || serves(entry, "/new/x").await).await;
+    }
+}
+
+/// All instances but one stop, and with them those that watched the store. The one
+/// that is left has a change in force that comes right after.
+#[tokio::test]
+async fn whoever_is_left_watches_the_store() {
+    let mut world = World::start(1).await;
+    let mut entries = Vec::new();
+    for number in 1..=4 {
+        entries.push(world.instance(number).await);
+    }
+    time::sleep(SETTLED).await;
+    let last = entries.remove(0);
+    entries.iter().for_each(|entry| entry.stopper.stop());
+    for entry in entries {
+        eventually("the instance has stopped", async || entry.thread.is_finished()).await;
+    }
+    world.configure(|config| config.more_prefixes.push("/new/".to_owned()));
+    let changed_at = time::Instant::now();
+    eventually("the change is in force", async || serves(&last, "/new/x").await).await;
+    assert!(changed_at.elapsed() < Duration::from_millis(2_000));
+}
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -53,6 +53,9 @@
     /// Time after which an instance that is gone must not be named any more,
     /// counted from when it was last in contact.
     pub contact_ms: u64,
+    /// Time after which a change that the store acknowledged must be in force: the
+    /// shortest of those for a leaving server, a configuration and an evacuation.
+    pub change_ms: u64,
     /// Time from SIGTERM to SIGKILL.
     pub grace_ms: u64,
     /// Retries of a service, as a share of its requests.
@@ -161,6 +164,10 @@
     fn bounds(&mut self) -> Bounds {
         Bounds {
             contact_ms: self.millis("terms.bounds.contactS", 3_000),
+            change_ms: self
+                .millis("terms.bounds.drainS", 2_000)
+                .min(self.millis("terms.bounds.configApplyS", 2_000))
+                .min(self.millis("terms.bounds.evacuateS", 5_000)),
             grace_ms: self.millis("terms.bounds.graceS", 6_000),
             retry_ratio: self.number("terms.bounds.retryBudgetRatio", 0.2),
             retry_window_ms: self.millis("terms.bounds.retryWindowS", 10_000),
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
+use azuregate_core::replica::{Changes, Row, Table};
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -29,56 +30,13 @@
 /// before encoding.
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 
-/// The tables that are read or written here.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Table {
-    /// What operators decided.
-    Operator,
-    /// Backend servers.
-    Backends,
-    /// Entry instances.
-    Members,
-}
-
-impl Table {
-    fn name(self) -> &'static str {
-        match self {
-            Table::Operator => "op",
-            Table::Backends => "servers",
-            Table::Members => "instances",
-        }
+/// The table's name in the store.
+fn name(table: Table) -> &'static str {
+    match table {
+        Table::Operator => "op",
+        Table::Backends => "servers",
+        Table::Members => "instances",
     }
-
-    /// The table's name in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Table::Operator => "operator",
-            Table::Backends => "backends",
-            Table::Members => "members",
-        }
-    }
-}
-
-/// A row as it is now.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Row {
-    /// Its key.
-    pub key: String,
-    /// Its content, `None` if it was removed or is not base64.
-    pub value: Option<Vec<u8>>,
-    /// Whether it was removed.
-    pub is_removed: bool,
-    /// The store's version at its last change.
-    pub version: u64,
-}
-
-/// Rows, and the version of the store that they belong to.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Rows {
-    /// The rows.
-    pub rows: Vec<Row>,
-    /// The store's version; a watch goes on from here.
-    pub version: u64,
 }
 
 /// Why a call to the store failed.
@@ -190,11 +148,11 @@
     /// # Errors
     ///
     /// When the store does not answer with rows.
-    pub async fn read(&mut self, table: Table) -> Result<Rows, StoreError> {
-        let mut all = Rows::default();
+    pub async fn read(&mut self, table: Table) -> Result<Changes, StoreError> {
+        let mut all = Changes { is_whole: true, rows: Vec::new(), version: 0 };
         let mut from = String::new();
         loop {
-            let path = format!("/-/rows-get?table={}&part=&from={from}", table.name());
+            let path = format!("/-/rows-get?table={}&part=&from={from}", name(table));
             let body = self.call(Method::GET, &path, Bytes::new(), 0).await?;
             let page = parse(&body)?;
             // Pages may belong to different moments: a watch that goes on from
@@ -220,11 +178,12 @@
         table: Table,
         version: u64,
         wait_ms: u64,
-    ) -> Result<Rows, StoreError> {
-        let path = format!("/-/rows-feed?table={}&after={version}&waitMs={wait_ms}", table.name());
+    ) -> Result<Changes, StoreError> {
+        let path = format!("/-/rows-feed?table={}&after={version}&waitMs={wait_ms}", name(table));
         let body = self.call(Method::GET, &path, Bytes::new(), wait_ms).await?;
         let page = parse(&body)?;
-        Ok(Rows { rows: page.rows.into_iter().map(row).collect(), version: page.ver })
+        let rows = page.rows.into_iter().map(row).collect();
+        Ok(Changes { is_whole: false, rows, version: page.ver })
     }
 
     /// Writes one row.
@@ -234,7 +193,7 @@
     /// When the store does not confirm the write. It may have been done all the
     /// same; the same write may be repeated.
     pub async fn put(&mut self, table: Table, key: &str, value: &[u8]) -> Result<(), StoreError> {
-        let put = Put { table: table.name(), part: "", key, value: STANDARD.encode(value) };
+        let put = Put { table: name(table), part: "", key, value: STANDARD.encode(value) };
         self.transact(&Transaction { precondition: [], puts: &[put], remove: &[] }).await
     }
 
@@ -244,7 +203,7 @@
     ///
     /// When the store does not confirm the removal, which may have been done.
     pub async fn remove(&mut self, table: Table, key: &str) -> Result<(), StoreError> {
-        let key = Key { table: table.name(), part: "", key };
+        let key = Key { table: name(table), part: "", key };
         self.transact(&Transaction { precondition: [], puts: &[], remove: &[key] }).await
     }
 
@@ -352,6 +311,6 @@
 }
 
 fn row(row: WireRow) -> Row {
-    let value = row.value.and_then(|text| STANDARD.decode(text).ok());
+    let value = row.value.and_then(|text| String::from_utf8(STANDARD.decode(text).ok()?).ok());
     Row { key: row.key, value, is_removed: row.tombstone, version: row.ver }
 }
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use azuregate_core::replica::{Row, Table};
 use azuregate_platform::{
     stand_in::{StoreFault, StoreStandIn},
-    store::{Row, Store, StoreError, Table},
+    store::{Store, StoreError},
 };
 use tokio::{net::TcpListener, time};
 
@@ -30,7 +31,7 @@
     stand_in.put("op", "config", "x");
     let rows = store.read(Table::Backends).await.unwrap();
     assert_eq!(keys(&rows.rows), ["a", "b", "b+", "c d", "e"]);
-    assert_eq!(rows.rows[3].value.as_deref(), Some(&b"c d"[..]));
+    assert_eq!(rows.rows[3].value.as_deref(), Some("c d"));
     assert_eq!(rows.version, 6);
 }
 
@@ -54,7 +55,7 @@
     let (_stand_in, mut store) = start().await;
     store.put(Table::Members, "entry-1", b"here").await.unwrap();
     let rows = store.read(Table::Members).await.unwrap();
-    assert_eq!(rows.rows[0].value.as_deref(), Some(&b"here"[..]));
+    assert_eq!(rows.rows[0].value.as_deref(), Some("here"));
     store.remove(Table::Members, "entry-1").await.unwrap();
     store.remove(Table::Members, "entry-1").await.unwrap();
     assert!(store.read(Table::Members).await.unwrap().rows.is_empty());
