Soak entry instances as processes while all around them fails

Nothing of the project's own played many failures at once on the real program.

Change: tests/soak starts five instances as processes, with store, backend servers and clients in the test and proxies on the connections to store and servers. From a seed it draws kills, planned stops, pauses, changed settings, cut, silent, slow and reset connections, a store that fails or loses rows, servers that lie, drained servers and new configurations; each third seed has planned work only. Checked, from what clients and servers saw: own and whole answers, writes once at most and not at all if refused, nothing that nobody sent, nothing new for servers that left, nothing cut off around planned work, no process that ends by itself, all well 7 s after the last fault. The stand-in of a server now rejects what is meant for another.

--- a/crates/azuregate/tests/serve/world.rs
+++ b/crates/azuregate/tests/serve/world.rs
@@ -199,6 +199,12 @@
         Client { stream, bytes: Vec::new() }
     }
 
+    /// Connects, unless the instance does not take connections.
+    pub(crate) async fn try_connect(addr: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        Some(Client { stream, bytes: Vec::new() })
+    }
+
     pub(crate) async fn send(&mut self, text: &str) {
         let _ = self.stream.write_all(text.as_bytes()).await;
     }
@@ -241,8 +247,7 @@
 }
 
 pub(crate) async fn get(addr: SocketAddr, path: &str) -> Option<Answer> {
-    let stream = TcpStream::connect(addr).await.ok()?;
-    let mut client = Client { stream, bytes: Vec::new() };
+    let mut client = Client::try_connect(addr).await?;
     client.send(&format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
     client.answer().await
 }
--- /dev/null
+++ b/crates/azuregate/tests/soak/main.rs
@@ -0,0 +1,59 @@
+/*!
+A randomized soak: entry instances as processes, harmed from outside.
+
+The store, the backend servers and the clients live in the test; connections to
+the store and to backend servers go through proxies that delay, silence and reset
+them; processes are killed, stopped, paused and told to reload by signals. What
+goes wrong when is drawn from a seed.
+
+* `cargo test -p azuregate --test soak` plays the seeds that once failed and a few
+  fixed ones.
+* `AZUREGATE_SOAK_SEEDS=50 cargo test -p azuregate --test soak` plays 50 fresh ones.
+* `AZUREGATE_SOAK_SEED=7 ...` plays one; its logs stay in the target folder.
+*/
+
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
+mod checks;
+mod clients;
+mod plan;
+mod processes;
+mod proxy;
+mod run;
+#[allow(dead_code, reason = "shared with the tests of single instances")]
+#[path = "../serve/world.rs"]
+mod world;
+
+/// Runs at a time; each has five instances.
+const AT_ONCE: usize = 4;
+/// Seeds that failed once, each with its cause.
+const REGRESSIONS: [(u64, &str); 0] = [];
+/// Played every time, so that the result does not hang on luck.
+const FIXED: [u64; 4] = [1, 2, 3, 4];
+
+fn seeds() -> Vec<u64> {
+    let number = |name| std::env::var(name).ok().map(|text| text.parse::<u64>().unwrap());
+    if let Some(seed) = number("AZUREGATE_SOAK_SEED") {
+        return vec![seed];
+    }
+    if let Some(count) = number("AZUREGATE_SOAK_SEEDS") {
+        return (0..count).map(|_| fastrand::u64(..1_000_000_000)).collect();
+    }
+    REGRESSIONS.iter().map(|(seed, _)| *seed).chain(FIXED).collect()
+}
+
+/// Clients send reads and writes while instances, store and servers fail in many
+/// ways at once. Whatever they see must be their own answer, a write runs once at
+/// the most and not at all if it is refused, and when all is well again so is the
+/// service.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_whatever_fails() {
+    let mut findings = Vec::new();
+    for seeds in seeds().chunks(AT_ONCE) {
+        let runs = seeds.iter().map(|&seed| tokio::spawn(run::play(seed)));
+        for run in runs.collect::<Vec<_>>() {
+            findings.extend(run.await.unwrap());
+        }
+    }
+    assert!(findings.is_empty(), "{} findings:\n{}", findings.len(), findings.join("\n"));
+}
--- /dev/null
+++ b/crates/azuregate/tests/soak/processes.rs
@@ -0,0 +1,143 @@
+//! Entry instances as processes of their own.
+
+use std::{
+    fs::{self, File},
+    net::{IpAddr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use azuregate_platform::stand_in::settings_text;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::time;
+
+const FIRST_PORT: u16 = 18_160;
+const PEER_PORT: u16 = 18_170;
+/// Time from SIGTERM in which a process must end, as its settings say.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// One instance: a process now, or none while it is started anew.
+pub(crate) struct Process {
+    pub(crate) traffic: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) lookups: SocketAddr,
+    settings: PathBuf,
+    text: String,
+    log: PathBuf,
+    child: Mutex<Option<Child>>,
+}
+
+impl Process {
+    /// Starts instance `number` at `ip`, which finds the store at `store`.
+    pub(crate) fn start(folder: &Path, number: usize, ip: IpAddr, store: SocketAddr) -> Process {
+        let name = format!("entry-{number}");
+        let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
+        let region = ["region-1", "region-1", "region-2"][number % 3];
+        let text = settings_text(&name, &ip.to_string(), FIRST_PORT, PEER_PORT, store)
+            .replace("self.zone=zone-a", &format!("self.zone={zone}"))
+            .replace("self.region=region-1", &format!("self.region={region}"));
+        let settings = folder.join(format!("{name}.conf"));
+        fs::write(&settings, &text).unwrap();
+        let process = Process {
+            traffic: SocketAddr::new(ip, FIRST_PORT),
+            ready: SocketAddr::new(ip, FIRST_PORT + 1),
+            lookups: SocketAddr::new(ip, FIRST_PORT + 2),
+            settings,
+            text,
+            log: folder.join(format!("{name}.log")),
+            child: Mutex::new(None),
+        };
+        process.spawn();
+        process
+    }
+
+    fn spawn(&self) {
+        let log = File::options().create(true).append(true).open(&self.log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_azuregate"))
+            .arg("serve")
+            .env("AZUREGATE_SETTINGS", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        *self.child.lock().unwrap() = Some(child);
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(child) = &*self.child.lock().unwrap() {
+            let pid = Pid::from_child(child);
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills the process and starts it anew after `pause`.
+    pub(crate) async fn kill(&self, pause: Duration) {
+        let child = self.child.lock().unwrap().take();
+        let Some(mut child) = child else { return };
+        let _ = child.kill();
+        let _ = child.wait();
+        time::sleep(pause).await;
+        self.spawn();
+    }
+
+    /// Stops the process as planned and starts it anew. Returns what was wrong
+    /// with its end.
+    pub(crate) async fn stop(&self) -> Option<String> {
+        self.signal(Signal::CONT);
+        self.signal(Signal::TERM);
+        let child = self.child.lock().unwrap().take();
+        let mut child = child?;
+        let start = Instant::now();
+        let problem = loop {
+            match child.try_wait().unwrap() {
+                Some(status) if status.success() => break None,
+                Some(status) => break Some(format!("ended with {status}")),
+                None if start.elapsed() > GRACE => {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                    break Some("did not end in time".to_owned());
+                }
+                None => time::sleep(Duration::from_millis(20)).await,
+            }
+        };
+        time::sleep(Duration::from_millis(200)).await;
+        self.spawn();
+        problem
+    }
+
+    /// Pauses the process.
+    pub(crate) async fn freeze(&self, pause: Duration) {
+        self.signal(Signal::STOP);
+        time::sleep(pause).await;
+        self.signal(Signal::CONT);
+    }
+
+    /// Changes the settings and says so, or leaves it to the process to notice.
+    pub(crate) fn change_settings(&self, hangs_up: bool) {
+        let burst = fastrand::u32(10..90);
+        let text = format!("{}terms.bounds.retryBurst={burst}\n", self.text);
+        fs::write(&self.settings, text).unwrap();
+        if hangs_up {
+            self.signal(Signal::HUP);
+        }
+    }
+
+    /// How the process ended by itself, if it did.
+    pub(crate) fn own_end(&self) -> Option<String> {
+        let mut child = self.child.lock().unwrap();
+        let status = child.as_mut()?.try_wait().unwrap()?;
+        Some(format!("{} ended by itself with {status}", self.log.display()))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(child) = &mut *self.child.lock().unwrap() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- a/crates/platform/src/stand_in/backend.rs
+++ b/crates/platform/src/stand_in/backend.rs
@@ -53,6 +53,8 @@
     pub deadline_ms: u64,
     /// The server that it was meant for.
     pub expected_backend: String,
+    /// Whether it was run; a request that is rejected is not.
+    pub is_run: bool,
     /// Its body.
     pub body: Vec<u8>,
     /// When it had arrived.
@@ -64,12 +66,12 @@
 /// Answers requests on a port of its own, and keeps what it got.
 #[derive(Clone)]
 pub struct BackendStandIn {
-    id: String,
     addr: SocketAddr,
     shared: Arc<Shared>,
 }
 
 struct Shared {
+    id: String,
     behaviour: Mutex<Behaviour>,
     seen: Mutex<Vec<Seen>>,
 }
@@ -87,14 +89,16 @@
     pub async fn start(id: &str, ip: &str) -> BackendStandIn {
         let listener = TcpListener::bind((ip, 0)).await.expect("a loopback port is free");
         let addr = listener.local_addr().expect("the port is open");
-        let shared = Arc::new(Shared { behaviour: Mutex::default(), seen: Mutex::default() });
+        let id = id.to_owned();
+        let shared = Shared { id, behaviour: Mutex::default(), seen: Mutex::default() };
+        let shared = Arc::new(shared);
         tokio::spawn(accept(listener, Arc::clone(&shared)));
-        BackendStandIn { id: id.to_owned(), addr, shared }
+        BackendStandIn { addr, shared }
     }
 
     /// Its name.
     pub fn id(&self) -> &str {
-        &self.id
+        &self.shared.id
     }
 
     /// Its address.
@@ -122,8 +126,13 @@
 async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
     let mut bytes = Vec::new();
     let mut last_id = "none".to_owned();
-    while let Some(seen) = read(&mut stream, &mut bytes).await {
-        let behaviour = lock(&shared.behaviour).clone();
+    while let Some(mut seen) = read(&mut stream, &mut bytes).await {
+        let is_for_another = seen.expected_backend != shared.id;
+        let behaviour = match is_for_another {
+            true => Behaviour::AnotherServer,
+            false => lock(&shared.behaviour).clone(),
+        };
+        seen.is_run = !matches!(behaviour, Behaviour::Reject | Behaviour::AnotherServer);
         let id = seen.id.clone();
         let index = {
             let mut all = lock(&shared.seen);
@@ -223,6 +232,7 @@
         id: field("x-request-id").unwrap_or_default(),
         deadline_ms: field("x-deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(0),
         expected_backend: field("x-target-instance").unwrap_or_default(),
+        is_run: false,
         body,
         at: Instant::now(),
         cancelled_at: None,
