Close connections whose head never ends; untie two circles of modules

Cause: the time for a request's head was read from the configuration and not enforced: a client that sent half a head kept its connection for as long as an idle one. And rows of tables were applied where they are kept, so that state and tables needed each other; the same held for claims as rows and their upkeep.

Change: the scanner that reads ahead tells whether a part of a head is there; a connection on which it stays for the allowed time and a second is closed, unless a request is at work. Rows are applied in serve/apply.rs, the row of a claim is in claims/held.rs.

--- a/crates/azuregate/src/claims/mod.rs
+++ b/crates/azuregate/src/claims/mod.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod cleanup;
+mod held;
 mod home;
 mod rows;
 mod upkeep;
@@ -28,7 +29,7 @@
 
 pub use cleanup::Cleaner;
 
-use self::{home::Home, rows::Rows};
+use self::{held::HeldRow, home::Home, rows::Rows};
 
 /// How long a planned stop waits for the platform.
 const FINISH_LIMIT: Duration = Duration::from_secs(10);
@@ -62,7 +63,7 @@
 
 #[derive(Debug)]
 enum Held {
-    Row(rows::HeldRow),
+    Row(HeldRow),
     Home(home::HeldKey),
 }
 
--- a/crates/azuregate/src/claims/rows.rs
+++ b/crates/azuregate/src/claims/rows.rs
@@ -20,11 +20,12 @@
 use crate::{
     claims::{
         Wanted,
+        held::HeldRow,
         upkeep::{Upkeep, Work},
     },
     clock::SharedClock,
     config::Snapshots,
-    platform::{Commit, Effect, Expect, PlatformError, SharedPlatform, Table, Write},
+    platform::{Commit, Effect, Expect, PlatformError, SharedPlatform},
 };
 
 /// The largest answer body that is kept in the row itself, in bytes.
@@ -51,14 +52,6 @@
     upkeep: Upkeep,
 }
 
-/// A row that a request holds while it runs.
-#[derive(Clone, Debug)]
-pub(crate) struct HeldRow {
-    pub(crate) key: String,
-    pub(crate) row_version: u64,
-    pub(crate) claim: Claim,
-}
-
 impl Rows {
     /// Starts the task that catches up on writes that failed.
     pub(crate) fn start(
@@ -183,20 +176,6 @@
     }
 }
 
-impl HeldRow {
-    /// The write that makes the row say what this claim says.
-    pub(crate) fn write(&self, expect: Expect) -> Result<Write, Error> {
-        let value = serde_json::to_value(&self.claim).map_err(internal)?;
-        Ok(Write { table: Table::Claim, key: self.key.clone(), expect, value: Some(value) })
-    }
-
-    /// The write that takes the row away.
-    pub(crate) fn delete(&self, row_version: u64) -> Write {
-        let expect = Expect::Version(row_version);
-        Write { table: Table::Claim, key: self.key.clone(), expect, value: None }
-    }
-}
-
 /// An error before the claim was read: an earlier request may have used the key.
 fn unsure(kind: ErrorKind, detail: impl Into<String>) -> Error {
     Error::new(kind, detail).with_earlier_unknown()
--- a/crates/azuregate/src/claims/upkeep.rs
+++ b/crates/azuregate/src/claims/upkeep.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    claims::rows::HeldRow,
+    claims::held::HeldRow,
     clock::SharedClock,
     platform::{Effect, Expect, Platform, PlatformError, SharedPlatform, Table},
 };
--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -31,6 +31,9 @@
 /// How much longer than allowed a connection may stay idle: what clients send in
 /// the last moment must not meet a closed connection.
 const IDLE_SLACK_MS: u64 = 1_000;
+/// How much longer than allowed a head may take: one that was sent in time may
+/// have been held up on the way, by a lost packet or two.
+const HEAD_SLACK_MS: u64 = 1_000;
 /// How long a client that has connected may take to send its first request while
 /// the instance stops: several times the way there, with a packet lost.
 const FIRST_REQUEST_MS: u64 = 700;
@@ -41,9 +44,31 @@
     at_work: Cell<u32>,
     idle_since_ms: Cell<u64>,
     has_served: Cell<bool>,
+    /// Since when a part of a head has been there, while the rest has not come.
+    in_head_since_ms: Cell<Option<u64>>,
     pipeline: Pipeline,
 }
 
+impl Usage {
+    fn is_in_head(&self, is_in_head: bool, now_ms: u64) {
+        let since_ms = self.in_head_since_ms.get().unwrap_or(now_ms);
+        self.in_head_since_ms.set(is_in_head.then_some(since_ms));
+    }
+
+    /// Whether the client keeps the connection with a head that never ends. Behind
+    /// a request that is at work, the rest may have come and not been read.
+    fn takes_too_long(&self, head_ms: u64, now_ms: u64) -> bool {
+        let since_ms = self.in_head_since_ms.get();
+        self.at_work.get() == 0
+            && since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= head_ms)
+    }
+
+    fn is_idle(&self, idle_ms: u64, now_ms: u64) -> bool {
+        let idle = now_ms.saturating_sub(self.idle_since_ms.get());
+        self.at_work.get() == 0 && idle >= idle_ms
+    }
+}
+
 /// Serves a connection until one side closes it.
 pub(super) async fn serve(state: Rc<State>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
@@ -67,11 +92,13 @@
         while let Some(parts) = scanner.next() {
             usage.pipeline.arrived(&state, parts);
         }
+        usage.is_in_head(scanner.is_in_head(), state.now_ms());
     }));
     let mut stopping = pin!(may_close(&state, &usage));
     let mut is_stopping = false;
+    let idle_ms = limits.idle_timeout_ms + IDLE_SLACK_MS;
+    let head_ms = limits.header_timeout_ms + HEAD_SLACK_MS;
     loop {
-        let idle_ms = limits.idle_timeout_ms + IDLE_SLACK_MS;
         tokio::select! {
             _ = &mut connection => return,
             // The client has left; dropping the connection cancels its requests.
@@ -80,9 +107,13 @@
                 is_stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = time::sleep(Duration::from_millis(idle_ms)), if !is_stopping => {
-                let idle = state.now_ms().saturating_sub(usage.idle_since_ms.get());
-                if usage.at_work.get() == 0 && idle >= idle_ms {
+            () = time::sleep(Duration::from_millis(head_ms.min(idle_ms))) => {
+                let now_ms = state.now_ms();
+                if usage.takes_too_long(head_ms, now_ms) {
+                    log::info!(head_ms = head_ms; "client took too long to send a head");
+                    return;
+                }
+                if !is_stopping && usage.is_idle(idle_ms, now_ms) {
                     return;
                 }
             }
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -11,7 +11,7 @@
 it; nothing is borrowed across a wait. Requests read it without a message or a
 lock, which the request path would pay for on every request.
 
-* `tables` holds copies of the store's tables and does what their rows ask for.
+* `tables` holds copies of the store's tables, `apply` does what their rows ask for.
   `watch` brings changes from the store, `follow` from instances that watch it,
   `relay` passes them on. `heartbeat` tells which other instances live.
 * `listen` accepts connections, `connection` serves one, `client_stream` notices
@@ -24,6 +24,7 @@
 */
 
 mod answer;
+mod apply;
 mod attempt;
 mod client_stream;
 mod connection;
--- a/crates/azuregate/src/serve/pipeline.rs
+++ b/crates/azuregate/src/serve/pipeline.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether a part of a head has come and the rest has not.
+    pub(super) fn is_in_head(&self) -> bool {
+        !self.is_lost && self.body_left == 0 && !self.bytes.is_empty()
+    }
+
     /// The next whole head of a request that has no body; heads of others are
     /// passed over with their bodies.
     pub(super) fn next(&mut self) -> Option<Parts> {
--- a/crates/azuregate/tests/serve/clients.rs
+++ b/crates/azuregate/tests/serve/clients.rs
@@ -104,3 +104,28 @@
     }
     assert!(world.backends[0].seen().is_empty());
 }
+
+/// A client sends half a head and then nothing, once on a new connection and once
+/// behind a request that was answered. The connection is closed soon after the time
+/// that a head may take; one that is only idle stays open.
+#[tokio::test]
+async fn a_head_that_never_ends_is_not_waited_for() {
+    let world = World::start(1).await;
+    let entry = world.instance(1).await;
+    let half = "GET /read/x HTTP/1.1\r\nHost: sh";
+    let mut fresh = Client::connect(entry.traffic).await;
+    let mut used = Client::connect(entry.traffic).await;
+    let mut idle = Client::connect(entry.traffic).await;
+    for (client, id) in [(&mut used, "r1"), (&mut idle, "r2")] {
+        client.send(&read_request("/read/x", id)).await;
+        assert_eq!(client.answer().await.unwrap().status, 200);
+    }
+    fresh.send(half).await;
+    used.send(half).await;
+    let sent_at = Instant::now();
+    // The configuration allows three seconds.
+    assert!(fresh.answer().await.is_none() && used.answer().await.is_none());
+    assert!(sent_at.elapsed() > Duration::from_secs(3), "{:?}", sent_at.elapsed());
+    idle.send(&read_request("/read/x", "r3")).await;
+    assert_eq!(idle.answer().await.unwrap().status, 200);
+}
