--- a/crates/azuregate-core/src/balance/place.rs
+++ b/crates/azuregate-core/src/balance/place.rs
@@ -39,7 +39,7 @@
 pub struct Basis {
     /// Servers that the request may use.
     pub open_servers: usize,
-    /// The servers that were weighed, the preferred one first, with the requests of
+    /// The servers that were considered, the preferred one first, with the requests of
     /// all instances there and the server's slots.
     pub servers: Vec<(BackendId, u32, u32)>,
     /// The age of the oldest report of another instance that is believed.
@@ -73,7 +73,7 @@
     /// What [`Balancer::choose`] goes by for `query`.
     pub fn basis(&mut self, query: &Query<'_>, now_ms: u64) -> Basis {
         let placed = self.place(query, now_ms);
-        let servers = placed.weighed.into_iter().flatten().filter_map(|server| {
+        let servers = placed.considered.into_iter().flatten().filter_map(|server| {
             let backend = self.backend(server.handle)?;
             Some((backend.id.clone(), server.in_flight, server.slots))
         });
--- a/crates/azuregate-core/src/balance/rule.rs
+++ b/crates/azuregate-core/src/balance/rule.rs
@@ -55,8 +55,8 @@
 pub struct Placed {
     /// The server that gets the request; `None` if it is refused.
     pub chosen: Option<BackendHandle>,
-    /// The servers that were weighed against each other, the preferred one first.
-    pub weighed: [Option<Candidate>; 2],
+    /// The servers that were considered, the preferred one first.
+    pub considered: [Option<Candidate>; 2],
     /// How many candidates there were.
     pub open_servers: usize,
 }
@@ -78,7 +78,8 @@
 const SHORT_QUEUE: u32 = 4;
 /// The same for large bodies. Most of the cost of leaving is the way of the bytes,
 /// and a zone with few servers would be full for good: with 4 and servers of the
-/// zone only, a tenth of such requests was refused in zones with one server.
+/// zone only, 8% of all large requests were refused, nearly all of them in zones with
+/// one server; with 2 and the object's server as the second, none.
 const SHORT_QUEUE_LARGE: u32 = 2;
 /// Requests beyond its slots that may wait at a server at all. Those behind them
 /// would be late, and are better told at once.
@@ -111,7 +112,7 @@
         let chosen = at_first(queue).or_else(at_second).or_else(|| at_first(QUEUE_LIMIT));
         Placed {
             chosen: chosen.map(|server| server.handle),
-            weighed: [first.copied(), second.copied()],
+            considered: [first.copied(), second.copied()],
             open_servers: candidates.len(),
         }
     }
--- a/crates/azuregate-core/src/replica/contact.rs
+++ b/crates/azuregate-core/src/replica/contact.rs
@@ -5,7 +5,7 @@
 use crate::names::InstanceId;
 
 /// The share of the time in which a change must be in force after which a source
-/// without word of the store counts as lost. The rest is for watching the store
+/// that has not heard of the store counts as lost. The rest is for watching the store
 /// itself: a tick of the timer, a new connection and a read.
 const LOST_SHARE: f64 = 0.6;
 /// The same share for the wait of one call. Two of them fit into the time above
@@ -16,7 +16,7 @@
 /// store itself. One that has just read the tables waits that long for others to
 /// tell it of themselves: when all instances start at once each of them would watch
 /// every change of the start.
-const ALONE_SHARE: f64 = 0.5;
+const WITHOUT_SOURCE_SHARE: f64 = 0.5;
 
 /// What a source said last.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,11 +27,11 @@
     pub store_age_ms: u64,
 }
 
-/// From whom changes of the store come, and how old the last word is.
+/// How old the last sign of the store is, by the own watch and by the sources.
 ///
 /// The failure: an instance follows others that have lost the store without
 /// noticing, are frozen, or cut off. It sees no change and sends to servers that
-/// left long ago. Each word of a source therefore carries the age of the store's
+/// left long ago. Each update of a source therefore carries the age of the store's
 /// last answer, and an instance without a recent one watches the store itself.
 /// That holds whatever became of the sources, since silence counts as age.
 #[derive(Clone, Debug)]
@@ -60,18 +60,18 @@
 
     /// The same of an instance that watches because it has no source. Its calls
     /// begin when the last answer is some time ago.
-    pub fn wait_alone_ms(&self) -> u64 {
+    pub fn wait_without_source_ms(&self) -> u64 {
         self.wait_ms() / 2
     }
 
-    /// Whether an instance that no other needs has to ask the store itself.
-    pub fn is_alone(&self, now_ms: u64) -> bool {
-        let limit_ms = (self.lost_ms() as f64 * ALONE_SHARE) as u64;
+    /// Whether an instance that no other follows has to watch the store itself.
+    pub fn needs_own_watch(&self, now_ms: u64) -> bool {
+        let limit_ms = (self.lost_ms() as f64 * WITHOUT_SOURCE_SHARE) as u64;
         let is_recent = self.own_age_ms(now_ms).is_some_and(|age_ms| age_ms < limit_ms);
         !is_recent && !self.has_fresh_source(now_ms)
     }
 
-    /// Age from which word of the store is too old.
+    /// Age from which a sign of the store is too old.
     pub fn lost_ms(&self) -> u64 {
         (self.change_ms as f64 * LOST_SHARE) as u64
     }
@@ -104,7 +104,7 @@
         self.sources.remove(source);
     }
 
-    /// Whether a source's word is recent enough to rely on.
+    /// Whether a source has heard of the store recently enough to rely on it.
     pub fn has_fresh_source(&self, now_ms: u64) -> bool {
         let mut reports = self.sources.values();
         reports.any(|report| {
--- a/crates/azuregate-core/tests/replica.rs
+++ b/crates/azuregate-core/tests/replica.rs
@@ -152,9 +152,9 @@
     assert!(contact.is_fresh(11_000) && !contact.has_fresh_source(11_000));
     assert!(contact.wait_ms() < contact.lost_ms(), "a watch at rest keeps contact");
     // So does one that asks only now and then because it has no source.
-    let asks_at_ms = (10_000..).find(|&now_ms| contact.is_alone(now_ms)).unwrap();
+    let asks_at_ms = (10_000..).find(|&now_ms| contact.needs_own_watch(now_ms)).unwrap();
     assert!(asks_at_ms >= 10_500, "one that has just started waits for sources");
-    assert!(contact.is_fresh(asks_at_ms + contact.wait_alone_ms()));
+    assert!(contact.is_fresh(asks_at_ms + contact.wait_without_source_ms()));
     contact.failed();
     assert!(!contact.is_fresh(11_000));
 }
--- a/crates/azuregate/src/selector/lease.rs
+++ b/crates/azuregate/src/selector/lease.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use azuregate_core::{
-    names::{BackendId, StartNumber},
+    error::Error,
+    names::{BackendId, InstanceId, StartNumber},
     route::{
         Ending, LoadReport,
         dispatch::{HandOver, Slot},
@@ -12,7 +13,7 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::selector::{Meter, task::Message};
+use crate::selector::{Meter, Want};
 
 /// A slot of a backend server, or the right to hand a request over; given back
 /// when dropped.
@@ -53,6 +54,20 @@
     HandOver { hand_over: HandOver, ticket: u64 },
 }
 
+/// Answers one that wanted a slot.
+pub(super) type Reply = oneshot::Sender<Result<Lease, Error>>;
+
+/// What the task that owns the slots is asked.
+#[derive(Debug)]
+pub(super) enum Message {
+    Acquire { ticket: u64, want: Want, reply: Reply },
+    GiveUp { ticket: u64 },
+    Finish { held: Held, ending: Ending },
+    Report { slot: Slot, report: LoadReport },
+    Hear { hand_over: HandOver, load: GroupLoad },
+    LoadFor { to: InstanceId, group: GroupId, reply: oneshot::Sender<Option<GroupLoad>> },
+}
+
 impl Lease {
     /// Records how the request ended; the slot goes back when the lease is
     /// dropped.
--- a/crates/azuregate/src/selector/mod.rs
+++ b/crates/azuregate/src/selector/mod.rs
@@ -33,7 +33,7 @@
     timer::Timer,
 };
 
-use self::task::{Message, Task};
+use self::{lease::Message, task::Task};
 
 pub use lease::{HandedTo, Lease};
 pub use meter::Meter;
--- a/crates/azuregate/src/selector/reply.rs
+++ b/crates/azuregate/src/selector/reply.rs
@@ -3,19 +3,18 @@
 use std::sync::Arc;
 
 use azuregate_core::{
-    error::Error,
     names::{BackendId, StartNumber},
     route::{
         Ending,
-        dispatch::{HandOver, Refusal, Slot},
+        dispatch::{HandOver, Slot},
     },
 };
 use tokio::sync::oneshot;
 
 use crate::selector::{
     HandedTo, Lease, Meter, Want,
-    lease::Held,
-    task::{Out, Reply, Task},
+    lease::{Held, Reply},
+    task::{Out, Task},
 };
 
 impl Task {
@@ -80,8 +79,3 @@
         Arc::clone(self.meters.entry(link).or_default())
     }
 }
-
-/// The error that a caller sees.
-pub(super) fn refusal_error(refusal: Refusal) -> Error {
-    Error::new(refusal.kind, refusal.reason).with_retry_after_ms(refusal.retry_after_ms)
-}
--- a/crates/azuregate/src/selector/task.rs
+++ b/crates/azuregate/src/selector/task.rs
@@ -13,9 +13,8 @@
     error::Error,
     names::{InstanceId, ServiceName, ZoneName},
     route::{
-        Ending, LoadReport,
-        dispatch::{Ask, Dispatch, HandOver, Refusal, Slot, Step},
-        group::{GroupId, GroupLoad},
+        Ending,
+        dispatch::{Ask, Dispatch, Refusal, Step},
     },
     snapshot::Snapshot,
     steer::Steer,
@@ -26,28 +25,19 @@
 use crate::{
     clock::SharedClock,
     dispatch::{Exchange, LoadUpdate, LoadUpdates},
-    selector::{Lease, Meter, SelectorParts, TICK_MS, Want, lease::Held, reply::refusal_error},
+    selector::{
+        Meter, SelectorParts, TICK_MS, Want,
+        lease::{Held, Message, Reply},
+    },
     timer::Tick,
 };
 
-pub(super) type Reply = oneshot::Sender<Result<Lease, Error>>;
-
 /// Names one request in one queue.
 pub(super) fn next_ticket() -> u64 {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
-#[derive(Debug)]
-pub(super) enum Message {
-    Acquire { ticket: u64, want: Want, reply: Reply },
-    GiveUp { ticket: u64 },
-    Finish { held: Held, ending: Ending },
-    Report { slot: Slot, report: LoadReport },
-    Hear { hand_over: HandOver, load: GroupLoad },
-    LoadFor { to: InstanceId, group: GroupId, reply: oneshot::Sender<Option<GroupLoad>> },
-}
-
 /// A hand-over in progress.
 pub(super) struct Out {
     pub(super) peer: usize,
@@ -310,3 +300,8 @@
         }
     }
 }
+
+/// The error that a caller sees.
+fn refusal_error(refusal: Refusal) -> Error {
+    Error::new(refusal.kind, refusal.reason).with_retry_after_ms(refusal.retry_after_ms)
+}
--- a/crates/azuregate/src/serve/follow.rs
+++ b/crates/azuregate/src/serve/follow.rs
@@ -10,7 +10,7 @@
 use tokio::{sync::oneshot, task::spawn_local, time};
 
 use super::{
-    relay::{Follow, LIMITS, PATH, Word},
+    relay::{Follow, LIMITS, PATH, Update},
     state::State,
 };
 use crate::peer::{LinkError, socket::CborSocket};
@@ -49,9 +49,9 @@
         }
     }
     let is_chosen = sources == Sources::Store;
-    let is_alone = state.contact.borrow().is_alone(now_ms);
+    let has_source = !state.contact.borrow().needs_own_watch(now_ms);
     state.watches_for_others.set(is_chosen || state.followers.get() > 0);
-    let is_watching = state.watches_for_others.get() || is_alone;
+    let is_watching = state.watches_for_others.get() || !has_source;
     let has_changed = state.is_watching.send_if_modified(|now| {
         let has_changed = *now != is_watching;
         *now = is_watching;
@@ -59,7 +59,7 @@
     });
     if has_changed {
         let followers = state.followers.get();
-        log::info!(watching = is_watching, chosen = is_chosen, followers = followers, alone = is_alone; "watch of the store");
+        log::info!(watching = is_watching, chosen = is_chosen, followers = followers, has_source = has_source; "watch of the store");
     }
 }
 
@@ -89,20 +89,20 @@
     log::info!(source:% = source.instance; "follows");
     loop {
         let silence = Duration::from_millis(state.contact.borrow().lost_ms());
-        let word = time::timeout(silence, socket.recv::<Word>()).await;
-        let word = word.map_err(|_| LinkError::new("silent"))?;
-        let Some(word) = word? else { return Ok(()) };
-        take_in(state, &source.instance, word);
+        let update = time::timeout(silence, socket.recv::<Update>()).await;
+        let update = update.map_err(|_| LinkError::new("silent"))?;
+        let Some(update) = update? else { return Ok(()) };
+        apply(state, &source.instance, update);
     }
 }
 
-fn take_in(state: &State, source: &InstanceId, word: Word) {
+fn apply(state: &State, source: &InstanceId, update: Update) {
     let heard_at_ms = state.now_ms();
-    let report = word.store_age_ms.map(|store_age_ms| SourceReport { heard_at_ms, store_age_ms });
+    let report = update.store_age_ms.map(|store_age_ms| SourceReport { heard_at_ms, store_age_ms });
     state.contact.borrow_mut().heard(source, report);
     // Before the rows: whether a missing row ran out depends on it.
     state.check_contact();
-    for (table, changes) in word.changes {
+    for (table, changes) in update.changes {
         state.take(table, changes);
     }
 }
--- a/crates/azuregate/src/serve/relay.rs
+++ b/crates/azuregate/src/serve/relay.rs
@@ -21,10 +21,10 @@
 /// A whole table with a configuration of some thousand routes fits into a frame;
 /// opening takes two ways there and back.
 pub(super) const LIMITS: Limits = Limits { frame_bytes: 8 << 20, open_ms: 700 };
-/// Time between two words if nothing changes: three fit into the time after which
+/// Time between two updates if nothing changes: three fit into the time after which
 /// followers take a source for lost.
-const WORD_EVERY_MS: u64 = 400;
-/// How long a word may take to be sent. A follower that is frozen takes nothing.
+const UPDATE_EVERY_MS: u64 = 400;
+/// How long an update may take to be sent. A follower that is frozen takes nothing.
 const SEND_MS: u64 = 2_000;
 /// The pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -38,7 +38,7 @@
 
 /// What followers are told.
 #[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Word {
+pub(super) struct Update {
     /// Time since the store last answered the sender itself, not what it heard
     /// from others; `None` if it has lost the store.
     pub(super) store_age_ms: Option<u64>,
@@ -63,16 +63,16 @@
 }
 
 /// Counts a follower until it is dropped.
-struct Counted<'a>(&'a State);
+struct FollowerGuard<'a>(&'a State);
 
-impl<'a> Counted<'a> {
-    fn new(state: &'a State) -> Counted<'a> {
+impl<'a> FollowerGuard<'a> {
+    fn new(state: &'a State) -> FollowerGuard<'a> {
         state.followers.set(state.followers.get() + 1);
-        Counted(state)
+        FollowerGuard(state)
     }
 }
 
-impl Drop for Counted<'_> {
+impl Drop for FollowerGuard<'_> {
     fn drop(&mut self) {
         self.0.followers.set(self.0.followers.get() - 1);
     }
@@ -83,12 +83,12 @@
     let first = time::timeout(Duration::from_millis(LIMITS.open_ms), socket.recv::<Follow>());
     let first = first.await.map_err(|_| LinkError::new("no first frame"))?;
     let Some(Follow { mut versions }) = first? else { return Ok(()) };
-    let _counted = Counted::new(state);
+    let _guard = FollowerGuard::new(state);
     let mut changed = state.changed.subscribe();
-    let mut ticks = state.timer.subscribe(WORD_EVERY_MS);
+    let mut ticks = state.timer.subscribe(UPDATE_EVERY_MS);
     loop {
-        let word = next_word(state, &mut versions);
-        let sending = time::timeout(Duration::from_millis(SEND_MS), socket.send(&word));
+        let update = next_update(state, &mut versions);
+        let sending = time::timeout(Duration::from_millis(SEND_MS), socket.send(&update));
         sending.await.map_err(|_| LinkError::new("takes nothing"))??;
         tokio::select! {
             _ = changed.changed() => {}
@@ -103,7 +103,7 @@
     }
 }
 
-fn next_word(state: &State, versions: &mut BTreeMap<Table, u64>) -> Word {
+fn next_update(state: &State, versions: &mut BTreeMap<Table, u64>) -> Update {
     let tables = state.tables.borrow();
     let mut changes = Vec::new();
     for table in Table::ALL {
@@ -115,5 +115,5 @@
         }
     }
     let store_age_ms = state.contact.borrow().own_age_ms(state.now_ms());
-    Word { store_age_ms, changes }
+    Update { store_age_ms, changes }
 }
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -41,7 +41,7 @@
     pub(super) tables: RefCell<Tables>,
     /// Wakes what passes changes on.
     pub(super) changed: watch::Sender<()>,
-    /// From whom changes come, and how old the last word of the store is.
+    /// How old the last sign of the store is, by the own watch and by sources.
     pub(super) contact: RefCell<Contact>,
     /// Whether this instance watches the store itself.
     pub(super) is_watching: watch::Sender<bool>,
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -195,7 +195,7 @@
             Table::Backends if self.state.watches_for_others.get() => {
                 self.state.contact.borrow().wait_ms()
             }
-            Table::Backends => self.state.contact.borrow().wait_alone_ms(),
+            Table::Backends => self.state.contact.borrow().wait_without_source_ms(),
         }
     }
 
