--- a/crates/azuregate-core/src/balance/place.rs
+++ b/crates/azuregate-core/src/balance/place.rs
@@ -57,8 +57,8 @@
 }
 
 impl Balancer {
-    /// Chooses a server for a request by the balancer's [`Placement`] and counts the
-    /// request there until [`Balancer::end`]; `None` if no server may get it.
+    /// Chooses a server for a request by the balancer's [`super::Placement`] and counts
+    /// the request there until [`Balancer::end`]; `None` if no server may get it.
     pub fn choose(&mut self, query: &Query<'_>, now_ms: u64) -> Option<Choice> {
         let handle = self.place(query, now_ms).chosen?;
         let node = self.node_mut(query.service, handle)?;
