Keep contact with the store while watching is handed over

An instance that was chosen to watch dropped its sources and what they had told before its own watch had answered.

Ruled out: the store (calls were answered in 5 ms), lost heartbeats (one of the two watchers stopped as planned each time).

Change: what is known does not end with the source that told of it; sources are followed until the own watch has answered; an instance that failed to reach the store is not chosen for five seconds, by a field of its heartbeat.

--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -36,8 +36,8 @@
     pub start: StartNumber,
     /// Whether it ends by a planned stop.
     pub is_leaving: bool,
-    /// Whether it has heard of the store lately.
-    pub has_store: bool,
+    /// Whether it may watch the store for others.
+    pub can_watch: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -45,7 +45,7 @@
     member: Member,
     heard_at_ms: Option<u64>,
     is_leaving: bool,
-    has_store: bool,
+    can_watch: bool,
 }
 
 /// All registered instances, and when each was last heard.
@@ -54,7 +54,7 @@
     own: InstanceId,
     zones: BTreeMap<ZoneName, RegionName>,
     silence_ms: u64,
-    own_has_store: bool,
+    own_can_watch: bool,
     known: BTreeMap<InstanceId, Known>,
 }
 
@@ -62,7 +62,7 @@
     /// The members of a deployment with these `zones`, seen from `own`; one that
     /// is silent for `silence_ms` is not named to clients.
     pub fn new(own: InstanceId, zones: BTreeMap<ZoneName, RegionName>, silence_ms: u64) -> Members {
-        Members { own, zones, silence_ms, own_has_store: false, known: BTreeMap::new() }
+        Members { own, zones, silence_ms, own_can_watch: false, known: BTreeMap::new() }
     }
 
     /// Takes in the row of an instance.
@@ -73,7 +73,7 @@
             known.member = member;
             return;
         }
-        let known = Known { heard_at_ms: None, is_leaving: false, has_store: false, member };
+        let known = Known { heard_at_ms: None, is_leaving: false, can_watch: false, member };
         self.known.insert(known.member.instance.clone(), known);
     }
 
@@ -92,13 +92,13 @@
         }
         known.heard_at_ms = Some(now_ms);
         known.is_leaving = sign.is_leaving;
-        known.has_store = sign.has_store;
+        known.can_watch = sign.can_watch;
         true
     }
 
-    /// Takes in whether this instance itself has the store.
-    pub fn set_own_store(&mut self, has_store: bool) {
-        self.own_has_store = has_store;
+    /// Takes in whether this instance itself may watch the store for others.
+    pub fn set_own_can_watch(&mut self, can_watch: bool) {
+        self.own_can_watch = can_watch;
     }
 
     /// How many instances are registered.
@@ -139,14 +139,14 @@
         named.map(|(.., known)| known.member.traffic_addr).collect()
     }
 
-    /// The live instances that have the store.
-    pub(super) fn with_store(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
+    /// The live instances that may watch the store for others.
+    pub(super) fn possible_watchers(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
         let usable = self.known.values().filter(move |known| self.is_usable(known, now_ms));
-        let has_store = |known: &&Known| match known.member.instance == self.own {
-            true => self.own_has_store,
-            false => known.has_store,
+        let can_watch = |known: &&Known| match known.member.instance == self.own {
+            true => self.own_can_watch,
+            false => known.can_watch,
         };
-        usable.filter(has_store).map(|known| &known.member)
+        usable.filter(can_watch).map(|known| &known.member)
     }
 
     pub(super) fn own(&self) -> &InstanceId {
--- a/crates/azuregate-core/src/balance/sources.rs
+++ b/crates/azuregate-core/src/balance/sources.rs
@@ -15,12 +15,12 @@
 impl Members {
     /// From where this instance gets changes at `now_ms`.
     ///
-    /// Two of the live instances that have the store watch it, the same two in the
+    /// Two of the live instances that can reach the store watch it, the same two in the
     /// eyes of all by rendezvous hashing. They stand in different regions if there
     /// are several, so that the loss of one place leaves the other. Instances that
     /// disagree on the two for a moment do no harm: whoever is followed watches.
     pub fn sources(&self, now_ms: u64) -> Sources {
-        let mut ranked: Vec<&Member> = self.with_store(now_ms).collect();
+        let mut ranked: Vec<&Member> = self.possible_watchers(now_ms).collect();
         ranked.sort_by_cached_key(|member| score(&["watcher", member.instance.as_str()]));
         let Some((&first, rest)) = ranked.split_first() else {
             return Sources::Instances(Vec::new());
--- a/crates/azuregate-core/src/replica/contact.rs
+++ b/crates/azuregate-core/src/replica/contact.rs
@@ -18,6 +18,10 @@
 /// every change of the start.
 const WITHOUT_SOURCE_SHARE: f64 = 0.5;
 
+/// How long a failed call keeps an instance from watching for others. One that is
+/// not asked to watch would not learn that it reaches the store again.
+const FAILURE_COUNTS_MS: u64 = 5_000;
+
 /// What a source said last.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SourceReport {
@@ -38,13 +42,23 @@
 pub struct Contact {
     change_ms: u64,
     own_answer_at_ms: Option<u64>,
+    own_failure_at_ms: Option<u64>,
+    /// The latest moment of which everything is known, by any way. It outlives
+    /// the source that told of it: one that is followed no longer was right.
+    known_at_ms: Option<u64>,
     sources: BTreeMap<InstanceId, SourceReport>,
 }
 
 impl Contact {
     /// For a deployment in which a change must be in force after `change_ms`.
     pub fn new(change_ms: u64) -> Contact {
-        Contact { change_ms, own_answer_at_ms: None, sources: BTreeMap::new() }
+        Contact {
+            change_ms,
+            own_answer_at_ms: None,
+            own_failure_at_ms: None,
+            known_at_ms: None,
+            sources: BTreeMap::new(),
+        }
     }
 
     /// Changes the time after which a change must be in force.
@@ -79,11 +93,28 @@
     /// The store answered this instance.
     pub fn answered(&mut self, now_ms: u64) {
         self.own_answer_at_ms = Some(now_ms);
+        self.own_failure_at_ms = None;
+        self.known_at_ms = self.known_at_ms.max(Some(now_ms));
     }
 
     /// The store did not answer this instance, or refused its call.
-    pub fn failed(&mut self) {
+    pub fn failed(&mut self, now_ms: u64) {
         self.own_answer_at_ms = None;
+        self.own_failure_at_ms = Some(now_ms);
+    }
+
+    /// Whether this instance may watch for others: it has not failed to reach the
+    /// store lately, and what it knows is fresh.
+    pub fn can_watch(&self, now_ms: u64) -> bool {
+        let has_failed = self
+            .own_failure_at_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < FAILURE_COUNTS_MS);
+        !has_failed && self.is_fresh(now_ms)
+    }
+
+    /// Whether the own watch alone keeps what is known fresh.
+    pub fn has_own_contact(&self, now_ms: u64) -> bool {
+        self.own_age_ms(now_ms).is_some_and(|age_ms| age_ms < self.lost_ms())
     }
 
     /// Time since the store last answered this instance.
@@ -93,10 +124,13 @@
 
     /// A source has had the store, as `report` says; `None` if it has lost it.
     pub fn heard(&mut self, source: &InstanceId, report: Option<SourceReport>) {
-        match report {
-            Some(report) => self.sources.insert(source.clone(), report),
-            None => self.sources.remove(source),
+        let Some(report) = report else {
+            self.sources.remove(source);
+            return;
         };
+        let known_at_ms = report.heard_at_ms.saturating_sub(report.store_age_ms);
+        self.known_at_ms = self.known_at_ms.max(Some(known_at_ms));
+        self.sources.insert(source.clone(), report);
     }
 
     /// A source is followed no longer.
@@ -115,7 +149,6 @@
 
     /// Whether the store was heard of lately, by any way.
     pub fn is_fresh(&self, now_ms: u64) -> bool {
-        self.own_age_ms(now_ms).is_some_and(|age_ms| age_ms < self.lost_ms())
-            || self.has_fresh_source(now_ms)
+        self.known_at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < self.lost_ms())
     }
 }
--- a/crates/azuregate/src/serve/follow.rs
+++ b/crates/azuregate/src/serve/follow.rs
@@ -36,17 +36,11 @@
 fn decide(state: &Rc<State>, followed: &mut Followed) {
     let now_ms = state.now_ms();
     let sources = state.members.borrow().sources(now_ms);
-    let wanted = match &sources {
-        Sources::Store => &[][..],
-        Sources::Instances(members) => members,
-    };
-    followed.retain(|_, (member, _)| wanted.contains(member));
-    for member in wanted {
-        if !followed.contains_key(&member.instance) {
-            let (ends, ended) = oneshot::channel();
-            spawn_local(follow(Rc::clone(state), member.clone(), ended));
-            followed.insert(member.instance.clone(), (member.clone(), ends));
-        }
+    match &sources {
+        Sources::Instances(wanted) => follow_these(state, followed, wanted),
+        // The sources so far are followed until the own watch has taken over.
+        Sources::Store if state.contact.borrow().has_own_contact(now_ms) => followed.clear(),
+        Sources::Store => {}
     }
     let is_chosen = sources == Sources::Store;
     let has_source = !state.contact.borrow().needs_own_watch(now_ms);
@@ -63,6 +57,17 @@
     }
 }
 
+fn follow_these(state: &Rc<State>, followed: &mut Followed, wanted: &[Member]) {
+    followed.retain(|_, (member, _)| wanted.contains(member));
+    for member in wanted {
+        if !followed.contains_key(&member.instance) {
+            let (ends, ended) = oneshot::channel();
+            spawn_local(follow(Rc::clone(state), member.clone(), ended));
+            followed.insert(member.instance.clone(), (member.clone(), ends));
+        }
+    }
+}
+
 /// Follows one instance until `ended` closes.
 async fn follow(state: Rc<State>, source: Member, mut ended: oneshot::Receiver<()>) {
     loop {
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -58,6 +58,8 @@
     backends_version: u64,
     /// For how long it has had the store without a break.
     had_store_ms: u64,
+    /// Whether it may watch the store for others.
+    can_watch: bool,
 }
 
 /// Sends and receives heartbeats until the process ends.
@@ -128,6 +130,7 @@
         operator_version: tables.get(Table::Operator).last_change(),
         backends_version: tables.get(Table::Backends).last_change(),
         had_store_ms: since_ms.map_or(0, |since_ms| state.now_ms().saturating_sub(since_ms)),
+        can_watch: state.contact.borrow().can_watch(state.now_ms()),
     })
 }
 
@@ -169,7 +172,7 @@
         instance: &heartbeat.instance,
         start: heartbeat.start,
         is_leaving: heartbeat.is_leaving,
-        has_store: heartbeat.had_store_ms > 0,
+        can_watch: heartbeat.can_watch,
     };
     let is_known = state.members.borrow_mut().heard(&sign, now_ms);
     // One that leaves has removed its row already.
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -157,9 +157,10 @@
                 self.has_store_since_ms.set(None);
                 log::warn!(had_ms = now_ms.saturating_sub(since_ms); "no contact with the store");
             }
-            (None, false) | (Some(_), true) => return,
+            (None, false) | (Some(_), true) => {}
         }
-        self.members.borrow_mut().set_own_store(is_fresh);
+        let can_watch = self.contact.borrow().can_watch(now_ms);
+        self.members.borrow_mut().set_own_can_watch(can_watch);
     }
 
     /// Whether requests can be served.
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -205,7 +205,7 @@
         }
         self.is_away = true;
         if self.table == Table::Backends {
-            self.state.contact.borrow_mut().failed();
+            self.state.contact.borrow_mut().failed(self.state.now_ms());
             self.state.check_contact();
         }
     }
