Bear one lost answer before a server is left alone

Each loss counted as a server that cannot be reached: it got nothing for half a second, and was held to the rate of a cold server for three seconds after its next answer. Its objects were handled where they are not known.

Change: an outcome of its own for an answer that is lost after the request was sent; two in a row, or one connection that cannot be opened, end the requests.

--- a/crates/azuregate-core/src/balance/health.rs
+++ b/crates/azuregate-core/src/balance/health.rs
@@ -4,6 +4,13 @@
 const FIRST_PAUSE_MS: u64 = 500;
 /// The longest time without requests.
 const LONGEST_PAUSE_MS: u64 = 4_000;
+/// Answers in a row that may be lost before a server counts as unreachable.
+///
+/// The failure: a server that is well loses one answer in some, each loss ends all
+/// requests to it for a while, and its objects are handled by servers that do not
+/// know them. A server that is down loses all answers and opens no connection, so
+/// that it is found out by the next request.
+const LOST_ANSWERS_BORNE: u32 = 1;
 /// Time in which what is known of a server loses half of its weight. One that is
 /// avoided gets no requests that could show that it is well again.
 const HALF_LIFE_MS: f64 = 3_000.0;
@@ -30,8 +37,10 @@
     Failed,
     /// It rejected the request because it is full.
     Full,
-    /// No connection could be opened, or it broke.
+    /// No connection could be opened.
     Unreachable,
+    /// The connection broke after the request was sent, and its answer is lost.
+    AnswerLost,
     /// It had not answered when the request's time was over.
     TimedOut {
         /// Time from sending.
@@ -71,6 +80,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     failures_in_row: u32,
+    lost_in_row: u32,
     paused_until_ms: u64,
     recent: Recent,
     updated_at_ms: u64,
@@ -129,6 +139,7 @@
         match outcome {
             Outcome::Answered { taken_ms } => {
                 self.failures_in_row = 0;
+                self.lost_in_row = 0;
                 self.paused_until_ms = 0;
                 self.count(now_ms, false, taken_ms);
             }
@@ -136,15 +147,26 @@
             Outcome::TimedOut { taken_ms } => self.count(now_ms, true, taken_ms),
             Outcome::Unreachable => {
                 self.count(now_ms, true, 0);
-                let doublings = self.failures_in_row.min(8);
-                let pause_ms = (FIRST_PAUSE_MS << doublings).min(LONGEST_PAUSE_MS);
-                self.paused_until_ms = now_ms + pause_ms;
-                self.failures_in_row += 1;
+                self.pause(now_ms);
+            }
+            Outcome::AnswerLost => {
+                self.count(now_ms, true, 0);
+                self.lost_in_row += 1;
+                if self.lost_in_row > LOST_ANSWERS_BORNE {
+                    self.pause(now_ms);
+                }
             }
             Outcome::Cancelled => {}
         }
     }
 
+    fn pause(&mut self, now_ms: u64) {
+        let doublings = self.failures_in_row.min(8);
+        let pause_ms = (FIRST_PAUSE_MS << doublings).min(LONGEST_PAUSE_MS);
+        self.paused_until_ms = now_ms + pause_ms;
+        self.failures_in_row += 1;
+    }
+
     /// Whether no request should be sent at `now_ms`, because none got through.
     pub fn is_paused(&self, now_ms: u64) -> bool {
         now_ms < self.paused_until_ms
--- a/crates/azuregate-core/tests/balance/health.rs
+++ b/crates/azuregate-core/tests/balance/health.rs
@@ -108,3 +108,34 @@
     let cold: usize = cold.sum();
     assert!(usual * 4 > 18 && (1..=18).contains(&cold), "{cold} in half a second");
 }
+
+/// A server answers, but one answer is lost with its connection. Its objects stay
+/// with it: elsewhere they are not known, and their requests would be late. When the
+/// next answer is lost as well, the server may be down and gets nothing for a while.
+#[test]
+fn one_lost_answer_moves_no_objects() {
+    let mut balancer = balancer(0, 1, 6);
+    let usual = send(&mut balancer, 0, 0, |_| WELL);
+    for round in 1..5 {
+        lose_answers(&mut balancer, 1, round);
+        assert_eq!(send(&mut balancer, round, 0, |_| WELL), usual, "round {round}");
+    }
+    lose_answers(&mut balancer, 2, 10);
+    assert_eq!(send(&mut balancer, 10, 0, |_| WELL), 0);
+}
+
+/// Loses `count` answers of `server-5` in a row.
+fn lose_answers(balancer: &mut Balancer, count: usize, now_ms: u64) {
+    let service = service();
+    let mut lost = 0;
+    for object in (0..100).cycle() {
+        if lost == count {
+            return;
+        }
+        let choice = balancer.choose(&query(&service, object), now_ms).unwrap();
+        let is_lost = choice.backend.id.as_str() == "server-5";
+        lost += usize::from(is_lost);
+        let outcome = if is_lost { Outcome::AnswerLost } else { Outcome::Cancelled };
+        balancer.end(choice.handle, outcome, now_ms);
+    }
+}
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -78,7 +78,7 @@
                 return Ended::NotRun("closed");
             }
             Err(SendError::Broken) => {
-                in_flight.set_outcome(Outcome::Unreachable);
+                in_flight.set_outcome(Outcome::AnswerLost);
                 return Ended::Unknown("connection broke");
             }
         }
