Ask a server again that rejects a request with free slots

Ruled out: two more tries at the same server (no gain, the retry budget binds); a larger part of the retry budget (0.97 of the share in place of 0.85: no gain).

Change: a rejection by a server that had a free slot, as far as is known, does not exclude it from the next try. The budget and the attempts bound it as before. Why a request has not run is an enum in place of a text.

Test: a_rejection_without_cause_does_not_move_the_request replays the load, with and without asking again.

--- a/crates/azuregate-core/src/balance/place.rs
+++ b/crates/azuregate-core/src/balance/place.rs
@@ -50,6 +50,18 @@
     pub in_flight: u32,
 }
 
+impl Choice {
+    /// Whether a rejection by the server is no sign that it is full.
+    ///
+    /// The failure: servers reject a part of their requests although they have free
+    /// slots, and each rejected one is sent to a server that does not know its
+    /// object, where it is late. The server that knows the object is then worth
+    /// another try, which the retry budget and the attempts of the route bound.
+    pub fn had_free_slot(&self) -> bool {
+        self.in_flight < self.backend.slots
+    }
+}
+
 /// What a choice is based on, to explain a refusal.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Basis {
--- a/crates/azuregate-core/tests/balance/overload.rs
+++ b/crates/azuregate-core/tests/balance/overload.rs
@@ -25,7 +25,10 @@
         server_queue: 9,
         remembered: 43,
         remembers: Remembers::AtEnd,
-        return_ms: 250,
+        return_ms: 250..=250,
+        rejected: |_| 0.0,
+        tries: 1,
+        asks_again: |_| false,
         classes: vec![Class {
             route: "read",
             share: 1.0,
--- a/crates/azuregate-core/tests/balance/replay.rs
+++ b/crates/azuregate-core/tests/balance/replay.rs
@@ -4,9 +4,14 @@
 //! has slots, a queue, and a memory of the objects that it handled last: work on
 //! one that it remembers is shorter. Requests that were refused come back once.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    ops::RangeInclusive,
+};
 
-use azuregate_core::balance::{Backend, BackendHandle, Balancer, Outcome, Placement, Query};
+use azuregate_core::balance::{
+    Backend, BackendHandle, Balancer, Choice, Outcome, Placement, Query,
+};
 
 use crate::world::{ZONES, balancer_by, query, service, tell_others};
 
@@ -46,7 +51,14 @@
     /// Objects that a server remembers.
     pub(crate) remembered: usize,
     pub(crate) remembers: Remembers,
-    pub(crate) return_ms: u64,
+    /// After which clients come back that were refused.
+    pub(crate) return_ms: RangeInclusive<u64>,
+    /// The share of requests that a server rejects although it is not full.
+    pub(crate) rejected: fn(u64) -> f64,
+    /// Servers that a request may be sent to.
+    pub(crate) tries: u32,
+    /// Whether a server that rejected a request may be asked again.
+    pub(crate) asks_again: fn(&Choice) -> bool,
     pub(crate) classes: Vec<Class>,
     /// Whether the clients of an object are all in one region.
     pub(crate) is_regional: bool,
@@ -255,19 +267,10 @@
     }
 
     fn send(&mut self, request: Request, now_ms: u64) {
-        let service = service();
-        let class = &self.load.classes[request.class];
-        let hash = (self.load.hash)(class, request.object);
-        let wish: Query<'_> = query(&service, hash);
-        let balancer = &mut self.balancers[request.instance];
-        let Some(choice) = balancer.choose(&wish, now_ms) else {
+        let Some(choice) = self.choose(&request, now_ms) else {
             return self.refused(request, now_ms);
         };
         let server = self.servers.get_mut(choice.backend.id.as_str()).unwrap();
-        if server.waiting.len() >= self.load.server_queue {
-            balancer.end(choice.handle, Outcome::Full, now_ms);
-            return self.refused(request, now_ms);
-        }
         server.waiting.push_back(Job { request, handle: choice.handle, sent_ms: now_ms });
         let zone = choice.backend.zone.as_str();
         let region = ZONES.iter().find(|(name, _)| *name == zone).unwrap().1;
@@ -277,10 +280,41 @@
         second.at_home += u32::from(is_home);
     }
 
+    /// A server that takes the request, after one more try if the first rejects it.
+    fn choose(&mut self, request: &Request, now_ms: u64) -> Option<Choice> {
+        let service = service();
+        let class = &self.load.classes[request.class];
+        let hash = (self.load.hash)(class, request.object);
+        let mut tried = Vec::new();
+        for _ in 0..self.load.tries {
+            let wish = Query { tried: &tried, ..query(&service, hash) };
+            let choice = self.balancers[request.instance].choose(&wish, now_ms)?;
+            if self.is_taken(&choice, now_ms) {
+                return Some(choice);
+            }
+            self.balancers[request.instance].end(choice.handle, Outcome::Full, now_ms);
+            if !(self.load.asks_again)(&choice) {
+                tried.push(choice.handle);
+            }
+        }
+        None
+    }
+
+    fn is_taken(&mut self, choice: &Choice, now_ms: u64) -> bool {
+        let waiting = self.servers[choice.backend.id.as_str()].waiting.len();
+        let rejected = (self.load.rejected)(now_ms);
+        waiting < self.load.server_queue && (rejected == 0.0 || self.random.f64() >= rejected)
+    }
+
     fn refused(&mut self, request: Request, now_ms: u64) {
         if !request.is_return {
             let request = Request { is_return: true, ..request };
-            self.returning.push((now_ms + self.load.return_ms, request));
+            let return_ms = &self.load.return_ms;
+            let return_ms = match return_ms.start() == return_ms.end() {
+                true => *return_ms.start(),
+                false => self.random.u64(return_ms.clone()),
+            };
+            self.returning.push((now_ms + return_ms, request));
         }
     }
 
--- a/crates/azuregate-core/tests/balance/uneven.rs
+++ b/crates/azuregate-core/tests/balance/uneven.rs
@@ -5,7 +5,7 @@
 //! work takes 270 and 350 ms and all of it needs two thirds of the slots.
 
 use azuregate_core::{
-    balance::{Backend, ByObject, object_hash},
+    balance::{Backend, ByObject, Choice, object_hash},
     names::BackendId,
 };
 
@@ -43,7 +43,10 @@
         server_queue: 12,
         remembered: 28,
         remembers: Remembers::AtStart,
-        return_ms: 100,
+        return_ms: 100..=400,
+        rejected: |_| 0.0,
+        tries: 2,
+        asks_again: Choice::had_free_slot,
         classes: vec![read, book],
         is_regional: true,
         tells_others: true,
@@ -59,7 +62,7 @@
     Backend { id, slots: 4, ..backend(number) }
 }
 
-/// The mean over some seeds of what is in time once all is warm.
+/// The mean over some loads of what is in time once all is warm.
 fn when_warm(change: fn(&mut Load)) -> f64 {
     let share = |seed| {
         let mut load = load(seed);
@@ -79,3 +82,19 @@
     let by_route = when_warm(|_| {});
     assert!(by_route > by_object + 0.02, "{by_route:.3} and {by_object:.3}");
 }
+
+/// All servers reject half of their requests for six seconds although they have free
+/// slots. Most clients still get their answer in time if the server that knows the
+/// object is asked again; elsewhere the same request is cold and late.
+#[test]
+fn a_rejection_without_cause_does_not_move_the_request() {
+    fn rejecting(load: &mut Load) {
+        load.rejected = |now_ms| if (7_000..13_000).contains(&now_ms) { 0.5 } else { 0.0 };
+    }
+    let asked_again = when_warm(rejecting);
+    let moved = when_warm(|load| {
+        rejecting(load);
+        load.asks_again = |_| false;
+    });
+    assert!(asked_again > moved + 0.02, "{asked_again:.3} and {moved:.3}");
+}
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -38,11 +38,36 @@
     /// The backend server's own answer, complete or streaming.
     Answer(Response<Answer>),
     /// The request has certainly not run there.
-    NotRun(&'static str),
+    NotRun(NotRun),
     /// It may have run; there is no answer that can be used.
     Unknown(&'static str),
 }
 
+/// Why a request has not run at a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum NotRun {
+    /// No connection could be opened.
+    Unreachable,
+    /// A new connection was closed before the request was sent.
+    Closed,
+    /// The server said so.
+    Rejected,
+    /// Another server has its address by now.
+    AnotherServer,
+}
+
+impl NotRun {
+    /// The name for the log.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            NotRun::Unreachable => "unreachable",
+            NotRun::Closed => "closed",
+            NotRun::Rejected => "rejected",
+            NotRun::AnotherServer => "another server",
+        }
+    }
+}
+
 /// Sends a request to the chosen server and reads its answer.
 ///
 /// Dropping the future cancels the server's work.
@@ -63,7 +88,7 @@
                 Ok(connection) => connection,
                 Err(_) => {
                     in_flight.set_outcome(Outcome::Unreachable);
-                    return Ended::NotRun("unreachable");
+                    return Ended::NotRun(NotRun::Unreachable);
                 }
             },
         };
@@ -75,7 +100,7 @@
             Err(SendError::Unsent) if is_reused => in_flight.connection = None,
             Err(SendError::Unsent) => {
                 in_flight.set_outcome(Outcome::Unreachable);
-                return Ended::NotRun("closed");
+                return Ended::NotRun(NotRun::Closed);
             }
             Err(SendError::Broken) => {
                 in_flight.set_outcome(Outcome::AnswerLost);
@@ -158,7 +183,7 @@
         if head.into_body().collect().await.is_ok() {
             in_flight.keep_connection();
         }
-        return Ended::NotRun(if is_other { "another server" } else { "rejected" });
+        return Ended::NotRun(if is_other { NotRun::AnotherServer } else { NotRun::Rejected });
     }
     if head.status().is_success() && !is_usable_success(head.headers()) {
         in_flight.set_outcome(Outcome::Failed);
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -19,7 +19,7 @@
 
 use super::{
     answer::{self, Refusal},
-    attempt::{self, Ended, Outgoing},
+    attempt::{self, Ended, NotRun, Outgoing},
     state::State,
     streaming::Answer,
 };
@@ -31,7 +31,7 @@
 const LARGE_BODY_BYTES: usize = 20_000;
 /// Servers that may reject a request before it is given up, beyond the attempts
 /// of its route.
-const REJECTIONS: usize = 1;
+const REJECTIONS: u32 = 1;
 /// Time that must be left for another attempt to be of use.
 const LEAST_LEFT_MS: u64 = 20;
 /// Clients that were refused come back spread over this time.
@@ -229,7 +229,10 @@
 /// What has become of a request so far.
 #[derive(Default)]
 struct Progress {
+    /// Servers that are not asked again.
     tried: Vec<BackendHandle>,
+    /// How often it was sent to a server.
+    sends: u32,
     /// Servers that may have run it.
     runs: u32,
     /// Whether it is at a server now.
@@ -264,13 +267,14 @@
         let mut failure = None;
         loop {
             let left_ms = self.left_ms();
-            let is_retry = !progress.tried.is_empty();
+            let is_retry = progress.sends > 0;
             if is_retry && !self.may_retry(progress, left_ms) {
                 break;
             }
             let Some(choice) = self.choose(progress, record) else { break };
             record.tried(&choice);
             progress.tried.push(choice.handle);
+            progress.sends += 1;
             progress.is_sent = true;
             let ended = attempt::send(self.state, &choice, &self.outgoing, left_ms).await;
             progress.is_sent = false;
@@ -284,7 +288,12 @@
                     record.failed("failure");
                     failure = Some(response);
                 }
-                Ended::NotRun(cause) => record.failed(cause),
+                Ended::NotRun(cause) => {
+                    record.failed(cause.name());
+                    if cause == NotRun::Rejected && choice.had_free_slot() {
+                        progress.tried.pop();
+                    }
+                }
                 Ended::Unknown(cause) => {
                     progress.runs += 1;
                     record.failed(cause);
@@ -296,7 +305,7 @@
         }
         match failure {
             Some(response) => Ok(self.passed_on(response)),
-            None if progress.tried.is_empty() => Err(Refusal::NoRoom),
+            None if progress.sends == 0 => Err(Refusal::NoRoom),
             None => Err(progress.given_up(Refusal::Rejected)),
         }
     }
@@ -308,7 +317,7 @@
 
     fn may_retry(&self, progress: &Progress, left_ms: u64) -> bool {
         progress.runs < self.route.attempts
-            && progress.tried.len() < self.route.attempts as usize + REJECTIONS
+            && progress.sends < self.route.attempts + REJECTIONS
             && left_ms > LEAST_LEFT_MS
             && self.state.take_retry(self.service)
     }
