Let refused clients come back while their answer can be in time

Cause: a refused client came back after 100 to 400 ms, 250 in the mean, once.

Change: 30 to 150 ms when no server has a place, in a module of the core; as before while an instance starts.

Test: clients_that_are_told_to_come_back_soon_are_in_time replays bursts with both times.

--- a/crates/azuregate-core/tests/balance/uneven.rs
+++ b/crates/azuregate-core/tests/balance/uneven.rs
@@ -5,7 +5,7 @@
 //! work takes 270 and 350 ms and all of it needs two thirds of the slots.
 
 use azuregate_core::{
-    balance::{Backend, ByObject, Choice, object_hash},
+    balance::{Backend, ByObject, Choice, NotServed, object_hash},
     names::BackendId,
 };
 
@@ -43,7 +43,7 @@
         server_queue: 12,
         remembered: 28,
         remembers: Remembers::AtStart,
-        return_ms: 100..=400,
+        return_ms: NotServed::NoPlace.return_after_ms(),
         rejected: |_| 0.0,
         tries: 2,
         asks_again: Choice::had_free_slot,
@@ -98,3 +98,19 @@
     });
     assert!(asked_again > moved + 0.02, "{asked_again:.3} and {moved:.3}");
 }
+
+/// Twice the usual number of clients come for half a second, every two seconds. Those
+/// that are refused and come back as soon as places are free get their answer in time;
+/// after a quarter of a second in the mean more of them are late.
+#[test]
+fn clients_that_are_told_to_come_back_soon_are_in_time() {
+    fn bursts(load: &mut Load) {
+        load.per_s = |now_ms| if now_ms % 2_000 < 500 { 320.0 } else { 130.0 };
+    }
+    let soon = when_warm(bursts);
+    let later = when_warm(|load| {
+        bursts(load);
+        load.return_ms = 100..=400;
+    });
+    assert!(soon > later + 0.01, "{soon:.3} and {later:.3}");
+}
--- a/crates/azuregate/src/serve/answer.rs
+++ b/crates/azuregate/src/serve/answer.rs
@@ -1,5 +1,6 @@
 //! Answers that the instance makes itself, and headers that pass through.
 
+use azuregate_core::balance::NotServed;
 use azuregate_platform::request;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -49,9 +50,14 @@
         }
     }
 
-    /// Whether the request has certainly not run and may be sent again.
-    fn is_not_run(self) -> bool {
-        matches!(self, Refusal::NotReady | Refusal::NoRoom | Refusal::Rejected)
+    /// Why the request was not served, if it has certainly not run and may be sent
+    /// again.
+    fn not_served(self) -> Option<NotServed> {
+        match self {
+            Refusal::NotReady => Some(NotServed::Starting),
+            Refusal::NoRoom | Refusal::Rejected => Some(NotServed::NoPlace),
+            _ => None,
+        }
     }
 
     fn status(self) -> StatusCode {
@@ -67,12 +73,12 @@
         }
     }
 
-    /// The answer; `retry_after_ms` tells clients when to come back if the
-    /// request has not run.
-    pub(super) fn answer(self, retry_after_ms: u64) -> Response<Answer> {
+    /// The answer; it tells clients when to come back if the request has not run.
+    pub(super) fn answer(self) -> Response<Answer> {
         let mut response = Response::new(Answer::whole(Bytes::new()));
         *response.status_mut() = self.status();
-        if self.is_not_run() {
+        if let Some(not_served) = self.not_served() {
+            let retry_after_ms = fastrand::u64(not_served.return_after_ms());
             let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
             let value = seconds.parse().expect("a number is a valid header value");
             response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -34,8 +34,6 @@
 const REJECTIONS: u32 = 1;
 /// Time that must be left for another attempt to be of use.
 const LEAST_LEFT_MS: u64 = 20;
-/// Clients that were refused come back spread over this time.
-const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=400;
 
 /// Answers one request of a client, whose head arrived at `received_at`.
 pub(super) async fn handle(
@@ -51,7 +49,7 @@
         Ok(response) => response,
         Err(refusal) => {
             record.code = refusal.code();
-            refusal.answer(fastrand::u64(RETRY_AFTER_MS))
+            refusal.answer()
         }
     };
     state.metrics.request(&record.service, &record.route, record.code, taken_ms);
--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -30,7 +30,10 @@
 /// Runs at a time; each has five instances.
 const AT_ONCE: usize = 4;
 /// Seeds that failed once, each with its cause.
-const REGRESSIONS: [(u64, &str); 0] = [];
+const REGRESSIONS: [(u64, &str); 2] = [
+    (848_801_429, "both runs had the same IP numbers, which came from a hash of the seed"),
+    (841_128_440, "the same; the two have to be played at the same time"),
+];
 /// Played every time, so that the result does not hang on luck.
 const FIXED: [u64; 4] = [1, 2, 3, 4];
 
