Use the second server of an object one request earlier

Cause: with four requests waiting beyond the slots a request waits as long as warm work takes once more, and on the new customer's deployment that makes it late. A server remembers an object from the start of the first work on it, so the second server costs one cold run and serves the object warm from then on.

Change: three in place of four.

--- a/crates/azuregate-core/src/balance/rule.rs
+++ b/crates/azuregate-core/src/balance/rule.rs
@@ -61,12 +61,12 @@
 }
 
 /// Requests beyond its slots that may wait at the first server of an object before
-/// the second is used.
+/// the second is used: about what is done within one request's time.
 ///
 /// A short queue at the server that knows the object is worth more than a free
 /// slot at one that does not: work on an unknown object takes about three times
 /// as long, and pushes other objects out of that server's memory.
-const SHORT_QUEUE: u32 = 4;
+const SHORT_QUEUE: u32 = 3;
 /// The same for large bodies. Most of the cost of leaving is the way of the bytes,
 /// and a zone with few servers would be full for good: in the replayed load of
 /// `tests/balance/large.rs`, with 4 and the nearest servers only, 11% of all large
