Send heartbeats without the names of their fields

Cause: every instance sends two heartbeats a second to every other.

Change: heartbeats are sent as their fields in order, and only each fourth carries objects. The types stand in the core, apart from what sends them.

Test: a_heartbeat_is_small (100 bytes with headers); with field names it does not hold. datagrams_are_read_as_they_were_written.

--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -20,6 +20,7 @@
 mod backends;
 mod cold;
 mod config;
+mod datagrams;
 mod health;
 mod lapsed;
 mod members;
@@ -37,6 +38,7 @@
 pub use config::{
     CallerLimits, Config, ConfigError, ConfigParts, Destination, RequestKind, Route, Service,
 };
+pub use datagrams::{Datagram, Heartbeat, Load};
 pub use health::{Health, Outcome, Usual};
 pub use lapsed::Lapsed;
 pub use members::{LifeSign, Member, Members};
--- /dev/null
+++ b/crates/azuregate-core/tests/balance/datagrams.rs
@@ -0,0 +1,49 @@
+//! What instances tell each other by datagrams.
+
+use azuregate_core::{
+    balance::{Datagram, Heartbeat, Load},
+    names::StartNumber,
+};
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        instance: "entry-zone-a-12".to_owned(),
+        start: StartNumber(1_768_235_706_000),
+        is_leaving: true,
+        operator_version: 70_000,
+        backends_version: 80_000,
+        had_store_ms: 90_000,
+        can_watch: false,
+        requested: vec![u32::MAX; 4],
+    }
+}
+
+fn encoded(datagram: &Datagram) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(datagram, &mut bytes).unwrap();
+    bytes
+}
+
+#[test]
+fn datagrams_are_read_as_they_were_written() {
+    let cases = [
+        Datagram::Heartbeat(heartbeat()),
+        Datagram::Heartbeat(Heartbeat::default()),
+        Datagram::Load(Load("entry-1".to_owned(), vec![(1, 2), (u32::MAX, 3)])),
+    ];
+    for datagram in cases {
+        let read: Datagram = ciborium::from_reader(encoded(&datagram).as_slice()).unwrap();
+        assert_eq!(read, datagram);
+    }
+}
+
+/// Every instance sends two heartbeats a second to every other, so that with some
+/// dozens of instances they are most of what goes between them. With its headers one
+/// may not take more than a hundred bytes, without the objects that few carry.
+#[test]
+fn a_heartbeat_is_small() {
+    const HEADERS_BYTES: usize = 28;
+    let heartbeat = Heartbeat { requested: Vec::new(), ..heartbeat() };
+    let bytes = encoded(&Datagram::Heartbeat(heartbeat)).len();
+    assert!(bytes + HEADERS_BYTES <= 100, "{bytes}");
+}
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -4,6 +4,7 @@
 
 mod budgets;
 mod config;
+mod datagrams;
 mod health;
 mod lapsed;
 mod large;
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -6,17 +6,19 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use azuregate_core::{
-    balance::{InFlightAt, LifeSign},
-    names::{InstanceId, StartNumber},
+    balance::{Datagram, Heartbeat, InFlightAt, LifeSign, Load},
+    names::InstanceId,
     replica::Table,
 };
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use super::state::State;
 
 /// Time between heartbeats.
 const EVERY_MS: u64 = 500;
+/// Every which heartbeat tells of requested objects: whether they are regional changes
+/// seldom, and a few of them show it.
+const REQUESTED_EVERY: u32 = 4;
 /// The largest datagram that is read; a heartbeat has about a hundred bytes.
 const LIMIT_BYTES: usize = 1_200;
 /// For how many heartbeats in a row another instance must have seen more, or be
@@ -36,34 +38,6 @@
 /// with many instances each is told more seldom, which bounds the processor time.
 const LOAD_PER_S: u64 = 100;
 
-#[derive(Deserialize, Serialize)]
-enum Datagram {
-    Heartbeat(Heartbeat),
-    Load(Load),
-}
-
-/// What an instance has at the backend servers.
-#[derive(Deserialize, Serialize)]
-struct Load(String, Vec<(u32, u32)>);
-
-#[derive(Deserialize, Serialize)]
-struct Heartbeat {
-    instance: String,
-    start: StartNumber,
-    is_leaving: bool,
-    /// The version of the last change of the operator's table that it has seen.
-    operator_version: u64,
-    /// The same of the table of backend servers.
-    backends_version: u64,
-    /// For how long it has had the store without a break.
-    had_store_ms: u64,
-    /// Whether it may watch the store for others.
-    can_watch: bool,
-    /// Some objects that it got requests for.
-    #[serde(default)]
-    requested: Vec<u32>,
-}
-
 /// Sends and receives heartbeats until the process ends.
 pub(super) async fn serve(state: Rc<State>, socket: UdpSocket) {
     let mut beats = state.timer.subscribe(EVERY_MS);
@@ -71,6 +45,7 @@
     let mut load = LoadSender::default();
     let mut buffer = [0; LIMIT_BYTES];
     let mut peers = Peers::default();
+    let mut beat = 0;
     loop {
         tokio::select! {
             tick = beats.recv() => {
@@ -80,7 +55,8 @@
                 peers.check(&state);
                 state.remove_lapsed(false);
                 state.balancer.borrow_mut().forget_silent(state.now_ms());
-                send_all(&state, &socket, &heartbeat(&state)).await;
+                beat = (beat + 1) % REQUESTED_EVERY;
+                send_all(&state, &socket, &heartbeat(&state, beat == 0)).await;
             }
             _ = load_ticks.recv() => {
                 if let Some(datagram) = load.next(&state) {
@@ -122,7 +98,11 @@
     }
 }
 
-fn heartbeat(state: &State) -> Datagram {
+fn heartbeat(state: &State, tells_requested: bool) -> Datagram {
+    let requested = match tells_requested {
+        true => state.balancer.borrow_mut().take_requested(),
+        false => Vec::new(),
+    };
     let tables = state.tables.borrow();
     let since_ms = state.has_store_since_ms.get();
     Datagram::Heartbeat(Heartbeat {
@@ -133,7 +113,7 @@
         backends_version: tables.get(Table::Backends).last_change(),
         had_store_ms: since_ms.map_or(0, |since_ms| state.now_ms().saturating_sub(since_ms)),
         can_watch: state.contact.borrow().can_watch(state.now_ms()),
-        requested: state.balancer.borrow_mut().take_requested(),
+        requested,
     })
 }
 
