--- a/crates/azuregate-core/src/balance/datagrams.rs
+++ b/crates/azuregate-core/src/balance/datagrams.rs
@@ -52,35 +52,30 @@
 
 impl From<Fields> for Heartbeat {
     fn from(fields: Fields) -> Heartbeat {
-        let (instance, start, is_leaving, operator_version, backends_version, ..) = fields;
-        let (.., had_store_ms, can_watch, requested) = fields;
         Heartbeat {
-            instance,
-            start,
-            is_leaving,
-            operator_version,
-            backends_version,
-            had_store_ms,
-            can_watch,
-            requested,
+            instance: fields.0,
+            start: fields.1,
+            is_leaving: fields.2,
+            operator_version: fields.3,
+            backends_version: fields.4,
+            had_store_ms: fields.5,
+            can_watch: fields.6,
+            requested: fields.7,
         }
     }
 }
 
 impl From<Heartbeat> for Fields {
     fn from(heartbeat: Heartbeat) -> Fields {
-        let Heartbeat { instance, start, is_leaving, .. } = heartbeat;
-        let Heartbeat { operator_version, backends_version, had_store_ms, .. } = heartbeat;
-        let Heartbeat { can_watch, requested, .. } = heartbeat;
         (
-            instance,
-            start,
-            is_leaving,
-            operator_version,
-            backends_version,
-            had_store_ms,
-            can_watch,
-            requested,
+            heartbeat.instance,
+            heartbeat.start,
+            heartbeat.is_leaving,
+            heartbeat.operator_version,
+            heartbeat.backends_version,
+            heartbeat.had_store_ms,
+            heartbeat.can_watch,
+            heartbeat.requested,
         )
     }
 }
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -3,8 +3,8 @@
 
 Backend servers work several times faster on an object that they handled
 recently. [`Balancer`] therefore sends requests for one object to the same
-server on all instances, by rendezvous hashing and without any message between them,
-and leaves that server only when it is full, failing or leaving.
+server on all instances of a region, by rendezvous hashing and without any message
+between them, and leaves that server only when it is full, failing or leaving.
 
 # Design
 
@@ -15,6 +15,8 @@
 * [`RetryBudget`] and [`ColdBudget`] bound what all instances do together, each
   by a share of its own.
 * [`Members`] tells which entry instances clients should use.
+* [`Datagram`] is what entry instances tell each other.
+* [`NotServed`] tells refused clients when to come back.
 */
 
 mod backends;
