--- a/crates/azuregate-core/tests/balance/uneven.rs
+++ b/crates/azuregate-core/tests/balance/uneven.rs
@@ -2,7 +2,7 @@
 //!
 //! Twenty servers of four slots get 160 requests a second about 75 objects, by two
 //! routes. What servers remember is of use to the route that the work was for. Warm
-//! work takes 270 and 350 ms and all of it needs two thirds of the slots.
+//! work takes 270 and 350 ms and all of it needs three fifths of the slots.
 
 use azuregate_core::{
     balance::{Backend, ByObject, Choice, NotServed, object_hash},
