--- a/crates/azuregate/tests/serve/world.rs
+++ b/crates/azuregate/tests/serve/world.rs
@@ -83,7 +83,13 @@
 
     /// Starts an instance.
     pub(crate) fn start_instance(&self, number: u8) -> Instance {
-        let text = self.settings_text(number);
+        self.start_instance_in(number, "zone-a")
+    }
+
+    /// Starts an instance in an availability zone.
+    pub(crate) fn start_instance_in(&self, number: u8, zone: &str) -> Instance {
+        let own_zone = format!("self.zone={zone}\n");
+        let text = self.settings_text(number).replace("self.zone=zone-a\n", &own_zone);
         let settings = Settings::parse(&text).expect("the settings are complete");
         std::fs::write(self.settings_file(number), text).expect("the file can be written");
         let (traffic, ready, lookups) =
--- a/crates/platform/src/stand_in/rows.rs
+++ b/crates/platform/src/stand_in/rows.rs
@@ -59,6 +59,10 @@
         keys.map(|(_, key)| key.clone()).collect()
     }
 
+    pub(super) fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        self.rows.get(&(table.to_owned(), key.to_owned())).map(|row| row.value.clone())
+    }
+
     /// At most `limit` rows from the key `from`.
     pub(super) fn read(&self, table: &str, from: &str, limit: usize) -> Value {
         let matching: Vec<_> =
--- a/crates/platform/src/stand_in/store.rs
+++ b/crates/platform/src/stand_in/store.rs
@@ -100,6 +100,11 @@
         lock(&self.shared.rows).keys(table)
     }
 
+    /// The value of a row.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        lock(&self.shared.rows).value(table, key)
+    }
+
     /// Fails from now on; calls that wait already fail in the same way.
     pub fn set_fault(&self, fault: StoreFault) {
         *lock(&self.shared.fault) = fault;
