Count the time under way as age, and send changes so that they can arrive

In the same seconds half of all answers were late.

A follower took an update for as old as its sender said, by the time it arrived. While the sender's link was full, updates waited for seconds, were taken for fresh, and nobody looked elsewhere. What took longer than a limit was broken off and sent again from its start, and whoever was behind read all from the store besides: load grew just when links were full.

Ruled out: processor (1% of a core) and the store (no call refused or unanswered).

Now a follower asks, has one update under way at the most, and counts age from its question by its own clock, less the time for which the source held the question back. Ages add up along a chain, so a source may pass on what it heard, and a circle grows old. Time limits hold for a frame of 16 kB and not for a whole set, and sets are compressed, once for all followers that lack the same.

--- a/crates/azuregate-core/src/replica/contact.rs
+++ b/crates/azuregate-core/src/replica/contact.rs
@@ -23,22 +23,35 @@
 /// ends by itself, since one that does not watch makes no call that could succeed.
 const FAILURE_COUNTS_MS: u64 = 5_000;
 
-/// What a source said last.
+/// What a source answered last.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SourceReport {
-    /// When that arrived.
-    pub heard_at_ms: u64,
-    /// How long before that the store had answered the source.
-    pub store_age_ms: u64,
+    /// When the source was asked.
+    pub asked_at_ms: u64,
+    /// How long the source held the question back before it answered.
+    pub held_ms: u64,
+    /// How old the source's own knowledge was when it answered.
+    pub age_ms: u64,
+}
+
+impl SourceReport {
+    /// The moment up to which the source knew everything, by the clock of the one
+    /// who asked. The time under way counts as age, since an answer may wait for
+    /// seconds on a full link.
+    fn known_at_ms(self) -> u64 {
+        (self.asked_at_ms + self.held_ms).saturating_sub(self.age_ms)
+    }
 }
 
 /// How old the last sign of the store is, by the own watch and by the sources.
 ///
 /// The failure: an instance follows others that have lost the store without
 /// noticing, are frozen, or cut off. It sees no change and sends to servers that
-/// left long ago. Each update of a source therefore carries the age of the store's
-/// last answer, and an instance without a recent one watches the store itself.
-/// That holds whatever became of the sources, since silence counts as age.
+/// left long ago. Each answer of a source therefore carries the age of what it knows,
+/// and an instance without a recent one watches the store itself. That holds whatever
+/// became of the sources, since silence counts as age. Ages add up along a chain of
+/// sources, and only the store's answer takes them back to zero, so instances that
+/// follow each other in a circle cannot keep each other fresh.
 #[derive(Clone, Debug)]
 pub struct Contact {
     change_ms: u64,
@@ -83,7 +96,8 @@
     /// Whether an instance that no other follows has to watch the store itself.
     pub fn needs_own_watch(&self, now_ms: u64) -> bool {
         let limit_ms = (self.lost_ms() as f64 * WITHOUT_SOURCE_SHARE) as u64;
-        let is_recent = self.own_age_ms(now_ms).is_some_and(|age_ms| age_ms < limit_ms);
+        let is_recent =
+            self.own_answer_at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < limit_ms);
         !is_recent && !self.has_fresh_source(now_ms)
     }
 
@@ -119,9 +133,15 @@
         self.own_answer_at_ms.is_some_and(|at_ms| self.is_recent(at_ms, now_ms))
     }
 
-    /// Time since the store last answered this instance.
-    pub fn own_age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.own_answer_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    /// The latest moment of which everything is known, by any way; `None` before the
+    /// first sign of the store.
+    pub fn known_at_ms(&self) -> Option<u64> {
+        self.known_at_ms
+    }
+
+    /// How old what is known is, by any way; `None` before the first sign of the store.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.known_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
     /// A source has had the store, as `report` says; `None` if it has lost it.
@@ -130,7 +150,7 @@
             self.sources.remove(source);
             return;
         };
-        let known_at_ms = report.heard_at_ms.saturating_sub(report.store_age_ms);
+        let known_at_ms = report.known_at_ms();
         self.known_at_ms = self.known_at_ms.max(Some(known_at_ms));
         self.sources.insert(source.clone(), known_at_ms);
     }
--- a/crates/azuregate/src/peer/socket.rs
+++ b/crates/azuregate/src/peer/socket.rs
@@ -73,18 +73,28 @@
     pub(crate) async fn send<T: Serialize>(&mut self, value: &T) -> Result<(), LinkError> {
         let mut bytes = Vec::new();
         ciborium::into_writer(value, &mut bytes).map_err(broken)?;
-        self.socket.send(Message::Binary(Bytes::from(bytes))).await.map_err(broken)
+        self.send_bytes(Bytes::from(bytes)).await
+    }
+
+    /// Sends bytes that are encoded already.
+    pub(crate) async fn send_bytes(&mut self, bytes: Bytes) -> Result<(), LinkError> {
+        self.socket.send(Message::Binary(bytes)).await.map_err(broken)
     }
 
     /// Waits for the next value; `None` when the other side closed the socket.
     /// Dropping the future loses no value.
     pub(crate) async fn recv<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LinkError> {
+        let Some(bytes) = self.recv_bytes().await? else { return Ok(None) };
+        ciborium::from_reader(bytes.as_ref()).map(Some).map_err(broken)
+    }
+
+    /// Waits for the bytes of the next value; `None` when the other side closed the
+    /// socket. Dropping the future loses none.
+    pub(crate) async fn recv_bytes(&mut self) -> Result<Option<Bytes>, LinkError> {
         loop {
             match self.socket.next().await {
                 None | Some(Ok(Message::Close(_))) => return Ok(None),
-                Some(Ok(Message::Binary(bytes))) => {
-                    return ciborium::from_reader(bytes.as_ref()).map(Some).map_err(broken);
-                }
+                Some(Ok(Message::Binary(bytes))) => return Ok(Some(bytes)),
                 Some(Ok(_)) => continue,
                 Some(Err(e)) => return Err(broken(e)),
             }
--- a/crates/azuregate/src/serve/follow.rs
+++ b/crates/azuregate/src/serve/follow.rs
@@ -7,9 +7,11 @@
     names::InstanceId,
     replica::{SourceReport, Table},
 };
+use bytes::BytesMut;
 use tokio::{sync::oneshot, task::spawn_local, time};
 
 use super::{
+    encoded::{ChangeSet, Encoded},
     relay::{Follow, LIMITS, PATH, Update},
     state::State,
 };
@@ -46,7 +48,7 @@
     }
     let is_chosen = sources == Sources::Store;
     let has_source = !state.contact.borrow().needs_own_watch(now_ms);
-    state.watches_for_others.set(is_chosen || state.followers.get() > 0);
+    state.watches_for_others.set(is_chosen);
     let is_watching = state.watches_for_others.get() || !has_source;
     let has_changed = state.is_watching.send_if_modified(|now| {
         let has_changed = *now != is_watching;
@@ -91,25 +93,59 @@
 async fn follow_once(state: &State, source: &Member) -> Result<(), LinkError> {
     let addr = SocketAddr::new(source.ip, state.settings.peer_port);
     let mut socket = CborSocket::dial(state.settings.ip, addr, PATH, LIMITS).await?;
-    let version = |table| (table, state.tables.borrow().get(table).version());
-    socket.send(&Follow { versions: Table::ALL.map(version).into() }).await?;
     log::info!(source:% = source.instance; "follows");
     loop {
-        let silence = Duration::from_millis(state.contact.borrow().lost_ms());
-        let update = time::timeout(silence, socket.recv::<Update>()).await;
-        let update = update.map_err(|_| LinkError::new("silent"))?;
-        let Some(update) = update? else { return Ok(()) };
-        apply(state, &source.instance, update);
+        let asked_at_ms = state.now_ms();
+        let version = |table| (table, state.tables.borrow().get(table).version());
+        socket.send(&Follow { versions: Table::ALL.map(version).into() }).await?;
+        let Some(update) = in_time(state, socket.recv::<Update>()).await? else { return Ok(()) };
+        let Some(changes) = receive_changes(state, &mut socket, &update).await? else {
+            return Ok(());
+        };
+        apply(state, &source.instance, &update, asked_at_ms, changes);
+    }
+}
+
+/// The changes that `update` announces; `None` when the source has left.
+async fn receive_changes(
+    state: &State,
+    socket: &mut CborSocket,
+    update: &Update,
+) -> Result<Option<ChangeSet>, LinkError> {
+    if update.changes_bytes == 0 {
+        return Ok(Some(Vec::new()));
     }
+    let mut bytes = BytesMut::new();
+    while bytes.len() < update.changes_bytes {
+        let Some(chunk) = in_time(state, socket.recv_bytes()).await? else { return Ok(None) };
+        bytes.extend_from_slice(&chunk);
+    }
+    Encoded { coding: update.coding, bytes: bytes.freeze() }.decode().map(Some)
+}
+
+/// Waits for a frame for as long as a source may be silent.
+async fn in_time<T>(
+    state: &State,
+    frame: impl Future<Output = Result<T, LinkError>>,
+) -> Result<T, LinkError> {
+    let silence = Duration::from_millis(state.contact.borrow().lost_ms());
+    time::timeout(silence, frame).await.unwrap_or_else(|_| Err(LinkError::new("silent")))
 }
 
-fn apply(state: &State, source: &InstanceId, update: Update) {
-    let heard_at_ms = state.now_ms();
-    let report = update.store_age_ms.map(|store_age_ms| SourceReport { heard_at_ms, store_age_ms });
+fn apply(
+    state: &State,
+    source: &InstanceId,
+    update: &Update,
+    asked_at_ms: u64,
+    changes: ChangeSet,
+) {
+    let held_ms = update.held_ms;
+    let report = update.age_ms.map(|age_ms| SourceReport { asked_at_ms, held_ms, age_ms });
     state.contact.borrow_mut().heard(source, report);
     // Before the rows: whether a missing row ran out depends on it.
     state.check_contact();
-    for (table, changes) in update.changes {
+    for (table, changes) in changes {
         state.take(table, changes);
     }
+    state.changed.send_replace(());
 }
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -12,8 +12,8 @@
 lock, which the request path would pay for on every request.
 
 * `tables` holds copies of the store's tables, `apply` does what their rows ask for.
-  `watch` brings changes from the store, `follow` from instances that watch it,
-  `relay` passes them on. `heartbeat` tells which other instances live.
+  `watch` brings changes from the store, `follow` from other instances, `relay`
+  passes them on, `encoded` writes them down. `heartbeat` tells which other instances live.
 * `listen` accepts connections, `connection` serves one, `client_stream` notices
   that its client has left.
 * `pipeline` starts requests that wait behind others on their connection.
@@ -28,6 +28,7 @@
 mod attempt;
 mod client_stream;
 mod connection;
+mod encoded;
 mod follow;
 mod heartbeat;
 mod in_flight;
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -15,7 +15,7 @@
 use azuregate_platform::settings::{Bounds, Settings};
 use tokio::sync::{Notify, watch};
 
-use super::{metrics::Metrics, phase::Phase, pool::Pool, tables::Tables};
+use super::{encoded::EncodedCache, metrics::Metrics, phase::Phase, pool::Pool, tables::Tables};
 use crate::{stop::Stop, timer::Timer};
 
 /// The share of the retry budget that is used. Backend servers count when a
@@ -39,6 +39,8 @@
     pub(super) metrics: Metrics,
     /// Copies of the store's tables.
     pub(super) tables: RefCell<Tables>,
+    /// Changes as they were passed on last.
+    pub(super) encoded: RefCell<EncodedCache>,
     /// Wakes what passes changes on.
     pub(super) changed: watch::Sender<()>,
     /// How old the last sign of the store is, by the own watch and by sources.
@@ -88,6 +90,7 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             tables: RefCell::default(),
+            encoded: RefCell::default(),
             changed: watch::Sender::new(()),
             contact: RefCell::new(Contact::new(settings.bounds.change_ms)),
             is_watching: watch::Sender::new(true),
