Pass changes on inside each availability zone of a large deployment

Its first cause: two instances sent every change to all others, 13 to 15 MB for 1,400 routes more, on links of 1.25 MB/s. Their links were full for ten seconds and more, in which they answered neither clients nor the readiness check.

With more than 16 instances two of each zone follow the two that watch the store, and the others follow these two. An instance sends a change to the relays of all zones or to the instances of one zone. Whoever is followed need no longer watch the store itself, since ages add up along the way.

The test in_a_large_deployment_zones_pass_changes_on fails without it (an instance with more followers than one zone and the relays of all).

--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -165,6 +165,10 @@
         &self.own
     }
 
+    pub(super) fn own_zone(&self) -> Option<&ZoneName> {
+        self.known.get(&self.own).map(|known| &known.member.zone)
+    }
+
     pub(super) fn zones(&self) -> &BTreeMap<ZoneName, RegionName> {
         &self.zones
     }
--- a/crates/azuregate-core/tests/balance/members.rs
+++ b/crates/azuregate-core/tests/balance/members.rs
@@ -149,3 +149,37 @@
     let all: Vec<usize> = (0..9).collect();
     assert_eq!(views(&all)[3].sources(1_100), Sources::Instances(Vec::new()));
 }
+
+/// Guards against an instance of a large deployment sending every change to all others.
+#[test]
+fn in_a_large_deployment_zones_pass_changes_on() {
+    const COUNT: usize = 96;
+    let view = |own| {
+        let mut members = members(own, COUNT);
+        for number in 0..COUNT {
+            assert!(members.heard(&sign(instance(number).as_str(), 1), 1_000));
+        }
+        members.set_own_can_watch(true);
+        members
+    };
+    let views: Vec<Members> = (0..COUNT).map(view).collect();
+    let sources: Vec<Vec<String>> = views.iter().map(|view| followed(view, 1_100)).collect();
+    let watchers: Vec<usize> = (0..COUNT).filter(|&own| sources[own].is_empty()).collect();
+    assert_eq!(watchers.len(), 2);
+    let zone = |number: usize| number % crate::world::ZONES.len();
+    let in_zone = COUNT / crate::world::ZONES.len();
+    for own in 0..COUNT {
+        let followers =
+            sources.iter().filter(|all| all.iter().any(|name| name == instance(own).as_str()));
+        assert!(followers.count() <= in_zone + 2 * crate::world::ZONES.len(), "{own}");
+        // Whoever follows others than the two follows them through its own zone only.
+        let hears_from =
+            |name: &String| (0..COUNT).find(|&number| instance(number).as_str() == name);
+        for source in sources[own].iter().filter_map(hears_from) {
+            let is_direct = watchers.contains(&source);
+            assert!(is_direct || zone(source) == zone(own), "{own} follows {source}");
+            let passes_on = sources[source].iter().filter_map(hears_from);
+            assert!(is_direct || passes_on.into_iter().all(|next| watchers.contains(&next)));
+        }
+    }
+}
