Take an answer of the store for lost when it is silent, not when it is long

An instance whose link to the store is slow never started with a large configuration: the whole answer had to be there within 1.5 s, and each attempt began anew. Its age was counted from the end of the answer.

The limit now holds for the head and for each part of the body, and the age counts from the head.

The test a_large_configuration_is_read_over_a_slow_link (0.3 MB at 0.15 MB/s) failed before: the instance was not ready after ten seconds.

--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -217,7 +217,8 @@
             log::info!(table = self.table.as_str(); "store regained");
         }
         if self.table == Table::Backends {
-            self.state.contact.borrow_mut().answered(self.state.now_ms());
+            let answered_at_ms = self.state.now_ms().saturating_sub(self.store.answer_age_ms());
+            self.state.contact.borrow_mut().answered(answered_at_ms);
             self.state.check_contact();
         }
     }
--- a/crates/azuregate/tests/serve/slow_links.rs
+++ b/crates/azuregate/tests/serve/slow_links.rs
@@ -100,3 +100,20 @@
 fn calls_for_configuration(world: &World) -> usize {
     world.store.calls().iter().filter(|call| call.contains("table=op&")).count()
 }
+
+/// Guards against an instance that never starts since it breaks off a large answer of
+/// the store each time anew.
+#[tokio::test]
+async fn a_large_configuration_is_read_over_a_slow_link() {
+    let mut world = World::start(1).await;
+    world.configure(|config| {
+        config.more_prefixes.extend((0..1_400).map(|n| format!("/more{n}/")));
+    });
+    let ip = format!("{}.200", world.network).parse().unwrap();
+    let slow = Shape { bytes_per_s: 150_000, delay: Duration::ZERO };
+    let link = Link::start(ip, world.store.addr(), slow).await;
+    let store = world.store.addr().to_string();
+    let linked = SocketAddr::new(link.ip, world.store.addr().port()).to_string();
+    let entry = world.start_instance_with(1, |text| text.replace(&store, &linked));
+    eventually("the instance is ready", async || entry.ready().await == 200).await;
+}
--- a/crates/azuregate/tests/serve/world.rs
+++ b/crates/azuregate/tests/serve/world.rs
@@ -39,7 +39,7 @@
     pub(crate) store: StoreStandIn,
     pub(crate) backends: Vec<BackendStandIn>,
     pub(crate) config: ConfigText,
-    network: String,
+    pub(crate) network: String,
 }
 
 impl World {
@@ -89,7 +89,16 @@
     /// Starts an instance in an availability zone.
     pub(crate) fn start_instance_in(&self, number: u8, zone: &str) -> Instance {
         let own_zone = format!("self.zone={zone}\n");
-        let text = self.settings_text(number).replace("self.zone=zone-a\n", &own_zone);
+        self.start_instance_with(number, |text| text.replace("self.zone=zone-a\n", &own_zone))
+    }
+
+    /// Starts an instance with changed settings.
+    pub(crate) fn start_instance_with(
+        &self,
+        number: u8,
+        change: impl FnOnce(String) -> String,
+    ) -> Instance {
+        let text = change(self.settings_text(number));
         let settings = Settings::parse(&text).expect("the settings are complete");
         std::fs::write(self.settings_file(number), text).expect("the file can be written");
         let (traffic, ready, lookups) =
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,22 +1,28 @@
 //! The client of the platform's store.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use azuregate_core::replica::{Changes, Row, Table};
 use base64::{Engine, engine::general_purpose::STANDARD};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode, client::conn::http1::SendRequest, header};
+use hyper::{
+    Method, Request, StatusCode, body::Incoming, client::conn::http1::SendRequest, header,
+};
 use hyper_util::rt::TokioIo;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time};
 
-/// How long a call may take beyond the time that it asks the store to wait.
-/// Calls take some milliseconds; one that took this long on a connection that
-/// went silent would never end.
-const CALL_TIMEOUT_MS: u64 = 1_500;
+/// How long the store may be silent in a call, beyond the time that it is asked to
+/// wait: before the head of the answer, and before each part of its body. A limit
+/// for whole answers would break off a large one on a slow link each time anew.
+const SILENCE_MS: u64 = 1_500;
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 /// Idle time after which the connection is probed, and the pause between
@@ -135,12 +141,20 @@
 pub struct Store {
     addr: SocketAddr,
     connection: Option<SendRequest<Full<Bytes>>>,
+    answered_at: Option<Instant>,
 }
 
 impl Store {
     /// A client of the store at `addr`; connects when it is first used.
     pub fn new(addr: SocketAddr) -> Store {
-        Store { addr, connection: None }
+        Store { addr, connection: None, answered_at: None }
+    }
+
+    /// Time since the last answer began to arrive: the age of what it says, which
+    /// the rest of a large answer adds to.
+    pub fn answer_age_ms(&self) -> u64 {
+        let age = self.answered_at.map(|at| at.elapsed()).unwrap_or_default();
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
     }
 
     /// Reads all rows of `table`.
@@ -151,6 +165,7 @@
     pub async fn read(&mut self, table: Table) -> Result<Changes, StoreError> {
         let mut all = Changes { is_whole: true, rows: Vec::new(), version: 0 };
         let mut from = String::new();
+        let mut first_answered_at = None;
         loop {
             let path = format!("/-/rows-get?table={}&part=&from={from}", name(table));
             let body = self.call(Method::GET, &path, Bytes::new(), 0).await?;
@@ -159,9 +174,13 @@
             // the first of them misses nothing.
             if all.rows.is_empty() {
                 all.version = page.ver;
+                first_answered_at = self.answered_at;
             }
             all.rows.extend(page.rows.into_iter().map(row));
-            let (true, Some(last)) = (page.truncated, all.rows.last()) else { return Ok(all) };
+            let (true, Some(last)) = (page.truncated, all.rows.last()) else {
+                self.answered_at = first_answered_at;
+                return Ok(all);
+            };
             // The first key after `last`; the range begins with `from` itself.
             from = utf8_percent_encode(&format!("{}\0", last.key), NON_ALPHANUMERIC).to_string();
         }
@@ -219,11 +238,7 @@
         body: Bytes,
         wait_ms: u64,
     ) -> Result<Bytes, StoreError> {
-        let limit = Duration::from_millis(CALL_TIMEOUT_MS + wait_ms);
-        let result = match time::timeout(limit, self.call_once(method, path, body)).await {
-            Ok(result) => result,
-            Err(_) => Err(StoreError::NoAnswer("timeout".to_owned())),
-        };
+        let result = self.call_once(method, path, body, wait_ms).await;
         if matches!(result, Err(StoreError::NoAnswer(_) | StoreError::BadAnswer(_))) {
             // The connection may still deliver the late answer, or be silent.
             self.connection = None;
@@ -236,6 +251,7 @@
         method: Method,
         path: &str,
         body: Bytes,
+        wait_ms: u64,
     ) -> Result<Bytes, StoreError> {
         let request = Request::builder()
             .method(method)
@@ -244,14 +260,14 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(no_answer)?;
-        let connection = self.connection().await?;
-        let response = connection.send_request(request).await.map_err(no_answer)?;
+        let answering = async {
+            let connection = self.connection().await?;
+            connection.send_request(request).await.map_err(no_answer)
+        };
+        let response = not_silent(SILENCE_MS + wait_ms, answering).await?;
+        self.answered_at = Some(Instant::now());
         let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
-            .collect()
-            .await
-            .map_err(|e| StoreError::NoAnswer(e.to_string()))?
-            .to_bytes();
+        let body = read_body(response.into_body()).await?;
         match status {
             StatusCode::OK => Ok(body),
             StatusCode::GONE => Err(StoreError::HistoryGone),
@@ -271,6 +287,26 @@
     }
 }
 
+async fn not_silent<T>(
+    limit_ms: u64,
+    answering: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let answer = time::timeout(Duration::from_millis(limit_ms), answering).await;
+    answer.unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_owned())))
+}
+
+async fn read_body(incoming: Incoming) -> Result<Bytes, StoreError> {
+    let mut incoming = Limited::new(incoming, ANSWER_LIMIT_BYTES);
+    let mut body = BytesMut::new();
+    loop {
+        let frame = async { incoming.frame().await.transpose().map_err(no_answer) };
+        let Some(frame) = not_silent(SILENCE_MS, frame).await? else { return Ok(body.freeze()) };
+        if let Ok(data) = frame.into_data() {
+            body.extend_from_slice(&data);
+        }
+    }
+}
+
 async fn connect(addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, StoreError> {
     let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = time::timeout(limit, TcpStream::connect(addr))
