Deny no route without contact with the store

A client does not come back after a 404.

An instance that has not heard of the store lately cannot know that there is no such route. It now answers 503, which is true since nothing has run, and the client comes back, mostly to another instance. What it knows it serves as before.

The test without_contact_no_route_is_denied failed before.

--- a/crates/azuregate-core/src/balance/return_after.rs
+++ b/crates/azuregate-core/src/balance/return_after.rs
@@ -5,8 +5,8 @@
 /// Why a request was refused without having run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NotServed {
-    /// The instance has just started and knows too little.
-    Starting,
+    /// The instance knows too little: it has just started, or lost contact.
+    KnowsTooLittle,
     /// No server has a place, or each that was asked rejected the request.
     NoPlace,
 }
@@ -21,7 +21,7 @@
     /// within the objective. One that waits longer is late although it is served.
     pub fn return_after_ms(self) -> RangeInclusive<u64> {
         match self {
-            NotServed::Starting => 100..=400,
+            NotServed::KnowsTooLittle => 100..=400,
             NotServed::NoPlace => 30..=150,
         }
     }
--- a/crates/azuregate/src/serve/answer.rs
+++ b/crates/azuregate/src/serve/answer.rs
@@ -18,6 +18,9 @@
     NotReady,
     /// No route matches.
     NoRoute,
+    /// No route matches by what was known when contact with the store was lost; it
+    /// has not run.
+    OutOfContact,
     /// The request is malformed.
     BadRequest,
     /// The body is longer than allowed.
@@ -40,6 +43,7 @@
         match self {
             Refusal::NotReady => "not-ready",
             Refusal::NoRoute => "no-route",
+            Refusal::OutOfContact => "out-of-contact",
             Refusal::BadRequest => "bad-request",
             Refusal::BodyTooLong => "body-too-long",
             Refusal::BodyBroken => "body-broken",
@@ -54,7 +58,7 @@
     /// again.
     fn not_served(self) -> Option<NotServed> {
         match self {
-            Refusal::NotReady => Some(NotServed::Starting),
+            Refusal::NotReady | Refusal::OutOfContact => Some(NotServed::KnowsTooLittle),
             Refusal::NoRoom | Refusal::Rejected => Some(NotServed::NoPlace),
             _ => None,
         }
@@ -62,7 +66,7 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Refusal::NotReady | Refusal::NoRoom | Refusal::Rejected => {
+            Refusal::NotReady | Refusal::OutOfContact | Refusal::NoRoom | Refusal::Rejected => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -149,7 +149,9 @@
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let Some(host) = host else { return Err(Refusal::BadRequest) };
     let Some(route) = config.route(host, parts.uri.path()) else {
-        return Err(Refusal::NoRoute);
+        // A client does not come back after a denial, and the route may be new.
+        let has_contact = state.contact.borrow().is_fresh(state.now_ms());
+        return Err(if has_contact { Refusal::NoRoute } else { Refusal::OutOfContact });
     };
     let route = Arc::clone(route);
     record.route.push_str(&route.name);
--- a/crates/azuregate/tests/serve/configuration.rs
+++ b/crates/azuregate/tests/serve/configuration.rs
@@ -89,3 +89,21 @@
     world.store.set_fault(StoreFault::None);
     eventually("the instance is ready", async || entry.ready().await == 200).await;
 }
+
+/// Guards against denying a route that an instance cannot know yet, since it has lost
+/// contact with the store.
+#[tokio::test]
+async fn without_contact_no_route_is_denied() {
+    let world = World::start(1).await;
+    let entry = world.instance(1).await;
+    world.store.set_fault(StoreFault::Silent);
+    let denied = |path| {
+        let entry = &entry;
+        async move { entry.send(&read_request(path, "r1")).await.unwrap().status }
+    };
+    assert_eq!(denied("/new/x").await, 404);
+    eventually("the route is not denied", async || denied("/new/x").await == 503).await;
+    assert_eq!(denied("/read/x").await, 200);
+    world.store.set_fault(StoreFault::None);
+    eventually("the route is denied again", async || denied("/new/x").await == 404).await;
+}
