Tell by metrics whether changes arrive

The logs of both incidents kept their last hundred lines, which began long after the events; nothing told which instance was behind, how old its knowledge was, who sent how much and whose connections ended. Counters and gauges outlast the lines. The test metrics_tell_where_changes_come_from holds them against what the instances do.

--- a/crates/azuregate/src/serve/follow.rs
+++ b/crates/azuregate/src/serve/follow.rs
@@ -12,6 +12,7 @@
 
 use super::{
     encoded::{ChangeSet, Encoded},
+    metrics::count,
     relay::{Follow, LIMITS, PATH, Update},
     state::State,
 };
@@ -80,6 +81,7 @@
             _ = &mut ended => break,
         };
         let error = lost.err().unwrap_or_else(|| LinkError::new("closed"));
+        count(&state.metrics.changes.sources_lost, 1);
         log::info!(source:% = source.instance, error:% = error; "source lost");
         state.contact.borrow_mut().forget(&source.instance);
         tokio::select! {
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -1,6 +1,10 @@
 //! Counters and latency histograms, served as text.
 
-use std::{cell::RefCell, collections::BTreeMap, fmt::Write};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    fmt::Write,
+};
 
 use hdrhistogram::Histogram;
 
@@ -12,9 +16,28 @@
 /// Counters and histograms of one instance.
 #[derive(Default)]
 pub(super) struct Metrics {
+    pub(super) changes: ChangeCounters,
     series: RefCell<BTreeMap<Labels, Histogram<u64>>>,
 }
 
+/// What became of the store's changes on their way between instances.
+#[derive(Debug, Default)]
+pub(super) struct ChangeCounters {
+    /// Bytes of changes sent to followers.
+    pub(super) sent_bytes: Cell<u64>,
+    /// Connections to sources that ended.
+    pub(super) sources_lost: Cell<u64>,
+    /// Connections of followers that ended.
+    pub(super) followers_lost: Cell<u64>,
+    /// Tables read whole from the store.
+    pub(super) tables_read: Cell<u64>,
+}
+
+/// Adds to a counter.
+pub(super) fn count(counter: &Cell<u64>, more: u64) {
+    counter.set(counter.get().saturating_add(more));
+}
+
 /// What is true of the instance at one moment.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Gauges {
@@ -24,6 +47,14 @@
     pub(super) connections: usize,
     /// Registered instances.
     pub(super) instances: usize,
+    /// Instances that follow this one.
+    pub(super) followers: usize,
+    /// Whether it watches the store.
+    pub(super) is_watching: bool,
+    /// The version of the configuration in force.
+    pub(super) config_version: Option<u64>,
+    /// How old its knowledge of the store is.
+    pub(super) age_ms: Option<u64>,
 }
 
 /// What tells one histogram from another.
@@ -34,6 +65,17 @@
     code: &'static str,
 }
 
+impl ChangeCounters {
+    fn named(&self) -> [(&'static str, &Cell<u64>); 4] {
+        [
+            ("changes_sent_bytes", &self.sent_bytes),
+            ("sources_lost", &self.sources_lost),
+            ("followers_lost", &self.followers_lost),
+            ("tables_read", &self.tables_read),
+        ]
+    }
+}
+
 impl Metrics {
     /// Takes in one request.
     pub(super) fn request(&self, service: &str, route: &str, code: &'static str, taken_ms: u64) {
@@ -58,6 +100,17 @@
         line(format_args!("azuregate_ready {}", u8::from(gauges.is_ready)));
         line(format_args!("azuregate_connections {}", gauges.connections));
         line(format_args!("azuregate_instances {}", gauges.instances));
+        line(format_args!("azuregate_followers {}", gauges.followers));
+        line(format_args!("azuregate_watching {}", u8::from(gauges.is_watching)));
+        if let Some(version) = gauges.config_version {
+            line(format_args!("azuregate_config_version {version}"));
+        }
+        if let Some(age_ms) = gauges.age_ms {
+            line(format_args!("azuregate_knowledge_age_ms {age_ms}"));
+        }
+        for (name, counter) in self.changes.named() {
+            line(format_args!("azuregate_{name}_total {}", counter.get()));
+        }
         for (Labels { service, route, code }, histogram) in self.series.borrow().iter() {
             let labels = format!("service=\"{service}\",route=\"{route}\",code=\"{code}\"");
             line(format_args!("azuregate_requests_total{{{labels}}} {}", histogram.len()));
--- a/crates/azuregate/src/serve/ports.rs
+++ b/crates/azuregate/src/serve/ports.rs
@@ -73,6 +73,10 @@
         is_ready: state.is_ready(),
         connections: state.connections.get(),
         instances: state.members.borrow().len(),
+        followers: state.followers.get(),
+        is_watching: *state.is_watching.borrow(),
+        config_version: state.config().map(|config| config.version()),
+        age_ms: state.contact.borrow().age_ms(state.now_ms()),
     };
     plain(StatusCode::OK, "text/plain", state.metrics.text(gauges).into_bytes())
 }
--- a/crates/azuregate/src/serve/relay.rs
+++ b/crates/azuregate/src/serve/relay.rs
@@ -13,6 +13,7 @@
 
 use super::{
     encoded::{Coding, Encoded, Span},
+    metrics::count,
     state::State,
 };
 use crate::{
@@ -69,6 +70,7 @@
         let state = Rc::clone(&state);
         spawn_local(async move {
             if let Err(e) = serve_follower(&state, stream).await {
+                count(&state.metrics.changes.followers_lost, 1);
                 log::info!(error:% = e; "follower lost");
             }
         });
@@ -157,6 +159,7 @@
         changes_bytes: encoded.bytes.len(),
     };
     in_time(socket.send(&update)).await?;
+    count(&state.metrics.changes.sent_bytes, encoded.bytes.len() as u64);
     let mut rest = encoded.bytes;
     while !rest.is_empty() {
         let chunk = rest.split_to(rest.len().min(CHUNK_BYTES));
--- a/crates/azuregate/src/serve/watch.rs
+++ b/crates/azuregate/src/serve/watch.rs
@@ -12,7 +12,7 @@
 };
 use tokio::{sync::Notify, task::spawn_local, time};
 
-use super::state::State;
+use super::{metrics::count, state::State};
 
 /// The longest time for which the watch of members waits. Heartbeats tell of an
 /// unknown member sooner.
@@ -181,6 +181,7 @@
         let replaced = self.state.replace(self.table, whole);
         replaced.map_err(|e| StoreError::BadAnswer(e.to_string()))?;
         self.must_read = false;
+        count(&self.state.metrics.changes.tables_read, 1);
         Ok(())
     }
 
--- a/crates/azuregate/tests/serve/relay.rs
+++ b/crates/azuregate/tests/serve/relay.rs
@@ -5,7 +5,7 @@
 use azuregate_platform::stand_in::StoreFault;
 use tokio::time;
 
-use crate::world::{Instance, World, eventually, read_request};
+use crate::world::{Instance, World, eventually, get, read_request};
 
 /// Time in which instances find out whom to follow.
 const SETTLED: Duration = Duration::from_millis(3_000);
@@ -89,3 +89,24 @@
     }
     assert!(returned_at.elapsed() < Duration::from_millis(3_500));
 }
+
+#[tokio::test]
+async fn metrics_tell_where_changes_come_from() {
+    let world = World::start(1).await;
+    let entries = settled(&world, 4).await;
+    let mut watching = 0;
+    for entry in &entries {
+        let text = get(entry.metrics, "/metrics").await.unwrap().body;
+        let value = |name: &str| -> u64 {
+            let line = text.lines().find(|line| line.split(' ').next() == Some(name));
+            line.and_then(|line| line.split(' ').nth(1)?.parse().ok()).expect(name)
+        };
+        watching += value("azuregate_watching");
+        assert_eq!(value("azuregate_config_version"), 1);
+        assert!(value("azuregate_knowledge_age_ms") < 1_200, "{text}");
+        let has_sent = value("azuregate_changes_sent_bytes_total") > 0;
+        assert!(value("azuregate_watching") == 1 || !has_sent, "{text}");
+        assert!(value("azuregate_tables_read_total") >= 1);
+    }
+    assert_eq!(watching, 2);
+}
