Test that silent relays leave no zone without changes

Relays of a zone that deliver nothing and still send heartbeats look alive to the others. All instances have a change in force in time, since their knowledge grows old and they watch the store themselves.

--- a/crates/azuregate/tests/serve/slow_links.rs
+++ b/crates/azuregate/tests/serve/slow_links.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     links::{Link, Shape},
-    world::{Instance, PEER_PORT, World, eventually, read_request},
+    world::{Instance, PEER_PORT, World, eventually, get, read_request},
 };
 
 /// Time in which instances find out whom to follow.
@@ -101,6 +101,26 @@
     world.store.calls().iter().filter(|call| call.contains("table=op&")).count()
 }
 
+/// Guards against instances that wait for relays which have gone silent, and send
+/// heartbeats all the same.
+#[tokio::test]
+async fn instances_behind_silent_relays_watch_the_store() {
+    let mut world = World::start(1).await;
+    let entries = settled(&world, 24, FAST).await;
+    let mut silent = 0;
+    for (entry, link) in &entries {
+        let text = get(entry.metrics, "/metrics").await.unwrap().body;
+        if !text.contains("azuregate_followers 0\n") {
+            link.set_delay(Duration::from_secs(3_600));
+            silent += 1;
+        }
+    }
+    assert!((4..=8).contains(&silent), "two watch and two of each zone pass on, not {silent}");
+    world.configure(|config| config.more_prefixes.push("/new/".to_owned()));
+    let taken = served_by_all(&entries, "/new/x", Instant::now()).await;
+    assert!(taken < CHANGE, "in force after {taken:?}");
+}
+
 /// Guards against an instance that never starts since it breaks off a large answer of
 /// the store each time anew.
 #[tokio::test]
