Watch for signals before ports are opened

The handler is now set before the settings are read. What comes before the first instruction of main still ends the process, which has no port then.

--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -32,7 +32,7 @@
     jsonc::Problem,
     logs, run, serve,
     settings::{Settings, SettingsError},
-    stop,
+    stop::{self, Stop},
 };
 
 pub use line::print_line;
@@ -158,22 +158,20 @@
 /// there have a part of one core.
 fn serve_on_platform(args: &ServeArgs) -> Exit {
     let path = args.settings.clone().unwrap_or_else(PlatformSettings::path);
-    let settings = serve::load_settings(&path);
     if args.check {
-        return check_platform_settings(&path, settings.err());
+        return check_platform_settings(&path, serve::load_settings(&path).err());
     }
     logs::start_on_stdout(&args.log);
     logs::panics();
-    let settings = match settings {
-        Ok(settings) => settings,
-        Err(e) => {
-            log_report(&e);
-            return Exit::Usage;
-        }
-    };
     block_on(async {
-        let (stopper, stop) = stop::channel();
-        tokio::spawn(stop_on_signal(stopper));
+        let stop = stop_on_signal();
+        let settings = match serve::load_settings(&path) {
+            Ok(settings) => settings,
+            Err(e) => {
+                log_report(&e);
+                return Exit::Usage;
+            }
+        };
         match serve::run(settings, Some(path), stop).await {
             Ok(()) => Exit::Done,
             Err(e) => {
@@ -218,8 +216,7 @@
         }
     };
     runtime.block_on(async {
-        let (stopper, stop) = stop::channel();
-        tokio::spawn(stop_on_signal(stopper));
+        let stop = stop_on_signal();
         match run::run(settings, stop).await {
             Ok(()) => Exit::Done,
             Err(e) => {
@@ -247,28 +244,35 @@
     log::error!(error = errors.join(": "), detail = details.join("; "); "cannot start");
 }
 
-/// The first SIGTERM or SIGINT starts a planned stop, the second ends the
-/// process at once.
-async fn stop_on_signal(stopper: stop::Stopper) {
+/// Watches for signals from now on: the first SIGTERM or SIGINT starts a planned stop,
+/// the second ends the process at once.
+///
+/// To be called before ports are opened. A signal that comes earlier ends the process
+/// by itself, and with it connections that it was about to accept.
+fn stop_on_signal() -> Stop {
     use tokio::signal::unix::{SignalKind, signal};
 
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        log::error!("signals cannot be watched");
-        return std::future::pending().await;
-    };
-    for first in [true, false] {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        if first {
-            log::info!("planned stop");
-            stopper.stop();
+    let (stopper, stop) = stop::channel();
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    tokio::spawn(async move {
+        let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+            log::error!("signals cannot be watched");
+            // Dropping the stopper would start a stop.
+            return std::future::pending().await;
+        };
+        for first in [true, false] {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            if first {
+                log::info!("planned stop");
+                stopper.stop();
+            }
         }
-    }
-    std::process::exit(Exit::Failed as i32);
+        std::process::exit(Exit::Failed as i32);
+    });
+    stop
 }
 
 /// Reads a file that a command names.
