Log the client and the path of each request

A request that comes again has a new id each time, so the log could not tell whether broken connections concerned the same request or others for the same object. Client and path tell them apart; the path is limited to 128 characters.

--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -1,6 +1,6 @@
 //! Serves one client connection.
 
-use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::IpAddr, pin::pin, rc::Rc, time::Duration};
 
 use azuregate_core::balance::ClientLimits;
 use hyper::{Request, Response, body::Incoming, header, server::conn::http1, service::service_fn};
@@ -70,28 +70,28 @@
     }
 }
 
-/// Serves a connection until either side closes it.
-pub(super) async fn serve(state: Rc<State>, stream: TcpStream) {
+/// Serves a connection from `client` until either side closes it.
+pub(super) async fn serve(state: Rc<State>, stream: TcpStream, client: IpAddr) {
     let _ = stream.set_nodelay(true);
     let limits = state.config().map_or(DEFAULT_LIMITS, |config| config.limits());
     let connection_state = Rc::new(ConnectionState::default());
     connection_state.idle_since_ms.set(state.now_ms());
-    let (client, read_ahead) = client_stream::split(stream);
+    let (client_stream, read_ahead) = client_stream::split(stream);
     let service = service_fn({
         let (state, connection_state) = (Rc::clone(&state), Rc::clone(&connection_state));
-        move |request| handle(Rc::clone(&state), Rc::clone(&connection_state), request)
+        move |request| handle(Rc::clone(&state), Rc::clone(&connection_state), client, request)
     });
     let mut server = http1::Builder::new();
     server
         .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .half_close(false);
-    let mut connection = pin!(server.serve_connection(client, service));
+    let mut connection = pin!(server.serve_connection(client_stream, service));
     let mut scanner = RequestScanner::default();
     let mut read_ahead = pin!(read_ahead.run(|bytes| {
         scanner.feed(bytes);
         while let Some(parts) = scanner.next_get() {
-            connection_state.pipeline.push(&state, parts);
+            connection_state.pipeline.push(&state, client, parts);
         }
         connection_state.set_partial_head(scanner.has_partial_head(), state.now_ms());
     }));
@@ -137,6 +137,7 @@
 async fn handle(
     state: Rc<State>,
     connection_state: Rc<ConnectionState>,
+    client: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     connection_state.in_flight.set(connection_state.in_flight.get() + 1);
@@ -144,7 +145,7 @@
     let (parts, body) = request.into_parts();
     let mut response = match connection_state.pipeline.take_response(&parts).await {
         Some(response) => response,
-        None => request::handle(Rc::clone(&state), parts, Some(body), Instant::now()).await,
+        None => request::handle(Rc::clone(&state), client, parts, Some(body), Instant::now()).await,
     };
     connection_state.pipeline.finish_current();
     connection_state.in_flight.set(connection_state.in_flight.get() - 1);
--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -64,14 +64,14 @@
 pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
     let mut closed = pin!(shutdown::wait_for_phase(&state, ShutdownPhase::ListenerClosed));
     loop {
-        let (stream, _) = tokio::select! {
+        let (stream, peer) = tokio::select! {
             accepted = accept::next(&listener) => accepted,
             () = &mut closed => return,
         };
         let state = Rc::clone(&state);
         spawn_local(async move {
             state.connections.set(state.connections.get() + 1);
-            connection::serve(Rc::clone(&state), stream).await;
+            connection::serve(Rc::clone(&state), stream, peer.ip()).await;
             state.connections.set(state.connections.get() - 1);
         });
     }
--- a/crates/azuregate/src/serve/pipeline.rs
+++ b/crates/azuregate/src/serve/pipeline.rs
@@ -7,7 +7,7 @@
 //! [`Pipeline`] starts those requests. When hyper reads a request that was already
 //! started, it gets the response of the started one.
 
-use std::{cell::RefCell, collections::VecDeque, rc::Rc};
+use std::{cell::RefCell, collections::VecDeque, net::IpAddr, rc::Rc};
 
 use azuregate_platform::request;
 use bytes::{Buf, BytesMut};
@@ -138,7 +138,7 @@
 
 impl Pipeline {
     /// Adds a received request, and starts it if it is pipelined behind another one.
-    pub(super) fn push(&self, state: &Rc<State>, parts: Parts) {
+    pub(super) fn push(&self, state: &Rc<State>, client: IpAddr, parts: Parts) {
         let mut unanswered = self.unanswered.borrow_mut();
         *unanswered += 1;
         let mut started = self.started.borrow_mut();
@@ -150,7 +150,8 @@
         }
         let uri = parts.uri.clone();
         let id = parts.headers.get(request::REQUEST_ID).cloned();
-        let task = spawn_local(handler::handle(Rc::clone(state), parts, None, Instant::now()));
+        let task =
+            spawn_local(handler::handle(Rc::clone(state), client, parts, None, Instant::now()));
         started.push_back(StartedRequest { uri, id, task });
     }
 
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -1,6 +1,6 @@
 //! Handles one client request.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 
 use azuregate_core::{
     balance::{self, BackendHandle, BackendQuery, Choice, RequestKind, Route},
@@ -31,17 +31,20 @@
 const LARGE_BODY_BYTES: usize = 20_000;
 /// Sends allowed beyond the route's attempts, to make up for rejected ones.
 const EXTRA_SENDS_AFTER_REJECTION: u32 = 1;
+/// Longer paths are truncated in the log.
+const MAX_LOGGED_PATH_CHARS: usize = 128;
 /// The least time before the deadline at which a retry is still useful.
 const MIN_RETRY_REMAINING_MS: u64 = 20;
 
-/// Handles a client request whose head was received at `received_at`.
+/// Handles a request of `client` whose head was received at `received_at`.
 pub(super) async fn handle(
     state: Rc<State>,
+    client: IpAddr,
     parts: Parts,
     body: Option<Incoming>,
     received_at: Instant,
 ) -> Response<ResponseBody> {
-    let mut log_entry = AccessLogEntry::new(&parts.headers);
+    let mut log_entry = AccessLogEntry::new(client, &parts);
     let result = serve(&state, parts, body, received_at, &mut log_entry).await;
     let taken_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let response = match result {
@@ -69,6 +72,9 @@
 /// The access log entry of a request.
 struct AccessLogEntry {
     id: String,
+    client: IpAddr,
+    /// The start of the path and query.
+    path: String,
     object: String,
     route: String,
     service: String,
@@ -84,9 +90,13 @@
 }
 
 impl AccessLogEntry {
-    fn new(headers: &HeaderMap) -> AccessLogEntry {
-        let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    fn new(client: IpAddr, parts: &Parts) -> AccessLogEntry {
+        let text =
+            |name| parts.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         AccessLogEntry {
+            client,
+            path: path.chars().take(MAX_LOGGED_PATH_CHARS).collect(),
             id: text(request::REQUEST_ID).unwrap_or_default().to_owned(),
             object: text(request::AFFINITY_KEY).unwrap_or_default().to_owned(),
             route: String::new(),
@@ -120,6 +130,8 @@
     fn log(&self, status: StatusCode, taken_ms: u64) {
         log::info!(
             id = self.id.as_str(),
+            client:% = self.client,
+            path = self.path.as_str(),
             code = self.code,
             status = status.as_u16(),
             route = self.route.as_str(),
