Add a failing test of a request that crashes servers

The fake backend server now crashes on such a request, or on demand, and starts again under another id.

--- a/crates/azuregate/tests/serve/backends.rs
+++ b/crates/azuregate/tests/serve/backends.rs
@@ -41,9 +41,9 @@
         match is_announced {
             true => {
                 let row = backend_row(SERVICE, leaving.addr(), "zone-a", "draining");
-                cluster.store.put("servers", leaving.id(), row);
+                cluster.store.put("servers", &leaving.id(), row);
             }
-            false => cluster.store.remove("servers", leaving.id()),
+            false => cluster.store.remove("servers", &leaving.id()),
         }
         let mut round = 0;
         eventually("the server receives no requests", async || {
@@ -84,7 +84,7 @@
     let instance = cluster.start_ready_instance(1).await;
     cluster.store.set_fault(StoreFault::ErrorStatus(503));
     time::sleep(Duration::from_millis(1_500)).await;
-    cluster.backends.iter().for_each(|backend| cluster.store.remove("servers", backend.id()));
+    cluster.backends.iter().for_each(|backend| cluster.store.remove("servers", &backend.id()));
     cluster.store.set_fault(StoreFault::None);
     let start = time::Instant::now();
     while start.elapsed() < Duration::from_millis(1_500) {
--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod cluster;
 mod configuration;
+mod crashing_requests;
 mod links;
 mod lookups;
 mod relay;
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -218,7 +218,7 @@
         time::sleep(duration).await;
         let rows_expire = expire_rows && duration > Duration::from_secs(2);
         if rows_expire {
-            self.servers.iter().for_each(|s| self.store.remove("servers", s.backend.id()));
+            self.servers.iter().for_each(|s| self.store.remove("servers", &s.backend.id()));
         }
         self.store.set_fault(StoreFault::None);
         if rows_expire {
@@ -231,7 +231,7 @@
         let is_drained = server.drained_at.lock().unwrap().is_some();
         let state = if is_drained { "draining" } else { "ready" };
         let row = backend_row(SERVICE, server.proxy.addr, server.zone, state);
-        self.store.put("servers", server.backend.id(), row);
+        self.store.put("servers", &server.backend.id(), row);
     }
 
     /// Marks a server as draining and removes its row later.
@@ -240,7 +240,7 @@
         *server.drained_at.lock().unwrap() = Some(Instant::now());
         self.register(server);
         time::sleep(Duration::from_secs(3)).await;
-        self.store.remove("servers", server.backend.id());
+        self.store.remove("servers", &server.backend.id());
     }
 
     fn publish_config(&self) {
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -9,9 +9,18 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time,
 };
 
+/// A server crashes when it executes a request whose path has a segment that begins with
+/// this.
+pub const CRASH_SEGMENT: &str = "crash-";
+/// Time from a crash to the next start.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
+/// Time for which a server executes a request that crashes it.
+const TIME_TO_CRASH: Duration = Duration::from_millis(30);
+
 /// How the fake handles requests.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum Behaviour {
@@ -61,18 +70,28 @@
     pub received_at: Instant,
     /// When the client closed the connection before the response was sent.
     pub cancelled_at: Option<Instant>,
+    /// When the request crashed the server.
+    pub crashed_at: Option<Instant>,
 }
 
 /// A fake backend server on a port of its own, which records the requests that it
-/// receives.
+/// receives. After a crash it starts again under another id.
 #[derive(Clone)]
 pub struct FakeBackend {
     addr: SocketAddr,
     shared: Arc<Shared>,
 }
 
+/// The number of a server's starts and whether it is up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Run {
+    starts: u32,
+    is_up: bool,
+}
+
 struct Shared {
-    id: String,
+    name: String,
+    run: watch::Sender<Run>,
     behaviour: Mutex<Behaviour>,
     received: Mutex<Vec<ReceivedRequest>>,
 }
@@ -90,16 +109,35 @@
     pub async fn start(id: &str, ip: &str) -> FakeBackend {
         let listener = TcpListener::bind((ip, 0)).await.expect("a loopback port is free");
         let addr = listener.local_addr().expect("the port is open");
-        let id = id.to_owned();
-        let shared = Shared { id, behaviour: Mutex::default(), received: Mutex::default() };
-        let shared = Arc::new(shared);
-        tokio::spawn(accept(listener, Arc::clone(&shared)));
+        let shared = Arc::new(Shared {
+            name: id.to_owned(),
+            run: watch::Sender::new(Run { starts: 1, is_up: true }),
+            behaviour: Mutex::default(),
+            received: Mutex::default(),
+        });
+        tokio::spawn(run(listener, addr, Arc::clone(&shared)));
         FakeBackend { addr, shared }
     }
 
-    /// Returns the server's id.
-    pub fn id(&self) -> &str {
-        &self.shared.id
+    /// Returns the id of the server's current or next start.
+    pub fn id(&self) -> String {
+        self.shared.id()
+    }
+
+    /// Ends the server as a crash does: without a response to any request.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
+    /// Waits until the server has crashed and started again, and returns the id under which
+    /// it crashed.
+    pub async fn restarted(&self) -> String {
+        let crashed = self.id();
+        let mut run = self.shared.run.subscribe();
+        let starts = run.borrow().starts;
+        // The sender lives as long as `self`.
+        let _ = run.wait_for(|run| run.starts > starts).await;
+        crashed
     }
 
     /// Returns the server's address.
@@ -118,28 +156,73 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+impl Shared {
+    fn id(&self) -> String {
+        match self.run.borrow().starts {
+            1 => self.name.clone(),
+            starts => format!("{}.{starts}", self.name),
+        }
+    }
+
+    fn crash(&self) {
+        self.run.send_if_modified(|run| std::mem::replace(&mut run.is_up, false));
+    }
+
+    async fn crashed(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.run.subscribe().wait_for(|run| !run.is_up).await;
+    }
+}
+
+/// Runs the server, and starts it again after each crash.
+async fn run(mut listener: TcpListener, addr: SocketAddr, shared: Arc<Shared>) {
+    loop {
+        tokio::select! {
+            () = accept(&listener, &shared) => return,
+            () = shared.crashed() => {}
+        }
+        drop(listener);
+        time::sleep(CRASH_DOWNTIME).await;
+        listener = TcpListener::bind(addr).await.expect("the port is still free");
+        shared.run.send_modify(|run| *run = Run { starts: run.starts + 1, is_up: true });
+    }
+}
+
+async fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, Arc::clone(&shared)));
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serve(stream, &shared) => {}
+                () = shared.crashed() => {}
+            }
+        });
     }
 }
 
-async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
+async fn serve(mut stream: TcpStream, shared: &Shared) {
     let mut bytes = Vec::new();
     let mut last_id = "none".to_owned();
     while let Some(mut received) = read(&mut stream, &mut bytes).await {
-        let is_for_another = received.target_backend != shared.id;
+        let is_for_another = received.target_backend != shared.id();
         let behaviour = match is_for_another {
             true => Behaviour::Misdirect,
             false => lock(&shared.behaviour).clone(),
         };
         received.is_executed = !matches!(behaviour, Behaviour::Reject | Behaviour::Misdirect);
+        let crashes =
+            received.is_executed && received.method_and_path.contains(&format!("/{CRASH_SEGMENT}"));
         let id = received.id.clone();
         let index = {
             let mut all = lock(&shared.received);
             all.push(received);
             all.len() - 1
         };
+        if crashes {
+            time::sleep(TIME_TO_CRASH).await;
+            lock(&shared.received)[index].crashed_at = Some(Instant::now());
+            return shared.crash();
+        }
         if let Behaviour::Delay(pause) = behaviour {
             let mut end = [0; 1];
             tokio::select! {
@@ -237,6 +320,7 @@
         body,
         received_at: Instant::now(),
         cancelled_at: None,
+        crashed_at: None,
     })
 }
 
--- a/crates/platform/src/fakes/mod.rs
+++ b/crates/platform/src/fakes/mod.rs
@@ -11,6 +11,6 @@
 mod rows;
 mod store;
 
-pub use backend::{Behaviour, FakeBackend, ReceivedRequest};
+pub use backend::{Behaviour, CRASH_SEGMENT, FakeBackend, ReceivedRequest};
 pub use fixtures::{ConfigDocument, backend_row, config_row, settings_text};
 pub use store::{FakeStore, StoreFault};
