Stop requests that crash the backend servers that execute them

Cause: nothing remembered a request beyond one client attempt. It came back under a new id and at another instance, found the crashed servers skipped by the hash, and was sent to the next ones, two per attempt.

Now each instance tells crashes from other broken connections: no connection of its own to the server survives, and a new one is refused or closed. A reset or a cut leaves the server reachable or silent, and a server that drains or has left the store ends on purpose. It reports which requests were in flight, by a fingerprint of method, host, path, body and credentials, to all other instances at once and three times more with the heartbeats. A request with three crashes of different servers and no response in between is refused on all instances with 503 and the time to its next trial, which one instance makes. Others that were in flight beside it are told from it by the number of their crashes, and any response of a server clears them.

--- a/crates/azuregate-core/src/balance/datagrams.rs
+++ b/crates/azuregate-core/src/balance/datagrams.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::CrashReport;
 use crate::names::StartNumber;
 
 /// A datagram from one entry instance to another.
@@ -14,6 +15,8 @@
     Heartbeat(Heartbeat),
     /// Requests that an instance has in flight.
     Load(Load),
+    /// Crashes of backend servers. Instances of older versions ignore it.
+    Crashes(CrashReport),
 }
 
 /// Requests that an instance has in flight at the backend servers.
--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -164,6 +164,15 @@
         selected.map(|(.., state)| state.member.traffic_addr).collect()
     }
 
+    /// Returns whether this instance ranks first for `key` among the live instances by
+    /// rendezvous hashing.
+    pub fn ranks_first(&self, key: &str, now_ms: u64) -> bool {
+        let available = self.states.values().filter(|state| self.is_available(state, now_ms));
+        let first =
+            available.max_by_key(|state| stable_hash(&[key, state.member.instance.as_str()]));
+        first.is_none_or(|state| state.member.instance == self.local)
+    }
+
     /// Iterates over the live instances that may watch the store on behalf of others.
     pub(super) fn eligible_watchers(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
         let available = self.states.values().filter(move |state| self.is_available(state, now_ms));
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -16,6 +16,7 @@
   own share.
 * [`Members`] tracks the entry instances and answers clients' lookups.
 * [`Datagram`] is the message between entry instances.
+* [`Quarantine`] recognizes requests that crash backend servers.
 * [`RetryReason`] determines the retry delay of refused clients.
 */
 
@@ -28,6 +29,7 @@
 mod members;
 mod missing_backends;
 mod policy;
+mod quarantine;
 mod remote_load;
 mod replication_source;
 mod retry_after;
@@ -46,6 +48,7 @@
 pub use members::{HeartbeatStatus, Member, Members};
 pub use missing_backends::MissingBackends;
 pub use policy::{Candidate, Decision, HealthStatus, LoadBalancingPolicy, ObjectAffinity};
+pub use quarantine::{Admission, BackendRun, CrashReport, Fingerprint, Quarantine, ReportScope};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
 pub use retry_after::RetryReason;
--- /dev/null
+++ b/crates/azuregate-core/src/balance/quarantine.rs
@@ -0,0 +1,396 @@
+//! Quarantine of requests that crash the backend servers that execute them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    fmt, mem,
+};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Backend;
+use crate::route::hash::stable_hash;
+
+/// Number of crashes of different servers after which a request is quarantined.
+const MAX_CRASHES: usize = 3;
+/// Time from the last crash to the first trial of a quarantined request; doubled for each
+/// failed trial. Long enough to roll back the version of a service.
+const FIRST_TRIAL_MS: u64 = 600_000;
+/// Trials after which a request stays quarantined until its crashes are forgotten.
+const MAX_TRIALS: usize = 3;
+/// Time within which a trial must have ended before there is another one.
+const TRIAL_TIMEOUT_MS: u64 = 60_000;
+/// Time after which a crash is forgotten.
+const CRASH_TTL_MS: u64 = 24 * 3_600_000;
+/// Bounds the memory to some hundred kilobytes, whatever callers send.
+const MAX_STORED_CRASHES: usize = 256;
+/// Requests stored of one crash.
+const MAX_REQUESTS_PER_CRASH: usize = 64;
+/// How often a report is sent, since datagrams may be lost.
+const REPORT_REPETITIONS: u32 = 4;
+/// Requests per datagram, so that it fits in one packet.
+const MAX_REQUESTS_PER_DATAGRAM: usize = 80;
+
+/// Identifies a request whenever it is sent again, under whatever ID.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request that consists of `parts`.
+    pub fn new<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Fingerprint {
+        let mut hasher = Xxh3::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Fingerprint(hasher.digest())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Identifies one run of a backend server, the same on all instances.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct BackendRun(pub u64);
+
+impl BackendRun {
+    /// Returns the current run of a server.
+    pub fn of(backend: &Backend) -> BackendRun {
+        BackendRun(stable_hash(&[backend.id.as_str(), &backend.start_epoch_ms.to_string()]))
+    }
+}
+
+/// A report of crashes from one instance to another, encoded by position.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CrashReport(
+    /// Each crashed run, the time since the crash in milliseconds, and the requests that were
+    /// in flight there.
+    pub Vec<(BackendRun, u64, Vec<Fingerprint>)>,
+    /// Requests that a server has responded to, so that they are not the cause of the crashes
+    /// reported so far.
+    pub Vec<Fingerprint>,
+);
+
+/// What a [`CrashReport`] contains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportScope {
+    /// What was not reported yet.
+    Unsent,
+    /// Also repetitions of what was reported, since datagrams may be lost.
+    Recent,
+    /// Also the crashes of all quarantined requests, for instances that have just started.
+    Quarantined,
+}
+
+/// Whether a request may be sent to backend servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may be sent.
+    Allowed,
+    /// It is quarantined.
+    Refused {
+        /// Time until it may be tried again.
+        retry_after_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    at_ms: u64,
+    /// The requests in flight; the value is whether the request was cleared since.
+    requests: BTreeMap<Fingerprint, bool>,
+    reports_left: u32,
+}
+
+impl Crash {
+    fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
+        self.requests.iter().filter(|(_, is_cleared)| !**is_cleared).map(|(request, _)| *request)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Quarantined {
+    crashes: usize,
+    last_crash_ms: u64,
+    trial_started_at_ms: Option<u64>,
+}
+
+impl Quarantined {
+    fn next_trial_ms(&self) -> Option<u64> {
+        let failed_trials = self.crashes.saturating_sub(MAX_CRASHES);
+        if failed_trials >= MAX_TRIALS {
+            return None;
+        }
+        let due_ms = self.last_crash_ms + (FIRST_TRIAL_MS << failed_trials);
+        let previous_ends_ms = self.trial_started_at_ms.map_or(0, |at| at + TRIAL_TIMEOUT_MS);
+        Some(due_ms.max(previous_ends_ms))
+    }
+}
+
+/// Recognizes requests that crash the backend servers that execute them, and keeps them from
+/// being sent to one server after the other.
+///
+/// Such a request comes back under new IDs and at any instance, so no instance sees more than
+/// a few of its crashes. Instances therefore report which requests were in flight at each
+/// crash. A request is quarantined after [`MAX_CRASHES`] crashes of different servers, without
+/// a response of any server in between.
+///
+/// Other requests in flight at the same servers are told from the cause by the number of their
+/// crashes: a crash counts only for the request that was in flight at the most crashes.
+///
+/// A quarantined request is tried again after a while by one instance, and released if a
+/// server responds.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    crashes: BTreeMap<BackendRun, Crash>,
+    quarantined: BTreeMap<Fingerprint, Quarantined>,
+    /// Cleared requests to report, with the number of reports left.
+    cleared: BTreeMap<Fingerprint, u32>,
+}
+
+impl Quarantine {
+    /// Returns whether any crash is known. Otherwise every request is admitted.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
+    /// Returns the number of quarantined requests.
+    pub fn quarantined_requests(&self) -> usize {
+        self.quarantined.len()
+    }
+
+    /// Returns whether a request may be sent. `is_responsible` tells whether this instance is
+    /// the one that tries it again.
+    pub fn admit(
+        &mut self,
+        request: Fingerprint,
+        is_responsible: impl FnOnce() -> bool,
+        now_ms: u64,
+    ) -> Admission {
+        let Some(quarantined) = self.quarantined.get_mut(&request) else {
+            return Admission::Allowed;
+        };
+        let next_trial_ms = quarantined.next_trial_ms();
+        if next_trial_ms.is_some_and(|at| at <= now_ms) && is_responsible() {
+            quarantined.trial_started_at_ms = Some(now_ms);
+            return Admission::Allowed;
+        }
+        let ends_ms = next_trial_ms.unwrap_or(quarantined.last_crash_ms + CRASH_TTL_MS);
+        let retry_after_ms = ends_ms.saturating_sub(now_ms).max(TRIAL_TIMEOUT_MS);
+        Admission::Refused { retry_after_ms }
+    }
+
+    /// Records that this instance saw a server crash with `requests` in flight. Returns the
+    /// requests that are quarantined from now on.
+    pub fn record_crash(
+        &mut self,
+        run: BackendRun,
+        requests: &[Fingerprint],
+        now_ms: u64,
+    ) -> Vec<Fingerprint> {
+        if !self.add_crash(run, requests, now_ms) {
+            return Vec::new();
+        }
+        if let Some(crash) = self.crashes.get_mut(&run) {
+            crash.reports_left = REPORT_REPETITIONS;
+        }
+        self.update(now_ms)
+    }
+
+    /// Records the report of another instance. Returns the requests that are quarantined from
+    /// now on.
+    pub fn record_report(&mut self, report: &CrashReport, now_ms: u64) -> Vec<Fingerprint> {
+        let CrashReport(crashes, cleared) = report;
+        let mut has_changed = false;
+        for (run, age_ms, requests) in crashes {
+            if *age_ms < CRASH_TTL_MS {
+                has_changed |= self.add_crash(*run, requests, now_ms.saturating_sub(*age_ms));
+            }
+        }
+        for request in cleared {
+            has_changed |= self.clear(*request);
+        }
+        if has_changed { self.update(now_ms) } else { Vec::new() }
+    }
+
+    /// Records that a server responded to a request. Returns whether that clears it of
+    /// crashes.
+    pub fn record_response(&mut self, request: Fingerprint, now_ms: u64) -> bool {
+        let was_suspect = self.clear(request);
+        if was_suspect {
+            self.cleared.insert(request, REPORT_REPETITIONS);
+            self.update(now_ms);
+        }
+        was_suspect
+    }
+
+    /// Returns what to report to the other instances, `None` if there is nothing.
+    pub fn next_report(&mut self, scope: ReportScope, now_ms: u64) -> Option<CrashReport> {
+        let is_due = |reports_left: u32| match scope {
+            ReportScope::Unsent => reports_left == REPORT_REPETITIONS,
+            ReportScope::Recent | ReportScope::Quarantined => reports_left > 0,
+        };
+        let mut report = CrashReport::default();
+        let mut requests_left = MAX_REQUESTS_PER_DATAGRAM;
+        let cleared = self.cleared.iter_mut().filter(|(_, reports_left)| is_due(**reports_left));
+        for (request, reports_left) in cleared.take(MAX_REQUESTS_PER_DATAGRAM) {
+            *reports_left -= 1;
+            requests_left -= 1;
+            report.1.push(*request);
+        }
+        self.cleared.retain(|_, reports_left| *reports_left > 0);
+        for (run, crash) in &mut self.crashes {
+            let is_due = is_due(crash.reports_left);
+            let requests: Vec<Fingerprint> = crash
+                .suspects()
+                .filter(|request| {
+                    is_due
+                        || scope == ReportScope::Quarantined
+                            && self.quarantined.contains_key(request)
+                })
+                .collect();
+            if requests.is_empty() || requests.len() > requests_left {
+                continue;
+            }
+            crash.reports_left = crash.reports_left.saturating_sub(1);
+            requests_left -= requests.len();
+            report.0.push((*run, now_ms.saturating_sub(crash.at_ms), requests));
+        }
+        (report != CrashReport::default()).then_some(report)
+    }
+
+    /// Forgets old crashes.
+    pub fn expire(&mut self, now_ms: u64) {
+        let count = self.crashes.len();
+        self.crashes.retain(|_, crash| now_ms < crash.at_ms + CRASH_TTL_MS);
+        if self.crashes.len() < count {
+            self.update(now_ms);
+        }
+    }
+
+    /// Adds requests that were in flight at a crash; returns whether any of them is new.
+    fn add_crash(&mut self, run: BackendRun, requests: &[Fingerprint], at_ms: u64) -> bool {
+        if !self.crashes.contains_key(&run) && self.crashes.len() >= MAX_STORED_CRASHES {
+            self.evict();
+        }
+        let crash = self.crashes.entry(run).or_insert_with(|| Crash {
+            at_ms,
+            requests: BTreeMap::new(),
+            reports_left: 0,
+        });
+        let count = crash.requests.len();
+        for request in requests {
+            if crash.requests.len() < MAX_REQUESTS_PER_CRASH {
+                crash.requests.entry(*request).or_insert(false);
+            }
+        }
+        crash.requests.len() > count
+    }
+
+    /// Evicts the oldest crash, one without quarantined requests if there is any.
+    fn evict(&mut self) {
+        let oldest = self.crashes.iter().min_by_key(|(_, crash)| {
+            (crash.suspects().any(|request| self.quarantined.contains_key(&request)), crash.at_ms)
+        });
+        if let Some(run) = oldest.map(|(run, _)| *run) {
+            self.crashes.remove(&run);
+        }
+    }
+
+    fn clear(&mut self, request: Fingerprint) -> bool {
+        let mut was_suspect = false;
+        for crash in self.crashes.values_mut() {
+            if let Some(is_cleared) = crash.requests.get_mut(&request) {
+                was_suspect |= !mem::replace(is_cleared, true);
+            }
+        }
+        was_suspect
+    }
+
+    /// Recomputes the quarantined requests and returns those that are new.
+    fn update(&mut self, now_ms: u64) -> Vec<Fingerprint> {
+        let evidence = Evidence::of(&self.crashes);
+        let previous = mem::take(&mut self.quarantined);
+        let mut added = Vec::new();
+        for (&request, runs) in &evidence.runs {
+            let before = previous.get(&request).copied();
+            let is_quarantined = match before {
+                Some(_) => !evidence.is_dominated(request),
+                None => {
+                    let is_unexplained = |run: &&BackendRun| {
+                        let mut others = self.crashes[run].suspects().filter(|o| *o != request);
+                        !others.any(|o| evidence.explains(o, request, previous.contains_key(&o)))
+                    };
+                    runs.iter().filter(is_unexplained).count() >= MAX_CRASHES
+                }
+            };
+            if !is_quarantined {
+                continue;
+            }
+            let last_crash_ms = runs.iter().map(|run| self.crashes[run].at_ms).max();
+            self.quarantined.insert(
+                request,
+                Quarantined {
+                    crashes: runs.len(),
+                    last_crash_ms: last_crash_ms.unwrap_or(now_ms),
+                    ..before.unwrap_or_default()
+                },
+            );
+            if before.is_none() {
+                added.push(request);
+            }
+        }
+        added
+    }
+}
+
+/// The crashes of the requests that were in flight at [`MAX_CRASHES`] or more.
+#[derive(Debug, Default)]
+struct Evidence {
+    runs: BTreeMap<Fingerprint, BTreeSet<BackendRun>>,
+}
+
+impl Evidence {
+    fn of(crashes: &BTreeMap<BackendRun, Crash>) -> Evidence {
+        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
+        for request in crashes.values().flat_map(Crash::suspects) {
+            *counts.entry(request).or_default() += 1;
+        }
+        let mut evidence = Evidence::default();
+        for (run, crash) in crashes {
+            for request in crash.suspects().filter(|request| counts[request] >= MAX_CRASHES) {
+                evidence.runs.entry(request).or_default().insert(*run);
+            }
+        }
+        evidence
+    }
+
+    /// Returns whether crashes are attributed to `other` rather than to `request`, given that
+    /// both were in flight.
+    ///
+    /// Of two requests that were always together, only one is quarantined. If the other one is
+    /// the cause, the next crash shows it.
+    fn explains(&self, other: Fingerprint, request: Fingerprint, is_quarantined: bool) -> bool {
+        let Some(other_runs) = self.runs.get(&other) else { return false };
+        if is_quarantined {
+            return !self.dominates(request, other);
+        }
+        (other_runs.len(), other) > (self.runs[&request].len(), request)
+    }
+
+    /// Returns whether `request` was in flight at all crashes of `other` and at more.
+    fn dominates(&self, request: Fingerprint, other: Fingerprint) -> bool {
+        let (runs, other_runs) = (&self.runs[&request], &self.runs[&other]);
+        runs.len() > other_runs.len() && runs.is_superset(other_runs)
+    }
+
+    fn is_dominated(&self, request: Fingerprint) -> bool {
+        self.runs.keys().any(|other| self.dominates(*other, request))
+    }
+}
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod choice;
 mod config;
+mod crash_reports;
 mod datagrams;
 mod fixtures;
 mod health;
@@ -12,6 +13,7 @@
 mod members;
 mod missing_backends;
 mod overload;
+mod quarantine;
 mod shared_objects;
 mod simulation;
 mod skewed_load;
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -1,20 +1,22 @@
 //! One attempt to send a request to one backend server.
 
-use std::{rc::Rc, time::Instant};
+use std::{cell::OnceCell, rc::Rc, time::Instant};
 
-use azuregate_core::balance::{Choice, Outcome};
+use azuregate_core::balance::{Choice, Fingerprint, Outcome};
 use azuregate_platform::request;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
     body::{Body, Incoming},
-    header::{self, HeaderValue},
+    header::{self, HeaderName, HeaderValue},
+    http::request::Parts,
 };
 
 use super::{
+    crash_detection,
     in_flight::InFlightRequest,
-    pool::{self, Connection},
+    pool::Connection,
     response,
     response_body::{ResponseBody, StreamingBody},
     state::State,
@@ -23,6 +25,9 @@
 /// Responses up to this size are buffered completely before they are forwarded, so
 /// that a truncated response can still be retried.
 const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
+/// Headers that distinguish requests with the same path and body: the host and the caller's
+/// credentials. The client's address is not part of it, since a caller may come from several.
+const FINGERPRINT_HEADERS: [HeaderName; 3] = [header::HOST, header::AUTHORIZATION, header::COOKIE];
 
 /// A client request prepared for forwarding to any backend server.
 pub(super) struct OutgoingRequest {
@@ -31,6 +36,31 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) is_idempotent: bool,
+    fingerprint: OnceCell<Fingerprint>,
+}
+
+impl OutgoingRequest {
+    pub(super) fn new(parts: Parts, body: Bytes, is_idempotent: bool) -> OutgoingRequest {
+        OutgoingRequest {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            is_idempotent,
+            fingerprint: OnceCell::new(),
+        }
+    }
+
+    /// Returns the fingerprint, which is computed when it is first needed.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+            let headers = FINGERPRINT_HEADERS
+                .map(|name| self.headers.get(name).map(HeaderValue::as_bytes).unwrap_or_default());
+            let line = [self.method.as_str().as_bytes(), path.as_bytes(), &self.body];
+            Fingerprint::new(line.into_iter().chain(headers))
+        })
+    }
 }
 
 /// The result of one attempt.
@@ -84,7 +114,7 @@
     let head = loop {
         let connection = match pooled.take() {
             Some(connection) => connection,
-            None => match pool::connect(choice.backend.addr).await {
+            None => match state.pool.connect(choice.handle, choice.backend.addr).await {
                 Ok(connection) => connection,
                 Err(_) => {
                     in_flight.set_outcome(Outcome::Unreachable);
@@ -104,6 +134,7 @@
             }
             Err(SendError::ConnectionBroken) => {
                 in_flight.set_outcome(Outcome::ResponseLost);
+                crash_detection::record_broken(state, choice, outgoing.fingerprint());
                 return AttemptResult::Unknown("connection broke");
             }
         }
@@ -204,6 +235,7 @@
         let Some(frame) = incoming.frame().await else { break };
         let Ok(frame) = frame else {
             in_flight.set_outcome(Outcome::Failed);
+            crash_detection::record_broken(state, choice, outgoing.fingerprint());
             return AttemptResult::Unknown("answer ended early");
         };
         if let Ok(data) = frame.into_data() {
@@ -215,6 +247,7 @@
     } else {
         Outcome::Succeeded { taken_ms }
     });
+    state.record_response(|| outgoing.fingerprint());
     parts.version = Version::HTTP_11;
     response::remove_hop_by_hop_headers(&mut parts.headers);
     response::remove_internal_headers(&mut parts.headers);
--- a/crates/azuregate/src/serve/endpoints.rs
+++ b/crates/azuregate/src/serve/endpoints.rs
@@ -73,6 +73,7 @@
         instances: state.members.borrow().len(),
         followers: state.followers.get(),
         is_watching: *state.is_watching.borrow(),
+        quarantined_requests: state.quarantine.borrow().quarantined_requests(),
         config_version: state.config().map(|config| config.version()),
         age_ms: state.contact.borrow().age_ms(state.now_ms()),
     };
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -6,18 +6,21 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use azuregate_core::{
-    balance::{Datagram, Heartbeat, HeartbeatStatus, InFlightCount, Load},
+    balance::{Datagram, Heartbeat, HeartbeatStatus, InFlightCount, Load, ReportScope},
     names::InstanceId,
     replica::Table,
 };
 use tokio::net::UdpSocket;
 
-use super::state::State;
+use super::{crash_detection, state::State};
 
 const HEARTBEAT_INTERVAL_MS: u64 = 500;
 /// One in this many heartbeats includes a sample of the requested objects, which shows
 /// whether objects are requested in one region only.
 const REQUESTED_OBJECTS_PERIOD_BEATS: u32 = 4;
+/// The number of instances that report the crashes of quarantined requests in one heartbeat
+/// interval, for instances that have just started.
+const QUARANTINE_REPORTS_PER_BEAT: usize = 4;
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 /// The number of consecutive heartbeat intervals with a newer version or an unknown
 /// instance after which the tables are reread. A single one is normal, since changes
@@ -55,11 +58,13 @@
                 state.balancer.borrow_mut().expire_load_reports(state.now_ms());
                 beat = (beat + 1) % REQUESTED_OBJECTS_PERIOD_BEATS;
                 broadcast(&state, &socket, &build_heartbeat(&state, beat == 0)).await;
+                report_crashes(&state, &socket, heartbeat_scope(&state)).await;
             }
             _ = load_ticks.recv() => {
                 if let Some(datagram) = load_reporter.next_report(&state) {
                     broadcast(&state, &socket, &datagram).await;
                 }
+                report_crashes(&state, &socket, ReportScope::Unsent).await;
             }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, _)) = received {
@@ -115,6 +120,29 @@
     })
 }
 
+/// Returns which crashes to report with a heartbeat. Only a few instances report those of
+/// quarantined requests, so that the number of reports received does not grow with the
+/// number of instances.
+fn heartbeat_scope(state: &State) -> ReportScope {
+    let others = state.members.borrow().others().count();
+    match fastrand::usize(..others.max(1)) < QUARANTINE_REPORTS_PER_BEAT {
+        true => ReportScope::Quarantined,
+        false => ReportScope::Recent,
+    }
+}
+
+async fn report_crashes(state: &State, socket: &UdpSocket, scope: ReportScope) {
+    let now_ms = state.now_ms();
+    let report = {
+        let mut quarantine = state.quarantine.borrow_mut();
+        quarantine.expire(now_ms);
+        quarantine.next_report(scope, now_ms)
+    };
+    if let Some(report) = report {
+        broadcast(state, socket, &Datagram::Crashes(report)).await;
+    }
+}
+
 /// Sends a datagram to every other instance.
 async fn broadcast(state: &State, socket: &UdpSocket, datagram: &Datagram) {
     let mut bytes = Vec::new();
@@ -135,6 +163,7 @@
     match ciborium::from_reader(bytes) {
         Ok(Datagram::Heartbeat(heartbeat)) => handle_heartbeat(state, lag_detector, &heartbeat),
         Ok(Datagram::Load(load)) => handle_load(state, load),
+        Ok(Datagram::Crashes(report)) => crash_detection::record_report(state, &report),
         // Ignore datagrams of other senders or formats.
         Err(_) => {}
     }
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -17,6 +17,8 @@
 #[derive(Default)]
 pub(super) struct Metrics {
     pub(super) changes: ChangeCounters,
+    /// Crashes of backend servers that this instance saw.
+    pub(super) backend_crashes: Cell<u64>,
     series: RefCell<BTreeMap<Labels, Histogram<u64>>>,
 }
 
@@ -50,6 +52,8 @@
     pub(super) followers: usize,
     /// Whether the instance watches the store itself.
     pub(super) is_watching: bool,
+    /// Quarantined requests.
+    pub(super) quarantined_requests: usize,
     /// The version of the current configuration.
     pub(super) config_version: Option<u64>,
     /// The time since the tables were last confirmed current.
@@ -107,6 +111,8 @@
         line(format_args!("azuregate_instances {}", gauges.instances));
         line(format_args!("azuregate_followers {}", gauges.followers));
         line(format_args!("azuregate_watching {}", u8::from(gauges.is_watching)));
+        line(format_args!("azuregate_quarantined_requests {}", gauges.quarantined_requests));
+        line(format_args!("azuregate_backend_crashes_total {}", self.backend_crashes.get()));
         if let Some(version) = gauges.config_version {
             line(format_args!("azuregate_config_version {version}"));
         }
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -19,6 +19,7 @@
 * `pipeline` starts pipelined requests before the previous responses are sent.
 * `request` handles one client request, `attempt` sends it to one backend server, and
   `pool` holds idle connections to backend servers.
+* `crash_detection` tells crashes of backend servers from other broken connections.
 * `endpoints` serves readiness, lookups and metrics.
 * `shutdown` implements the graceful shutdown.
 */
@@ -27,6 +28,7 @@
 mod attempt;
 mod client_stream;
 mod connection;
+mod crash_detection;
 mod encoding;
 mod endpoints;
 mod follower;
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -1,6 +1,12 @@
 //! A pool of idle connections to backend servers.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use azuregate_core::balance::BackendHandle;
 use bytes::Bytes;
@@ -36,6 +42,8 @@
     pub(super) is_reused: bool,
     task: AbortHandle,
     idle_since_ms: u64,
+    /// The number of open connections to the server, idle or in use.
+    open_count: Rc<Cell<usize>>,
 }
 
 impl Drop for Connection {
@@ -43,13 +51,15 @@
     /// cancels the request.
     fn drop(&mut self) {
         self.task.abort();
+        self.open_count.set(self.open_count.get() - 1);
     }
 }
 
-/// Idle connections to all backend servers.
+/// Connections to all backend servers.
 #[derive(Default)]
 pub(super) struct ConnectionPool {
     idle: RefCell<HashMap<BackendHandle, Vec<Connection>>>,
+    open_counts: RefCell<HashMap<BackendHandle, Rc<Cell<usize>>>>,
 }
 
 impl ConnectionPool {
@@ -98,26 +108,47 @@
             });
             !connections.is_empty()
         });
+        self.open_counts.borrow_mut().retain(|_, open_count| open_count.get() > 0);
+    }
+
+    /// Returns whether any connection to a server is open.
+    pub(super) fn has_open(&self, handle: BackendHandle) -> bool {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(&handle) {
+            connections.retain(|connection| !connection.sender.is_closed());
+        }
+        self.open_counts.borrow().get(&handle).is_some_and(|open_count| open_count.get() > 0)
     }
-}
 
-/// Opens a connection to a backend server.
-///
-/// # Errors
-///
-/// Returns an error if no connection is established within `CONNECT_TIMEOUT_MS`.
-pub(super) async fn connect(addr: SocketAddr) -> std::io::Result<Connection> {
-    let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let stream = time::timeout(connect_timeout, TcpStream::connect(addr)).await??;
-    stream.set_nodelay(true)?;
-    let unacked_timeout = Duration::from_millis(UNACKED_DATA_TIMEOUT_MS);
-    SockRef::from(&stream).set_tcp_user_timeout(Some(unacked_timeout))?;
-    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(std::io::Error::other)?;
-    let task = spawn_local(async move {
-        // Errors are reported through the connection's sender.
-        let _ = connection.await;
-    });
-    Ok(Connection { sender, is_reused: false, task: task.abort_handle(), idle_since_ms: 0 })
+    /// Opens a connection to a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no connection is established within `CONNECT_TIMEOUT_MS`.
+    pub(super) async fn connect(
+        &self,
+        handle: BackendHandle,
+        addr: SocketAddr,
+    ) -> std::io::Result<Connection> {
+        let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let stream = time::timeout(connect_timeout, TcpStream::connect(addr)).await??;
+        stream.set_nodelay(true)?;
+        let unacked_timeout = Duration::from_millis(UNACKED_DATA_TIMEOUT_MS);
+        SockRef::from(&stream).set_tcp_user_timeout(Some(unacked_timeout))?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        let task = spawn_local(async move {
+            // Errors are reported through the connection's sender.
+            let _ = connection.await;
+        });
+        let open_count = Rc::clone(self.open_counts.borrow_mut().entry(handle).or_default());
+        open_count.set(open_count.get() + 1);
+        Ok(Connection {
+            sender,
+            is_reused: false,
+            task: task.abort_handle(),
+            idle_since_ms: 0,
+            open_count,
+        })
+    }
 }
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -3,7 +3,7 @@
 use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 
 use azuregate_core::{
-    balance::{self, BackendHandle, BackendQuery, Choice, RequestKind, Route},
+    balance::{self, Admission, BackendHandle, BackendQuery, Choice, RequestKind, Route},
     names::ServiceName,
 };
 use azuregate_platform::request;
@@ -219,13 +219,7 @@
     response::remove_internal_headers(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
     parts.headers.remove(header::CONTENT_LENGTH);
-    Ok(OutgoingRequest {
-        method: parts.method,
-        uri: parts.uri,
-        headers: parts.headers,
-        body,
-        is_idempotent: route.kind == RequestKind::Idempotent,
-    })
+    Ok(OutgoingRequest::new(parts, body, route.kind == RequestKind::Idempotent))
 }
 
 async fn read_body(mut incoming: Incoming, limit: usize) -> Result<Bytes, RequestError> {
@@ -293,6 +287,13 @@
             if is_retry && !self.can_retry(attempts, remaining_ms) {
                 break;
             }
+            let admission = self.state.admit(|| self.outgoing.fingerprint());
+            if let Admission::Refused { retry_after_ms } = admission {
+                log_entry.basis = format!("fingerprint:{}", self.outgoing.fingerprint());
+                return Err(
+                    attempts.attempts_exhausted(RequestError::Quarantined { retry_after_ms })
+                );
+            }
             let Some(choice) = self.choose(attempts, log_entry) else { break };
             log_entry.record_attempt(&choice);
             attempts.tried.push(choice.handle);
--- a/crates/azuregate/src/serve/response.rs
+++ b/crates/azuregate/src/serve/response.rs
@@ -31,6 +31,12 @@
     NoCapacity,
     /// Every attempted backend server rejected the request; it was not executed.
     Rejected,
+    /// The request crashed the backend servers that executed it before; it was not executed
+    /// this time.
+    Quarantined {
+        /// Time until it may be tried again.
+        retry_after_ms: u64,
+    },
     /// The deadline passed before a response arrived.
     TimedOut,
     /// The response was lost or is invalid; the request may have been executed.
@@ -49,19 +55,22 @@
             RequestError::BodyIncomplete => "body-broken",
             RequestError::NoCapacity => "no-room",
             RequestError::Rejected => "rejected",
+            RequestError::Quarantined { .. } => "quarantined",
             RequestError::TimedOut => "timed-out",
             RequestError::ResponseLost => "answer-lost",
         }
     }
 
-    /// Returns why the request was not served if it was certainly not executed, so
-    /// that the client may retry it.
-    fn retry_reason(self) -> Option<RetryReason> {
+    /// Returns when the client may retry the request, if it was certainly not executed.
+    fn retry_after_ms(self) -> Option<u64> {
         match self {
             RequestError::NotReady | RequestError::StoreContactLost => {
-                Some(RetryReason::StaleState)
+                Some(fastrand::u64(RetryReason::StaleState.retry_after_ms()))
             }
-            RequestError::NoCapacity | RequestError::Rejected => Some(RetryReason::NoCapacity),
+            RequestError::NoCapacity | RequestError::Rejected => {
+                Some(fastrand::u64(RetryReason::NoCapacity.retry_after_ms()))
+            }
+            RequestError::Quarantined { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
     }
@@ -71,7 +80,8 @@
             RequestError::NotReady
             | RequestError::StoreContactLost
             | RequestError::NoCapacity
-            | RequestError::Rejected => StatusCode::SERVICE_UNAVAILABLE,
+            | RequestError::Rejected
+            | RequestError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::NoRoute => StatusCode::NOT_FOUND,
             RequestError::BadRequest | RequestError::BodyIncomplete => StatusCode::BAD_REQUEST,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -85,8 +95,7 @@
     pub(super) fn into_response(self) -> Response<ResponseBody> {
         let mut response = Response::new(ResponseBody::buffered(Bytes::new()));
         *response.status_mut() = self.status();
-        if let Some(retry_reason) = self.retry_reason() {
-            let retry_after_ms = fastrand::u64(retry_reason.retry_after_ms());
+        if let Some(retry_after_ms) = self.retry_after_ms() {
             let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
             let value = seconds.parse().expect("a number is a valid header value");
             response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -8,7 +8,10 @@
 };
 
 use azuregate_core::{
-    balance::{self, Balancer, Config, Members, MissingBackends, RetryBudget, WeightedRoundRobin},
+    balance::{
+        self, Admission, Balancer, Config, Fingerprint, Members, MissingBackends, Quarantine,
+        RetryBudget, WeightedRoundRobin,
+    },
     names::{ServiceName, StartNumber},
     replica::{FreshnessTracker, Table},
 };
@@ -16,8 +19,8 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    encoding::EncodedChangesCache, metrics::Metrics, pool::ConnectionPool,
-    shutdown_phase::ShutdownPhase, tables::Tables,
+    crash_detection::BrokenRequests, encoding::EncodedChangesCache, metrics::Metrics,
+    pool::ConnectionPool, shutdown_phase::ShutdownPhase, tables::Tables,
 };
 use crate::{stop::StopSignal, timer::Timer};
 
@@ -38,6 +41,8 @@
     pub(super) balancer: RefCell<Balancer>,
     pub(super) members: RefCell<Members>,
     pub(super) pool: ConnectionPool,
+    pub(super) quarantine: RefCell<Quarantine>,
+    pub(super) broken_requests: BrokenRequests,
     pub(super) metrics: Metrics,
     pub(super) tables: RefCell<Tables>,
     pub(super) encoded_cache: RefCell<EncodedChangesCache>,
@@ -93,6 +98,8 @@
             balancer: RefCell::new(balancer),
             members: RefCell::new(members),
             pool: ConnectionPool::default(),
+            quarantine: RefCell::default(),
+            broken_requests: BrokenRequests::default(),
             metrics: Metrics::default(),
             tables: RefCell::default(),
             encoded_cache: RefCell::default(),
@@ -244,6 +251,31 @@
         f(retry_budgets.get_mut(service).expect("it was just added"))
     }
 
+    /// Returns whether a request may be sent to backend servers. `fingerprint` is called only
+    /// if a server has crashed lately.
+    pub(super) fn admit(&self, fingerprint: impl FnOnce() -> Fingerprint) -> Admission {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.quarantined_requests() == 0 {
+            return Admission::Allowed;
+        }
+        let now_ms = self.now_ms();
+        let fingerprint = fingerprint();
+        let is_responsible = || self.members.borrow().ranks_first(&fingerprint.to_string(), now_ms);
+        quarantine.admit(fingerprint, is_responsible, now_ms)
+    }
+
+    /// Records that a backend server responded to a request.
+    pub(super) fn record_response(&self, fingerprint: impl FnOnce() -> Fingerprint) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if !quarantine.has_crashes() {
+            return;
+        }
+        let fingerprint = fingerprint();
+        if quarantine.record_response(fingerprint, self.now_ms()) {
+            log::info!(fingerprint:% = fingerprint; "request cleared of crashes");
+        }
+    }
+
     /// Returns the region of an availability zone.
     pub(super) fn region_of(&self, zone: &str) -> Option<&str> {
         let zones: &BTreeMap<_, _> = &self.settings.zones;
--- a/crates/azuregate/tests/serve/crashing_requests.rs
+++ b/crates/azuregate/tests/serve/crashing_requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use azuregate_platform::fakes::{FakeBackend, ReceivedRequest, backend_row};
+use azuregate_platform::fakes::{Behaviour, FakeBackend, ReceivedRequest, backend_row};
 use tokio::time;
 
 use crate::cluster::{Instance, SERVICE, TestCluster, get_request, post_request};
@@ -96,3 +96,84 @@
         );
     }
 }
+
+/// Guards against a quarantined request that is held or invites the client to come straight
+/// back, and against refusing requests for the same path with another query, body or caller.
+#[tokio::test]
+async fn only_the_request_that_crashes_servers_is_refused() {
+    let cluster = start_cluster().await;
+    let instance = cluster.start_ready_instance(1).await;
+    for number in 0..CRASHES {
+        let _ = instance.send(&get_request("/read/crash-1", &format!("a{number}"))).await;
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    let start = Instant::now();
+    let refused = instance.send(&get_request("/read/crash-1", "refused")).await.unwrap();
+    assert_eq!(refused.status, 503);
+    let retry_after_s: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    assert!(retry_after_s > 60.0, "{retry_after_s}");
+    assert!(start.elapsed() < Duration::from_millis(200), "{:?}", start.elapsed());
+    assert_eq!(cluster.request_count("refused"), 0);
+    let caller =
+        get_request("/read/crash-1", "caller").replace("X-Affinity", "Cookie: c=2\r\nX-Affinity");
+    let others = [
+        ("query", get_request("/read/crash-1?q=2", "query")),
+        ("method", post_request("/read/crash-1", "method", "")),
+        ("caller", caller),
+        ("path", get_request("/read/x", "path")),
+    ];
+    for (id, request) in others {
+        // Another object, since the servers of the first one are down.
+        let request = request.replace("X-Affinity-Key: 17", &format!("X-Affinity-Key: {id}"));
+        let _ = instance.send(&request).await;
+        assert!(cluster.request_count(id) > 0, "{id} was refused");
+    }
+}
+
+/// Guards against taking a server that breaks connections for one that crashed: a request
+/// that is never answered for this reason would be refused.
+#[tokio::test]
+async fn broken_connections_to_live_servers_quarantine_nothing() {
+    for behaviour in [Behaviour::DropResponse, Behaviour::Truncate, Behaviour::Unsigned] {
+        let cluster = TestCluster::start(SERVERS).await;
+        let instance = cluster.start_ready_instance(1).await;
+        cluster.backends.iter().for_each(|backend| backend.set(behaviour.clone()));
+        for number in 0..8 {
+            let id = format!("a{number}");
+            let _ = instance.send(&get_request("/read/x", &id)).await;
+            time::sleep(Duration::from_millis(250)).await;
+            assert!(cluster.request_count(&id) > 0, "{behaviour:?}: {id} was refused");
+        }
+    }
+}
+
+/// Guards against refusing a request that was only in flight at servers that crash for other
+/// reasons, and against counting servers that end after they have drained.
+#[tokio::test]
+async fn requests_beside_other_crashes_are_not_refused() {
+    for is_draining in [false, true] {
+        let cluster = start_cluster().await;
+        let instance = cluster.start_ready_instance(1).await;
+        let slow = Behaviour::Delay(Duration::from_millis(300));
+        cluster.backends.iter().for_each(|backend| backend.set(slow.clone()));
+        for number in 0..=CRASHES {
+            let id = format!("a{number}");
+            let request = get_request("/read/x", &id);
+            let crash = async {
+                time::sleep(Duration::from_millis(150)).await;
+                let is_busy = |b: &&FakeBackend| b.received().iter().any(|r| r.id == id);
+                let busy = cluster.backends.iter().find(is_busy).expect("the request has arrived");
+                if is_draining {
+                    let row = backend_row(SERVICE, busy.addr(), "zone-a", "draining");
+                    cluster.store.put("servers", &busy.id(), row);
+                    time::sleep(Duration::from_millis(100)).await;
+                }
+                busy.crash();
+            };
+            let (response, ()) = tokio::join!(instance.send(&request), crash);
+            assert_eq!(response.map(|response| response.status), Some(200), "{id} {is_draining}");
+            // Until the server is up again.
+            time::sleep(Duration::from_millis(1_800)).await;
+        }
+    }
+}
