Do not quarantine popular requests after crashes with another cause

Callers would have seen: 503 for ten minutes for a popular request, after a rack lost power or while servers crashed one after the other for other reasons.

Cause: a popular request is in flight at several servers, so three of them that crash together count as three crashes, and at five crashes a second three in a row may come without a response in between.

Now of four or more servers that crash within 100 ms, most must have had the request, since a common cause is likelier otherwise; and a request that was cleared before needs six crashes. The time of a crash is that of the first broken connection.

--- a/crates/azuregate-core/src/balance/quarantine.rs
+++ b/crates/azuregate-core/src/balance/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of requests that crash the backend servers that execute them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt, mem,
 };
 
@@ -13,6 +13,9 @@
 
 /// Number of crashes of different servers after which a request is quarantined.
 const MAX_CRASHES: usize = 3;
+/// The same for a request that was cleared of earlier crashes. A popular request is often in
+/// flight at a server that crashes for another reason.
+const MAX_CRASHES_AFTER_CLEARING: usize = 6;
 /// Time from the last crash to the first trial of a quarantined request; doubled for each
 /// failed trial. Long enough to roll back the version of a service.
 const FIRST_TRIAL_MS: u64 = 600_000;
@@ -20,6 +23,12 @@
 const MAX_TRIALS: usize = 3;
 /// Time within which a trial must have ended before there is another one.
 const TRIAL_TIMEOUT_MS: u64 = 60_000;
+/// Crashes within this time of each other may have a common cause, such as a power loss. The
+/// instances notice the crash of a server at slightly different times.
+const SIMULTANEOUS_MS: u64 = 100;
+/// Number of simultaneous crashes from which a common cause is assumed, unless most of the
+/// servers had a request in common.
+const MIN_COMMON_CRASHES: usize = 4;
 /// Time after which a crash is forgotten.
 const CRASH_TTL_MS: u64 = 24 * 3_600_000;
 /// Bounds the memory to some hundred kilobytes, whatever callers send.
@@ -109,25 +118,32 @@
 }
 
 impl Crash {
+    fn is_suspect(&self, request: Fingerprint) -> bool {
+        self.requests.get(&request) == Some(&false)
+    }
+
     fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
         self.requests.iter().filter(|(_, is_cleared)| !**is_cleared).map(|(request, _)| *request)
     }
+
+    fn cleared(&self) -> impl Iterator<Item = Fingerprint> {
+        self.requests.iter().filter(|(_, is_cleared)| **is_cleared).map(|(request, _)| *request)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Quarantined {
-    crashes: usize,
+    failed_trials: usize,
     last_crash_ms: u64,
     trial_started_at_ms: Option<u64>,
 }
 
 impl Quarantined {
     fn next_trial_ms(&self) -> Option<u64> {
-        let failed_trials = self.crashes.saturating_sub(MAX_CRASHES);
-        if failed_trials >= MAX_TRIALS {
+        if self.failed_trials >= MAX_TRIALS {
             return None;
         }
-        let due_ms = self.last_crash_ms + (FIRST_TRIAL_MS << failed_trials);
+        let due_ms = self.last_crash_ms + (FIRST_TRIAL_MS << self.failed_trials);
         let previous_ends_ms = self.trial_started_at_ms.map_or(0, |at| at + TRIAL_TIMEOUT_MS);
         Some(due_ms.max(previous_ends_ms))
     }
@@ -142,7 +158,8 @@
 /// a response of any server in between.
 ///
 /// Other requests in flight at the same servers are told from the cause by the number of their
-/// crashes: a crash counts only for the request that was in flight at the most crashes.
+/// crashes: a crash counts only for the request that was in flight at the most crashes. Of several
+/// servers that crash at the same time, most must have had the request.
 ///
 /// A quarantined request is tried again after a while by one instance, and released if a
 /// server responds.
@@ -192,15 +209,15 @@
         &mut self,
         run: BackendRun,
         requests: &[Fingerprint],
-        now_ms: u64,
+        at_ms: u64,
     ) -> Vec<Fingerprint> {
-        if !self.add_crash(run, requests, now_ms) {
+        if !self.add_crash(run, requests, at_ms) {
             return Vec::new();
         }
         if let Some(crash) = self.crashes.get_mut(&run) {
             crash.reports_left = REPORT_REPETITIONS;
         }
-        self.update(now_ms)
+        self.update()
     }
 
     /// Records the report of another instance. Returns the requests that are quarantined from
@@ -216,16 +233,16 @@
         for request in cleared {
             has_changed |= self.clear(*request);
         }
-        if has_changed { self.update(now_ms) } else { Vec::new() }
+        if has_changed { self.update() } else { Vec::new() }
     }
 
     /// Records that a server responded to a request. Returns whether that clears it of
     /// crashes.
-    pub fn record_response(&mut self, request: Fingerprint, now_ms: u64) -> bool {
+    pub fn record_response(&mut self, request: Fingerprint) -> bool {
         let was_suspect = self.clear(request);
         if was_suspect {
             self.cleared.insert(request, REPORT_REPETITIONS);
-            self.update(now_ms);
+            self.update();
         }
         was_suspect
     }
@@ -265,12 +282,21 @@
         (report != CrashReport::default()).then_some(report)
     }
 
+    /// Returns the quarantined requests with their crashes and the times of these.
+    pub fn quarantined_crashes(&self) -> BTreeMap<Fingerprint, Vec<(BackendRun, u64)>> {
+        let crashes_of = |request: &Fingerprint| {
+            let crashes = self.crashes.iter().filter(|(_, crash)| crash.is_suspect(*request));
+            crashes.map(|(run, crash)| (*run, crash.at_ms)).collect()
+        };
+        self.quarantined.keys().map(|request| (*request, crashes_of(request))).collect()
+    }
+
     /// Forgets old crashes.
     pub fn expire(&mut self, now_ms: u64) {
         let count = self.crashes.len();
         self.crashes.retain(|_, crash| now_ms < crash.at_ms + CRASH_TTL_MS);
         if self.crashes.len() < count {
-            self.update(now_ms);
+            self.update();
         }
     }
 
@@ -314,7 +340,7 @@
     }
 
     /// Recomputes the quarantined requests and returns those that are new.
-    fn update(&mut self, now_ms: u64) -> Vec<Fingerprint> {
+    fn update(&mut self) -> Vec<Fingerprint> {
         let evidence = Evidence::of(&self.crashes);
         let previous = mem::take(&mut self.quarantined);
         let mut added = Vec::new();
@@ -327,7 +353,7 @@
                         let mut others = self.crashes[run].suspects().filter(|o| *o != request);
                         !others.any(|o| evidence.explains(o, request, previous.contains_key(&o)))
                     };
-                    runs.iter().filter(is_unexplained).count() >= MAX_CRASHES
+                    runs.iter().filter(is_unexplained).count() >= evidence.needed(request)
                 }
             };
             if !is_quarantined {
@@ -337,8 +363,8 @@
             self.quarantined.insert(
                 request,
                 Quarantined {
-                    crashes: runs.len(),
-                    last_crash_ms: last_crash_ms.unwrap_or(now_ms),
+                    failed_trials: runs.len().saturating_sub(evidence.needed(request)),
+                    last_crash_ms: last_crash_ms.unwrap_or_default(),
                     ..before.unwrap_or_default()
                 },
             );
@@ -350,10 +376,12 @@
     }
 }
 
-/// The crashes of the requests that were in flight at [`MAX_CRASHES`] or more.
+/// The crashes that count against the requests that were in flight at [`MAX_CRASHES`] or more.
 #[derive(Debug, Default)]
 struct Evidence {
     runs: BTreeMap<Fingerprint, BTreeSet<BackendRun>>,
+    /// The requests that were cleared of other crashes.
+    cleared: HashSet<Fingerprint>,
 }
 
 impl Evidence {
@@ -362,13 +390,29 @@
         for request in crashes.values().flat_map(Crash::suspects) {
             *counts.entry(request).or_default() += 1;
         }
-        let mut evidence = Evidence::default();
+        let mut runs: BTreeMap<Fingerprint, BTreeSet<BackendRun>> = BTreeMap::new();
         for (run, crash) in crashes {
+            let simultaneous: Vec<&Crash> = crashes
+                .values()
+                .filter(|other| other.at_ms.abs_diff(crash.at_ms) <= SIMULTANEOUS_MS)
+                .collect();
             for request in crash.suspects().filter(|request| counts[request] >= MAX_CRASHES) {
-                evidence.runs.entry(request).or_default().insert(*run);
+                // Servers that lose power together have only some requests in common.
+                let has_common_cause = simultaneous.len() >= MIN_COMMON_CRASHES;
+                let shared = simultaneous.iter().filter(|other| other.is_suspect(request)).count();
+                if !has_common_cause || shared * 2 > simultaneous.len() {
+                    runs.entry(request).or_default().insert(*run);
+                }
             }
         }
-        evidence
+        runs.retain(|_, runs| runs.len() >= MAX_CRASHES);
+        let cleared = crashes.values().flat_map(Crash::cleared).collect();
+        Evidence { runs, cleared }
+    }
+
+    /// Returns the number of crashes after which a request is quarantined.
+    fn needed(&self, request: Fingerprint) -> usize {
+        if self.cleared.contains(&request) { MAX_CRASHES_AFTER_CLEARING } else { MAX_CRASHES }
     }
 
     /// Returns whether crashes are attributed to `other` rather than to `request`, given that
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -14,6 +14,7 @@
 mod missing_backends;
 mod overload;
 mod quarantine;
+mod quarantine_simulation;
 mod shared_objects;
 mod simulation;
 mod skewed_load;
--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -16,17 +16,23 @@
 
 /// The requests whose connections broke, by server, until it is known whether the server
 /// crashed.
-pub(super) type BrokenRequests = RefCell<HashMap<BackendHandle, Vec<Fingerprint>>>;
+pub(super) type BrokenRequests = RefCell<HashMap<BackendHandle, BrokenAt>>;
+
+/// The requests whose connections to one server broke.
+pub(super) struct BrokenAt {
+    requests: Vec<Fingerprint>,
+    first_at_ms: u64,
+}
 
 /// Records that the connection broke while `request` was in flight at a server, and examines
 /// the server.
 pub(super) fn record_broken(state: &Rc<State>, choice: &Choice, request: Fingerprint) {
     let mut broken = state.broken_requests.borrow_mut();
-    let requests = broken.entry(choice.handle).or_default();
-    requests.push(request);
-    if requests.len() == 1 {
+    let broken = broken.entry(choice.handle).or_insert_with(|| {
         spawn_local(examine(Rc::clone(state), choice.clone()));
-    }
+        BrokenAt { requests: Vec::new(), first_at_ms: state.now_ms() }
+    });
+    broken.requests.push(request);
 }
 
 /// Records a crash if the server does not serve any more, although it was not draining.
@@ -34,7 +40,7 @@
     time::sleep(Duration::from_millis(SETTLING_MS)).await;
     let is_alive = state.pool.has_open(choice.handle)
         || accepts_connections(&state, choice.handle, choice.backend.addr).await;
-    let requests = state.broken_requests.borrow_mut().remove(&choice.handle).unwrap_or_default();
+    let Some(broken) = state.broken_requests.borrow_mut().remove(&choice.handle) else { return };
     let registered = state.balancer.borrow().backend(choice.handle);
     // A server that drains or has left the store ends on purpose.
     let is_leaving = registered.is_none_or(|backend| backend.is_draining);
@@ -42,10 +48,13 @@
         return;
     }
     metrics::inc_by(&state.metrics.backend_crashes, 1);
-    let in_flight: Vec<String> = requests.iter().map(Fingerprint::to_string).collect();
+    let in_flight: Vec<String> = broken.requests.iter().map(Fingerprint::to_string).collect();
     log::warn!(backend:% = choice.backend.id, in_flight = in_flight.join(","); "backend server crashed");
     let run = BackendRun::of(&choice.backend);
-    let added = state.quarantine.borrow_mut().record_crash(run, &requests, state.now_ms());
+    let added = {
+        let mut quarantine = state.quarantine.borrow_mut();
+        quarantine.record_crash(run, &broken.requests, broken.first_at_ms)
+    };
     log_quarantined(&added);
 }
 
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -260,8 +260,13 @@
         }
         let now_ms = self.now_ms();
         let fingerprint = fingerprint();
-        let is_responsible = || self.members.borrow().ranks_first(&fingerprint.to_string(), now_ms);
-        quarantine.admit(fingerprint, is_responsible, now_ms)
+        quarantine.admit(fingerprint, || self.is_responsible(fingerprint), now_ms)
+    }
+
+    /// Returns whether this is the instance that retries a quarantined request and keeps its
+    /// row in the store.
+    pub(super) fn is_responsible(&self, request: Fingerprint) -> bool {
+        self.members.borrow().ranks_first(&request.to_string(), self.now_ms())
     }
 
     /// Records that a backend server responded to a request.
@@ -271,7 +276,7 @@
             return;
         }
         let fingerprint = fingerprint();
-        if quarantine.record_response(fingerprint, self.now_ms()) {
+        if quarantine.record_response(fingerprint) {
             log::info!(fingerprint:% = fingerprint; "request cleared of crashes");
         }
     }
