Keep quarantined requests in the store

The instance that is responsible for a request writes a row with its crashes and removes it when the request is released; each instance reads the rows once when it starts. At rest there are no further calls. The test fails without it: no row is written, and the request is sent again.

--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -19,7 +19,8 @@
 * `pipeline` starts pipelined requests before the previous responses are sent.
 * `request` handles one client request, `attempt` sends it to one backend server, and
   `pool` holds idle connections to backend servers.
-* `crash_detection` tells crashes of backend servers from other broken connections.
+* `crash_detection` tells crashes of backend servers from other broken connections, and
+  `quarantine_rows` keeps the requests that cause them in the store.
 * `endpoints` serves readiness, lookups and metrics.
 * `shutdown` implements the graceful shutdown.
 */
@@ -38,6 +39,7 @@
 mod metrics;
 mod pipeline;
 mod pool;
+mod quarantine_rows;
 mod relay;
 mod reload;
 mod request;
@@ -120,6 +122,7 @@
     spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats));
     spawn_local(relay::serve(Rc::clone(&state), listeners.followers));
     spawn_local(follower::serve(Rc::clone(&state)));
+    spawn_local(quarantine_rows::serve(Rc::clone(&state)));
     spawn_local(evict_idle_connections(Rc::clone(&state)));
     spawn_local(endpoints::serve(Rc::clone(&state), listeners.readiness, Audience::Clients));
     spawn_local(endpoints::serve(Rc::clone(&state), listeners.lookups, Audience::Clients));
--- a/crates/azuregate/tests/serve/crashing_requests.rs
+++ b/crates/azuregate/tests/serve/crashing_requests.rs
@@ -5,7 +5,7 @@
 use azuregate_platform::fakes::{Behaviour, FakeBackend, ReceivedRequest, backend_row};
 use tokio::time;
 
-use crate::cluster::{Instance, SERVICE, TestCluster, get_request, post_request};
+use crate::cluster::{Instance, SERVICE, TestCluster, eventually, get_request, post_request};
 
 /// The contact bound of the settings fixture: the time within which instances learn of the
 /// third crash.
@@ -97,6 +97,26 @@
     }
 }
 
+/// Guards against a request that crashes servers again because all instances that remembered it
+/// have restarted at once.
+#[tokio::test]
+async fn quarantine_outlasts_a_restart_of_all_instances() {
+    let cluster = start_cluster().await;
+    let instances = [cluster.start_ready_instance(1).await, cluster.start_ready_instance(2).await];
+    send_repeatedly(&instances, Duration::from_secs(2), |id| get_request("/read/crash-1", id))
+        .await;
+    eventually("the request is stored", async || !cluster.store.keys("quarantine").is_empty())
+        .await;
+    for instance in instances {
+        instance.stopper.stop();
+        instance.thread.join().unwrap();
+    }
+    let instance = cluster.start_ready_instance(3).await;
+    time::sleep(Duration::from_millis(200)).await;
+    let refused = instance.send(&get_request("/read/crash-1", "again")).await.unwrap();
+    assert_eq!((refused.status, cluster.request_count("again")), (503, 0));
+}
+
 /// Guards against a quarantined request that is held or invites the client to come straight
 /// back, and against refusing requests for the same path with another query, body or caller.
 #[tokio::test]
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,7 +24,7 @@
 
 * [`settings`] parses the settings file.
 * [`store`] is the client of the platform's store.
-* [`config`], [`backend`] and [`member`] decode the rows of the store.
+* [`config`], [`backend`], [`member`] and [`crashes`] decode the rows of the store.
 * `fakes`, behind the feature `stand-in`, holds fakes of the store and of backend
   servers for tests.
 * [`request`] defines the headers and paths of requests, responses and probes.
@@ -32,6 +32,7 @@
 
 pub mod backend;
 pub mod config;
+pub mod crashes;
 #[cfg(feature = "stand-in")]
 pub mod fakes;
 pub mod member;
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -34,6 +34,9 @@
 /// Base64 encoding.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// The table of quarantined requests, which is not replicated.
+const QUARANTINE_TABLE: &str = "quarantine";
+
 /// Returns the name of a table in the store.
 fn table_name(table: Table) -> &'static str {
     match table {
@@ -164,11 +167,24 @@
     ///
     /// Returns an error if the store does not respond with rows.
     pub async fn read(&mut self, table: Table) -> Result<Changes, StoreError> {
+        self.read_rows(table_name(table)).await
+    }
+
+    /// Reads the rows of all quarantined requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not respond with rows.
+    pub async fn read_quarantine(&mut self) -> Result<Vec<Row>, StoreError> {
+        Ok(self.read_rows(QUARANTINE_TABLE).await?.rows)
+    }
+
+    async fn read_rows(&mut self, table: &str) -> Result<Changes, StoreError> {
         let mut all = Changes { is_whole: true, rows: Vec::new(), version: 0 };
         let mut from = String::new();
         let mut first_response_at = None;
         loop {
-            let path = format!("/-/rows-get?table={}&part=&from={from}", table_name(table));
+            let path = format!("/-/rows-get?table={table}&part=&from={from}");
             let body = self.call(Method::GET, &path, Bytes::new(), 0).await?;
             let page = parse_page(&body)?;
             // Pages may reflect different versions. Starting a watch from the version
@@ -215,8 +231,7 @@
     /// Returns an error if the store does not confirm the write, which may have taken
     /// effect nevertheless. Writes are idempotent and may be repeated.
     pub async fn put(&mut self, table: Table, key: &str, value: &[u8]) -> Result<(), StoreError> {
-        let put = Put { table: table_name(table), part: "", key, value: STANDARD.encode(value) };
-        self.transact(&Transaction { precondition: [], puts: &[put], remove: &[] }).await
+        self.put_row(table_name(table), key, value).await
     }
 
     /// Removes one row, if it exists.
@@ -226,7 +241,34 @@
     /// Returns an error if the store does not confirm the removal, which may have taken
     /// effect nevertheless.
     pub async fn remove(&mut self, table: Table, key: &str) -> Result<(), StoreError> {
-        let key = Key { table: table_name(table), part: "", key };
+        self.remove_row(table_name(table), key).await
+    }
+
+    /// Writes the row of a quarantined request.
+    ///
+    /// # Errors
+    ///
+    /// As for [`put`](StoreClient::put).
+    pub async fn put_quarantined(&mut self, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        self.put_row(QUARANTINE_TABLE, key, value).await
+    }
+
+    /// Removes the row of a request that is not quarantined any more.
+    ///
+    /// # Errors
+    ///
+    /// As for [`remove`](StoreClient::remove).
+    pub async fn remove_quarantined(&mut self, key: &str) -> Result<(), StoreError> {
+        self.remove_row(QUARANTINE_TABLE, key).await
+    }
+
+    async fn put_row(&mut self, table: &str, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        let put = Put { table, part: "", key, value: STANDARD.encode(value) };
+        self.transact(&Transaction { precondition: [], puts: &[put], remove: &[] }).await
+    }
+
+    async fn remove_row(&mut self, table: &str, key: &str) -> Result<(), StoreError> {
+        let key = Key { table, part: "", key };
         self.transact(&Transaction { precondition: [], puts: &[], remove: &[key] }).await
     }
 
--- a/crates/platform/tests/rows.rs
+++ b/crates/platform/tests/rows.rs
@@ -3,12 +3,13 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 use azuregate_core::{
-    balance::{Member, RequestKind},
+    balance::{BackendRun, Fingerprint, Member, RequestKind},
     names::{InstanceId, StartNumber, ZoneName},
 };
 use azuregate_platform::{
     backend,
     config::{self, OperatorKey},
+    crashes,
     fakes::{ConfigDocument, backend_row, config_row},
     member,
     request::{LoadReport, Lookup, encode_lookup_response},
@@ -148,3 +149,16 @@
         assert_eq!(LoadReport::parse(text), None, "{text}");
     }
 }
+
+#[test]
+fn rows_of_quarantined_requests_round_trip() {
+    let request = Fingerprint(u64::MAX - 1);
+    let timed = vec![(BackendRun(u64::MAX), 1_768_235_706_000), (BackendRun(3), 0)];
+    let value = crashes::encode(timed.clone());
+    assert_eq!(crashes::decode(&crashes::key(request), &value), Ok((request, timed)));
+    let invalid: [(&str, &[u8]); 4] =
+        [("not hex", &value), ("1f", b"{}"), ("1f", b""), ("1f", b"{\"crashes\":[[1]]}")];
+    for (key, value) in invalid {
+        assert!(crashes::decode(key, value).is_err(), "{key}");
+    }
+}
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -61,6 +61,16 @@
     assert!(store.read(Table::Members).await.unwrap().rows.is_empty());
 }
 
+#[tokio::test]
+async fn rows_of_quarantined_requests_are_written_and_removed() {
+    let (fake, mut store) = start().await;
+    store.put_quarantined("1f", b"value").await.unwrap();
+    assert_eq!(keys(&store.read_quarantine().await.unwrap()), ["1f"]);
+    assert_eq!(fake.keys("quarantine"), ["1f"]);
+    store.remove_quarantined("1f").await.unwrap();
+    assert!(store.read_quarantine().await.unwrap().is_empty());
+}
+
 /// A refused call has no effect, while one without a response may have had one. The
 /// client can be used after either.
 #[tokio::test]
