Crash servers in the soak, also by a request that comes again

Servers crash for reasons of their own and start again under other ids, and one request under ever new ids crashes each server that executes it, at random instances and from a random time on. Checked: it reaches servers no more than three times from instances in contact, later than the contact bound after the third crash; and no proper request is refused as one that crashes servers. The crashes have their own generator, so the other faults of a seed stay as they were. Runs of planned operations have none, since responses are lost with a server.

--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -19,6 +19,7 @@
 #[allow(dead_code, reason = "shared with the tests of single instances")]
 #[path = "../serve/cluster.rs"]
 mod cluster;
+mod crashing;
 mod plan;
 mod processes;
 mod proxy;
--- a/crates/azuregate/tests/soak/plan.rs
+++ b/crates/azuregate/tests/soak/plan.rs
@@ -10,6 +10,7 @@
 /// Period in which faults begin.
 pub(crate) const FAULT_PHASE: Duration = Duration::from_secs(9);
 const MAX_FAULTS: usize = 14;
+const MAX_SERVER_CRASHES: usize = 6;
 
 /// A fault or a planned operation.
 #[derive(Clone, Debug)]
@@ -26,6 +27,7 @@
     ServerBehaviour { server: usize, behaviour: Behaviour, duration: Duration },
     Drain { server: usize },
     ChangeConfig,
+    CrashServer { server: usize },
 }
 
 /// The faults of a run and their times.
@@ -57,11 +59,25 @@
             }
             faults.push((at, fault));
         }
+        if !is_planned_only {
+            faults.extend(server_crashes(seed, servers));
+        }
         faults.sort_by_key(|(at, _)| *at);
         Plan { is_planned_only, faults }
     }
 }
 
+/// Returns crashes of servers. Their own generator keeps the other faults of a seed as they are.
+fn server_crashes(seed: u64, servers: usize) -> Vec<(Duration, Fault)> {
+    let mut random = Rng::with_seed(seed.rotate_left(32));
+    let count = random.usize(..=MAX_SERVER_CRASHES);
+    let crash = |random: &mut Rng| {
+        let at = FAULT_PHASE.mul_f64(random.f64());
+        (at, Fault::CrashServer { server: random.usize(..servers) })
+    };
+    (0..count).map(|_| crash(&mut random)).collect()
+}
+
 fn planned_fault(random: &mut Rng, instances: usize, servers: usize) -> Fault {
     match random.usize(..4) {
         0 => Fault::Stop { instance: random.usize(..instances) },
