Recognize requests that crash servers in the middle of a long response

Callers would have seen a long response break off again and again while each attempt took down a server: a response counted as survived once its first 64 KB had arrived, and a break after that was not examined. A streamed response clears its request when it is complete, and a break is examined like any other.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -247,18 +247,19 @@
     } else {
         Outcome::Succeeded { taken_ms }
     });
-    state.record_response(|| outgoing.fingerprint());
     parts.version = Version::HTTP_11;
     response::remove_hop_by_hop_headers(&mut parts.headers);
     response::remove_internal_headers(&mut parts.headers);
     let buffered = buffered.freeze();
     if !incoming.is_end_stream() && buffered.len() > RESPONSE_BUFFER_BYTES {
-        let body = StreamingBody::new(buffered, incoming, in_flight);
+        let request = outgoing.fingerprint();
+        let body = StreamingBody::new(buffered, incoming, in_flight, choice.clone(), request);
         return AttemptResult::Response(Response::from_parts(
             parts,
             ResponseBody::Streaming(Box::new(body)),
         ));
     }
+    state.record_response(|| outgoing.fingerprint());
     in_flight.release_connection();
     // hyper sets the length of the buffered body. The response to a HEAD request has no
     // body and keeps the server's value.
--- a/crates/azuregate/src/serve/in_flight.rs
+++ b/crates/azuregate/src/serve/in_flight.rs
@@ -14,7 +14,7 @@
 pub(super) struct InFlightRequest {
     pub(super) handle: BackendHandle,
     pub(super) connection: Option<Connection>,
-    state: Rc<State>,
+    pub(super) state: Rc<State>,
     outcome: Outcome,
     sent_at_ms: u64,
     deadline_ms: u64,
--- a/crates/azuregate/src/serve/response_body.rs
+++ b/crates/azuregate/src/serve/response_body.rs
@@ -5,11 +5,12 @@
     task::{Context, Poll},
 };
 
+use azuregate_core::balance::{Choice, Fingerprint};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::in_flight::InFlightRequest;
+use super::{crash_detection, in_flight::InFlightRequest};
 
 /// A response body.
 pub(super) enum ResponseBody {
@@ -31,6 +32,8 @@
     incoming: Incoming,
     /// Held until the body is sent or the client disconnects.
     in_flight: InFlightRequest,
+    choice: Choice,
+    request: Fingerprint,
 }
 
 impl StreamingBody {
@@ -38,8 +41,10 @@
         buffered: Bytes,
         incoming: Incoming,
         in_flight: InFlightRequest,
+        choice: Choice,
+        request: Fingerprint,
     ) -> StreamingBody {
-        StreamingBody { buffered: Some(buffered), incoming, in_flight }
+        StreamingBody { buffered: Some(buffered), incoming, in_flight, choice, request }
     }
 }
 
@@ -85,8 +90,15 @@
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
-        if matches!(polled, Poll::Ready(None)) {
-            self.in_flight.release_connection();
+        match polled {
+            Poll::Ready(None) => {
+                self.in_flight.release_connection();
+                self.in_flight.state.record_response(|| self.request);
+            }
+            Poll::Ready(Some(Err(_))) => {
+                crash_detection::record_broken(&self.in_flight.state, &self.choice, self.request);
+            }
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         polled
     }
--- a/crates/azuregate/tests/serve/crashing_requests.rs
+++ b/crates/azuregate/tests/serve/crashing_requests.rs
@@ -73,9 +73,16 @@
 #[tokio::test]
 async fn request_that_crashes_servers_is_stopped_on_all_instances() {
     type Request = fn(&str) -> String;
-    let cases: [(&str, Request); 2] = [
+    let cases: [(&str, Request); 4] = [
         ("GET /read/crash-1", |id| get_request("/read/crash-1?q=2", id)),
         ("POST /upload/crash-1", |id| post_request("/upload/crash-1", id, &"x".repeat(40_000))),
+        // The server crashes after the start of a long response.
+        ("GET /read/crash-late", |id| get_request("/read/crash-late", id)),
+        // Two pipelined requests.
+        ("GET /read/crash-2", |id| {
+            let second = get_request("/read/crash-2", &format!("{id}-second"));
+            get_request("/read/crash-2", id) + &second
+        }),
     ];
     for (line, request) in cases {
         let cluster = start_cluster().await;
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -16,6 +16,9 @@
 /// A server crashes when it executes a request whose path has a segment that begins with
 /// this.
 pub const CRASH_SEGMENT: &str = "crash-";
+/// With this segment, it sends a part of a long response before.
+const LATE_CRASH_SEGMENT: &str = "crash-late";
+const PARTIAL_RESPONSE_BYTES: usize = 100_000;
 /// Time from a crash to the next start.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 /// Time for which a server executes a request that crashes it.
@@ -212,6 +215,7 @@
         received.is_executed = !matches!(behaviour, Behaviour::Reject | Behaviour::Misdirect);
         let crashes =
             received.is_executed && received.method_and_path.contains(&format!("/{CRASH_SEGMENT}"));
+        let is_late_crash = received.method_and_path.contains(&format!("/{LATE_CRASH_SEGMENT}"));
         let id = received.id.clone();
         let index = {
             let mut all = lock(&shared.received);
@@ -219,6 +223,9 @@
             all.len() - 1
         };
         if crashes {
+            if is_late_crash {
+                send_partial_response(&mut stream, &id).await;
+            }
             time::sleep(TIME_TO_CRASH).await;
             lock(&shared.received)[index].crashed_at = Some(Instant::now());
             return shared.crash();
@@ -282,6 +289,13 @@
     is_sent && !closes
 }
 
+async fn send_partial_response(stream: &mut TcpStream, id: &str) {
+    let body = "x".repeat(PARTIAL_RESPONSE_BYTES);
+    let text = success(id, Some(2 * PARTIAL_RESPONSE_BYTES), &body);
+    // The server crashes in any case.
+    let _ = stream.write_all(text.as_bytes()).await;
+}
+
 fn success(id: &str, length: Option<usize>, body: &str) -> String {
     let length = length.map_or_else(String::new, |length| format!("Content-Length: {length}\r\n"));
     format!(
