--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -282,11 +282,7 @@
     ) -> Result<Response<ResponseBody>, RequestError> {
         let mut failure = None;
         loop {
-            let remaining_ms = self.remaining_ms();
-            let is_retry = attempts.sends > 0;
-            if is_retry && !self.can_retry(attempts, remaining_ms) {
-                break;
-            }
+            // Before a retry is taken from the budget.
             let admission = self.state.admit(|| self.outgoing.fingerprint());
             if let Admission::Refused { retry_after_ms } = admission {
                 log_entry.basis = format!("fingerprint:{}", self.outgoing.fingerprint());
@@ -294,6 +290,11 @@
                     attempts.attempts_exhausted(RequestError::Quarantined { retry_after_ms })
                 );
             }
+            let remaining_ms = self.remaining_ms();
+            let is_retry = attempts.sends > 0;
+            if is_retry && !self.can_retry(attempts, remaining_ms) {
+                break;
+            }
             let Some(choice) = self.choose(attempts, log_entry) else { break };
             log_entry.record_attempt(&choice);
             attempts.tried.push(choice.handle);
