Read quarantined requests from the store without contact to others

Callers would have seen a request crash further servers through an instance that is cut off from the other instances but still reaches store and clients: its crash reports come by datagrams only.

An instance that hears from less than half of the others reads the rows twice a second, and two instances keep each row, in case one of them is the one cut off.

--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -164,13 +164,25 @@
         selected.map(|(.., state)| state.member.traffic_addr).collect()
     }
 
-    /// Returns whether this instance ranks first for `key` among the live instances by
-    /// rendezvous hashing.
-    pub fn ranks_first(&self, key: &str, now_ms: u64) -> bool {
+    /// Returns the rank of this instance for `key` among the live instances by rendezvous
+    /// hashing, 0 for the first.
+    pub fn rank(&self, key: &str, now_ms: u64) -> usize {
+        let score = |instance: &InstanceId| stable_hash(&[key, instance.as_str()]);
+        let own_score = score(&self.local);
         let available = self.states.values().filter(|state| self.is_available(state, now_ms));
-        let first =
-            available.max_by_key(|state| stable_hash(&[key, state.member.instance.as_str()]));
-        first.is_none_or(|state| state.member.instance == self.local)
+        available.filter(|state| score(&state.member.instance) > own_score).count()
+    }
+
+    /// Returns whether this instance is in contact with at least half of the other registered
+    /// instances.
+    pub fn is_in_majority(&self, now_ms: u64) -> bool {
+        let others = self.states.values().filter(|state| state.member.instance != self.local);
+        let (mut live, mut total) = (0, 0);
+        for other in others {
+            total += 1;
+            live += usize::from(self.is_available(other, now_ms));
+        }
+        live * 2 >= total
     }
 
     /// Iterates over the live instances that may watch the store on behalf of others.
--- a/crates/azuregate-core/tests/balance/members.rs
+++ b/crates/azuregate-core/tests/balance/members.rs
@@ -55,6 +55,43 @@
     }
 }
 
+/// Guards against a duty that no live instance has, or that each has in its own view.
+#[test]
+fn live_instances_agree_on_their_ranks() {
+    for key in ["a", "b", "c", "d"] {
+        let ranks = |silent: usize| {
+            let local_views = (0..9).filter(|local| *local != silent).map(|local| {
+                let mut members = members(local, 9);
+                for number in (0..9).filter(|number| *number != silent) {
+                    members.record_heartbeat(&status(instance(number).as_str(), 1), 1_000);
+                }
+                members.rank(key, 1_500)
+            });
+            let mut ranks: Vec<usize> = local_views.collect();
+            ranks.sort();
+            ranks
+        };
+        for silent in 0..9 {
+            assert_eq!(ranks(silent), (0..8).collect::<Vec<_>>(), "{key} {silent}");
+        }
+    }
+}
+
+#[test]
+fn majority_is_lost_without_half_of_the_others() {
+    let cases: [(&[usize], bool); 4] = [
+        (&[], true),
+        (&[1, 2, 3, 4], true),
+        (&[1, 2, 3, 4, 5], false),
+        (&[1, 2, 3, 4, 5, 6, 7, 8], false),
+    ];
+    for (silent, expected) in cases {
+        assert_eq!(live_members_except(silent).is_in_majority(1_500), expected, "{silent:?}");
+    }
+    assert!(!live_members_except(&[]).is_in_majority(10_000), "after the heartbeat timeout");
+    assert!(members(0, 1).is_in_majority(0), "a single instance");
+}
+
 #[test]
 fn lookup_drops_instances_after_the_heartbeat_timeout() {
     let members = live_members_except(&[]);
--- a/crates/azuregate/src/serve/quarantine_rows.rs
+++ b/crates/azuregate/src/serve/quarantine_rows.rs
@@ -1,7 +1,7 @@
 //! Keeps the quarantined requests in the store.
 //!
-//! The instances tell each other what is quarantined. If all of them restart at once, only the
-//! store remembers it.
+//! The instances tell each other what is quarantined. The store tells those that do not hear
+//! from the others, and remembers it if all of them restart at once.
 
 use std::{
     collections::BTreeMap,
@@ -20,6 +20,9 @@
 
 const CHECK_INTERVAL_MS: u64 = 500;
 const RETRY_DELAY_MS: u64 = 1_000;
+/// Number of instances that keep a row. With one, the row would be late if this instance is
+/// the one that has lost contact to the others.
+const WRITERS: usize = 2;
 /// Bounds the rows and the time that an instance takes to read them.
 const MAX_ROWS: usize = 64;
 
@@ -28,17 +31,23 @@
     let mut rows = QuarantineRows {
         store: StoreClient::new(state.settings.store_addr),
         stored: BTreeMap::new(),
+        is_loaded: false,
+        is_failing: false,
         state: Rc::clone(&state),
     };
-    while let Err(e) = rows.load().await {
-        log::warn!(error:% = e; "cannot read quarantined requests");
-        time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
-    }
     let mut ticks = state.timer.subscribe(CHECK_INTERVAL_MS);
-    while ticks.recv().await.is_some() {
-        if let Err(e) = rows.update().await {
-            log::warn!(error:% = e; "cannot store quarantined requests");
+    loop {
+        if let Err(e) = rows.synchronize().await {
+            if !rows.is_failing {
+                log::warn!(error:% = e; "cannot synchronize quarantined requests with the store");
+            }
+            rows.is_failing = true;
             time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+        } else {
+            rows.is_failing = false;
+        }
+        if ticks.recv().await.is_none() {
+            return;
         }
     }
 }
@@ -48,6 +57,8 @@
     store: StoreClient,
     /// The crashes in each row, as far as this instance has read or written it.
     stored: BTreeMap<Fingerprint, Vec<BackendRun>>,
+    is_loaded: bool,
+    is_failing: bool,
 }
 
 impl QuarantineRows {
@@ -71,11 +82,20 @@
             report.0.extend(crashes);
         }
         crash_detection::record_report(&self.state, &report);
+        self.is_loaded = true;
         Ok(())
     }
 
-    /// Writes the requests that are quarantined now and removes the others. Of all instances,
-    /// only the responsible one does so.
+    /// Reads the rows if other instances may not have told about them, then writes.
+    async fn synchronize(&mut self) -> Result<(), StoreError> {
+        let is_in_majority = self.state.members.borrow().is_in_majority(self.state.now_ms());
+        if !self.is_loaded || !is_in_majority {
+            self.load().await?;
+        }
+        self.update().await
+    }
+
+    /// Writes the rows of the requests that are quarantined now and removes the others.
     async fn update(&mut self) -> Result<(), StoreError> {
         let quarantined = self.state.quarantine.borrow().quarantined_crashes();
         if quarantined.is_empty() && self.stored.is_empty() {
@@ -86,15 +106,15 @@
             if self.stored.get(request) == Some(&runs) {
                 continue;
             }
-            if self.state.is_responsible(*request) {
+            if self.state.rank(*request) < WRITERS {
                 let value = crashes::encode(self.with_epoch_times(crashes));
                 self.store.put_quarantined(&crashes::key(*request), &value).await?;
+                self.stored.insert(*request, runs);
             }
-            self.stored.insert(*request, runs);
         }
         let released = self.stored.keys().find(|request| !quarantined.contains_key(request));
         if let Some(request) = released.copied() {
-            if self.state.is_responsible(request) {
+            if self.state.rank(request) < WRITERS {
                 self.store.remove_quarantined(&crashes::key(request)).await?;
             }
             self.stored.remove(&request);
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -260,13 +260,13 @@
         }
         let now_ms = self.now_ms();
         let fingerprint = fingerprint();
-        quarantine.admit(fingerprint, || self.is_responsible(fingerprint), now_ms)
+        quarantine.admit(fingerprint, || self.rank(fingerprint) == 0, now_ms)
     }
 
-    /// Returns whether this is the instance that retries a quarantined request and keeps its
-    /// row in the store.
-    pub(super) fn is_responsible(&self, request: Fingerprint) -> bool {
-        self.members.borrow().ranks_first(&request.to_string(), self.now_ms())
+    /// Returns the rank of this instance for a quarantined request. The first one retries it,
+    /// and the first ones keep its row in the store.
+    pub(super) fn rank(&self, request: Fingerprint) -> usize {
+        self.members.borrow().rank(&request.to_string(), self.now_ms())
     }
 
     /// Records that a backend server responded to a request.
--- a/crates/azuregate/tests/serve/crashing_requests.rs
+++ b/crates/azuregate/tests/serve/crashing_requests.rs
@@ -5,7 +5,9 @@
 use azuregate_platform::fakes::{Behaviour, FakeBackend, ReceivedRequest, backend_row};
 use tokio::time;
 
-use crate::cluster::{Instance, SERVICE, TestCluster, eventually, get_request, post_request};
+use crate::cluster::{
+    Instance, PEER_PORT, SERVICE, TestCluster, eventually, get_request, post_request,
+};
 
 /// The contact bound of the settings fixture: the time within which instances learn of the
 /// third crash.
@@ -124,6 +126,24 @@
     assert_eq!((refused.status, cluster.request_count("again")), (503, 0));
 }
 
+/// Guards against an instance that is cut off from all others, still reaches the store and
+/// clients, and sends the request on.
+#[tokio::test]
+async fn instance_without_contact_to_others_learns_from_the_store() {
+    let cluster = start_cluster().await;
+    let instance = cluster.start_ready_instance(1).await;
+    // Datagrams to another port reach nobody.
+    let ports = |first| format!("network.internalPorts={first},{}", first + 1);
+    let cut = cluster
+        .start_instance_with(2, |text| text.replace(&ports(PEER_PORT), &ports(PEER_PORT + 2)));
+    eventually("the instance is ready", async || cut.readiness().await == 200).await;
+    send_repeatedly(&[instance], Duration::from_secs(2), |id| get_request("/read/crash-1", id))
+        .await;
+    time::sleep(CONTACT).await;
+    let refused = cut.send(&get_request("/read/crash-1", "at-cut")).await.unwrap();
+    assert_eq!((refused.status, cluster.request_count("at-cut")), (503, 0));
+}
+
 /// Guards against a quarantined request that is held or invites the client to come straight
 /// back, and against refusing requests for the same path with another query, body or caller.
 #[tokio::test]
