Recognize the crash of a server that is back at once under another id

Callers would have seen a request crash one server after the other where a supervisor restarts servers within 150 ms: the examination found a process at the address and took the server for alive.

Requests that broke stay remembered for five seconds after the server was found alive; if another run answers at its address meanwhile, it has crashed.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -212,6 +212,7 @@
     if is_rejected {
         let is_misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
         if is_misdirected {
+            crash_detection::record_end(state, choice.handle);
             state.balancer.borrow_mut().set_draining(choice.handle);
         }
         in_flight.set_outcome(Outcome::Rejected);
--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -1,8 +1,12 @@
 //! Detects crashes of backend servers, and reports the requests that were in flight there.
 
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
-use azuregate_core::balance::{BackendHandle, BackendRun, Choice, CrashReport, Fingerprint};
+use azuregate_core::balance::{
+    Backend, BackendHandle, BackendRun, Choice, CrashReport, Fingerprint,
+};
 use tokio::{task::spawn_local, time};
 
 use super::{metrics, pool::Connection, state::State};
@@ -14,43 +18,69 @@
 /// front of a crashed server accepts connections and closes them.
 const MIN_OPEN_MS: u64 = 100;
 
-/// The requests whose connections broke, by server, until it is known whether the server
-/// crashed.
+/// How long requests are remembered after the server was found alive. Until then it may turn
+/// out that another run has taken its place.
+const REMEMBERED_MS: u64 = 5_000;
+
+/// The requests whose connections broke, by server.
 pub(super) type BrokenRequests = RefCell<HashMap<BackendHandle, BrokenAt>>;
 
 /// The requests whose connections to one server broke.
 pub(super) struct BrokenAt {
+    backend: Arc<Backend>,
     requests: Vec<Fingerprint>,
     first_at_ms: u64,
+    /// Whether the server was found alive since.
+    was_alive: bool,
 }
 
 /// Records that the connection broke while `request` was in flight at a server, and examines
 /// the server.
 pub(super) fn record_broken(state: &Rc<State>, choice: &Choice, request: Fingerprint) {
-    let mut broken = state.broken_requests.borrow_mut();
-    let broken = broken.entry(choice.handle).or_insert_with(|| {
-        spawn_local(examine(Rc::clone(state), choice.clone()));
-        BrokenAt { requests: Vec::new(), first_at_ms: state.now_ms() }
+    let now_ms = state.now_ms();
+    let mut all_broken = state.broken_requests.borrow_mut();
+    all_broken.retain(|handle, broken| {
+        let is_outdated = *handle == choice.handle || broken.first_at_ms + REMEMBERED_MS < now_ms;
+        !(broken.was_alive && is_outdated)
+    });
+    let broken = all_broken.entry(choice.handle).or_insert_with(|| {
+        spawn_local(examine(Rc::clone(state), choice.handle, choice.backend.addr));
+        BrokenAt {
+            backend: Arc::clone(&choice.backend),
+            requests: Vec::new(),
+            first_at_ms: now_ms,
+            was_alive: false,
+        }
     });
     broken.requests.push(request);
 }
 
-/// Records a crash if the server does not serve any more, although it was not draining.
-async fn examine(state: Rc<State>, choice: Choice) {
+/// Records a crash if the server does not serve any more.
+async fn examine(state: Rc<State>, handle: BackendHandle, addr: SocketAddr) {
     time::sleep(Duration::from_millis(SETTLING_MS)).await;
-    let is_alive = state.pool.has_open(choice.handle)
-        || accepts_connections(&state, choice.handle, choice.backend.addr).await;
-    let Some(broken) = state.broken_requests.borrow_mut().remove(&choice.handle) else { return };
-    let registered = state.balancer.borrow().backend(choice.handle);
+    if state.pool.has_open(handle) || accepts_connections(&state, handle, addr).await {
+        if let Some(broken) = state.broken_requests.borrow_mut().get_mut(&handle) {
+            broken.was_alive = true;
+        }
+        return;
+    }
+    record_end(&state, handle);
+}
+
+/// Records a crash if requests broke at a server lately. To be called when the run of the server
+/// has ended.
+pub(super) fn record_end(state: &State, handle: BackendHandle) {
+    let Some(broken) = state.broken_requests.borrow_mut().remove(&handle) else { return };
+    let registered = state.balancer.borrow().backend(handle);
     // A server that drains or has left the store ends on purpose.
     let is_leaving = registered.is_none_or(|backend| backend.is_draining);
-    if is_alive || is_leaving {
+    if is_leaving || broken.first_at_ms + REMEMBERED_MS < state.now_ms() {
         return;
     }
     metrics::inc_by(&state.metrics.backend_crashes, 1);
     let in_flight: Vec<String> = broken.requests.iter().map(Fingerprint::to_string).collect();
-    log::warn!(backend:% = choice.backend.id, in_flight = in_flight.join(","); "backend server crashed");
-    let run = BackendRun::of(&choice.backend);
+    log::warn!(backend:% = broken.backend.id, in_flight = in_flight.join(","); "backend server crashed");
+    let run = BackendRun::of(&broken.backend);
     let added = {
         let mut quarantine = state.quarantine.borrow_mut();
         quarantine.record_crash(run, &broken.requests, broken.first_at_ms)
--- a/crates/azuregate/tests/serve/crashing_requests.rs
+++ b/crates/azuregate/tests/serve/crashing_requests.rs
@@ -18,16 +18,31 @@
 const MAX_RETRIES: usize = 3;
 const SERVERS: usize = 14;
 
+/// Time after which the row of a crashed server is removed.
+const ROW_EXPIRY: Duration = Duration::from_secs(4);
+
 /// Starts a cluster whose servers register again after each crash.
 async fn start_cluster() -> TestCluster {
+    start_cluster_with_downtime(None).await
+}
+
+/// As `start_cluster`, with servers that start again after this time.
+async fn start_cluster_with_downtime(downtime: Option<Duration>) -> TestCluster {
     let cluster = TestCluster::start(SERVERS).await;
     for backend in cluster.backends.clone() {
         let store = cluster.store.clone();
+        if let Some(downtime) = downtime {
+            backend.set_crash_downtime(downtime);
+        }
         tokio::spawn(async move {
             loop {
                 let crashed_id = backend.restarted().await;
-                store.remove("servers", &crashed_id);
                 store.put("servers", &backend.id(), row(&backend));
+                let store = store.clone();
+                tokio::spawn(async move {
+                    time::sleep(ROW_EXPIRY).await;
+                    store.remove("servers", &crashed_id);
+                });
             }
         });
     }
@@ -106,6 +121,21 @@
     }
 }
 
+/// Guards against taking a server for alive that has crashed and is back under another id before
+/// it is examined.
+#[tokio::test]
+async fn crash_of_a_server_that_is_back_at_once_is_recognized() {
+    let cluster = start_cluster_with_downtime(Some(Duration::from_millis(10))).await;
+    let instances = [cluster.start_ready_instance(1).await, cluster.start_ready_instance(2).await];
+    time::sleep(Duration::from_secs(1)).await;
+    let request = |id: &str| get_request("/read/crash-1", id);
+    send_repeatedly(&instances, Duration::from_secs(4), request).await;
+    let before = received(&cluster, "GET /read/crash-1").len();
+    send_repeatedly(&instances, Duration::from_secs(1), request).await;
+    let late = received(&cluster, "GET /read/crash-1").len() - before;
+    assert_eq!(late, 0, "{before} before");
+}
+
 /// Guards against a request that crashes servers again because all instances that remembered it
 /// have restarted at once.
 #[tokio::test]
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -19,7 +19,7 @@
 /// With this segment, it sends a part of a long response before.
 const LATE_CRASH_SEGMENT: &str = "crash-late";
 const PARTIAL_RESPONSE_BYTES: usize = 100_000;
-/// Time from a crash to the next start.
+/// Time from a crash to the next start, unless the test sets another one.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 /// Time for which a server executes a request that crashes it.
 const TIME_TO_CRASH: Duration = Duration::from_millis(30);
@@ -95,6 +95,7 @@
 struct Shared {
     name: String,
     run: watch::Sender<Run>,
+    crash_downtime: Mutex<Duration>,
     behaviour: Mutex<Behaviour>,
     received: Mutex<Vec<ReceivedRequest>>,
 }
@@ -115,6 +116,7 @@
         let shared = Arc::new(Shared {
             name: id.to_owned(),
             run: watch::Sender::new(Run { starts: 1, is_up: true }),
+            crash_downtime: Mutex::new(CRASH_DOWNTIME),
             behaviour: Mutex::default(),
             received: Mutex::default(),
         });
@@ -127,6 +129,11 @@
         self.shared.id()
     }
 
+    /// Sets the time from a crash to the next start.
+    pub fn set_crash_downtime(&self, downtime: Duration) {
+        *lock(&self.shared.crash_downtime) = downtime;
+    }
+
     /// Ends the server as a crash does: without a response to any request.
     pub fn crash(&self) {
         self.shared.crash();
@@ -185,7 +192,8 @@
             () = shared.crashed() => {}
         }
         drop(listener);
-        time::sleep(CRASH_DOWNTIME).await;
+        let downtime = *lock(&shared.crash_downtime);
+        time::sleep(downtime).await;
         listener = TcpListener::bind(addr).await.expect("the port is still free");
         shared.run.send_modify(|run| *run = Run { starts: run.starts + 1, is_up: true });
     }
