Teach instances that have just started all quarantined requests

Callers would have seen a request crash servers through an instance that has just started while several requests are quarantined. Two causes, each with a test that failed: times of crashes before the start of the instance were cut off at zero, so the crashes seemed simultaneous and to have a common cause; and reports began with the same crashes each time, so those that did not fit into a datagram were never reported.

--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -48,7 +48,9 @@
 pub use members::{HeartbeatStatus, Member, Members};
 pub use missing_backends::MissingBackends;
 pub use policy::{Candidate, Decision, HealthStatus, LoadBalancingPolicy, ObjectAffinity};
-pub use quarantine::{Admission, BackendRun, CrashReport, Fingerprint, Quarantine, ReportScope};
+pub use quarantine::{
+    Admission, BackendRun, CrashReport, Fingerprint, Quarantine, ReportScope, ReportedCrash,
+};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
 pub use retry_after::RetryReason;
--- a/crates/azuregate-core/src/balance/quarantine.rs
+++ b/crates/azuregate-core/src/balance/quarantine.rs
@@ -64,7 +64,9 @@
 }
 
 /// Identifies one run of a backend server, the same on all instances.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
 pub struct BackendRun(pub u64);
 
@@ -75,12 +77,15 @@
     }
 }
 
+/// A crashed run, the time since the crash in milliseconds, and the requests that were in flight
+/// there.
+pub type ReportedCrash = (BackendRun, u64, Vec<Fingerprint>);
+
 /// A report of crashes from one instance to another, encoded by position.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct CrashReport(
-    /// Each crashed run, the time since the crash in milliseconds, and the requests that were
-    /// in flight there.
-    pub Vec<(BackendRun, u64, Vec<Fingerprint>)>,
+    /// The crashes.
+    pub Vec<ReportedCrash>,
     /// Requests that a server has responded to, so that they are not the cause of the crashes
     /// reported so far.
     pub Vec<Fingerprint>,
@@ -97,6 +102,15 @@
     Quarantined,
 }
 
+impl ReportScope {
+    fn is_due(self, reports_left: u32) -> bool {
+        match self {
+            ReportScope::Unsent => reports_left == REPORT_REPETITIONS,
+            ReportScope::Recent | ReportScope::Quarantined => reports_left > 0,
+        }
+    }
+}
+
 /// Whether a request may be sent to backend servers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -109,8 +123,14 @@
     },
 }
 
+/// Converts a time so that crashes before the start of this instance can be represented.
+fn since_epoch(now_ms: u64) -> u64 {
+    now_ms + CRASH_TTL_MS
+}
+
 #[derive(Clone, Debug)]
 struct Crash {
+    /// Time since the epoch of [`since_epoch`].
     at_ms: u64,
     /// The requests in flight; the value is whether the request was cleared since.
     requests: BTreeMap<Fingerprint, bool>,
@@ -169,6 +189,8 @@
     quarantined: BTreeMap<Fingerprint, Quarantined>,
     /// Cleared requests to report, with the number of reports left.
     cleared: BTreeMap<Fingerprint, u32>,
+    /// The crash with which the next report begins.
+    first_unreported: BackendRun,
 }
 
 impl Quarantine {
@@ -193,6 +215,7 @@
         let Some(quarantined) = self.quarantined.get_mut(&request) else {
             return Admission::Allowed;
         };
+        let now_ms = since_epoch(now_ms);
         let next_trial_ms = quarantined.next_trial_ms();
         if next_trial_ms.is_some_and(|at| at <= now_ms) && is_responsible() {
             quarantined.trial_started_at_ms = Some(now_ms);
@@ -211,7 +234,7 @@
         requests: &[Fingerprint],
         at_ms: u64,
     ) -> Vec<Fingerprint> {
-        if !self.add_crash(run, requests, at_ms) {
+        if !self.add_crash(run, requests, since_epoch(at_ms)) {
             return Vec::new();
         }
         if let Some(crash) = self.crashes.get_mut(&run) {
@@ -227,7 +250,7 @@
         let mut has_changed = false;
         for (run, age_ms, requests) in crashes {
             if *age_ms < CRASH_TTL_MS {
-                has_changed |= self.add_crash(*run, requests, now_ms.saturating_sub(*age_ms));
+                has_changed |= self.add_crash(*run, requests, since_epoch(now_ms) - age_ms);
             }
         }
         for request in cleared {
@@ -249,44 +272,68 @@
 
     /// Returns what to report to the other instances, `None` if there is nothing.
     pub fn next_report(&mut self, scope: ReportScope, now_ms: u64) -> Option<CrashReport> {
-        let is_due = |reports_left: u32| match scope {
-            ReportScope::Unsent => reports_left == REPORT_REPETITIONS,
-            ReportScope::Recent | ReportScope::Quarantined => reports_left > 0,
-        };
-        let mut report = CrashReport::default();
-        let mut requests_left = MAX_REQUESTS_PER_DATAGRAM;
-        let cleared = self.cleared.iter_mut().filter(|(_, reports_left)| is_due(**reports_left));
-        for (request, reports_left) in cleared.take(MAX_REQUESTS_PER_DATAGRAM) {
+        let cleared = self.next_cleared(scope);
+        let crashes = self.next_crashes(scope, MAX_REQUESTS_PER_DATAGRAM - cleared.len(), now_ms);
+        let report = CrashReport(crashes, cleared);
+        (report != CrashReport::default()).then_some(report)
+    }
+
+    fn next_cleared(&mut self, scope: ReportScope) -> Vec<Fingerprint> {
+        let due = self.cleared.iter_mut().filter(|(_, reports_left)| scope.is_due(**reports_left));
+        let mut cleared = Vec::new();
+        for (request, reports_left) in due.take(MAX_REQUESTS_PER_DATAGRAM) {
             *reports_left -= 1;
-            requests_left -= 1;
-            report.1.push(*request);
+            cleared.push(*request);
         }
         self.cleared.retain(|_, reports_left| *reports_left > 0);
-        for (run, crash) in &mut self.crashes {
-            let is_due = is_due(crash.reports_left);
-            let requests: Vec<Fingerprint> = crash
-                .suspects()
-                .filter(|request| {
-                    is_due
-                        || scope == ReportScope::Quarantined
-                            && self.quarantined.contains_key(request)
-                })
-                .collect();
-            if requests.is_empty() || requests.len() > requests_left {
+        cleared
+    }
+
+    /// Returns crashes with `max_requests` in all. What does not fit comes first in the next
+    /// report.
+    fn next_crashes(
+        &mut self,
+        scope: ReportScope,
+        max_requests: usize,
+        now_ms: u64,
+    ) -> Vec<ReportedCrash> {
+        let now_ms = since_epoch(now_ms);
+        let first = self.first_unreported;
+        let in_turn = self.crashes.range(first..).chain(self.crashes.range(..first));
+        let runs: Vec<BackendRun> = in_turn.map(|(run, _)| *run).collect();
+        let mut requests_left = max_requests;
+        let mut reported = Vec::new();
+        for run in runs {
+            let Some(crash) = self.crashes.get_mut(&run) else { continue };
+            let is_due = scope.is_due(crash.reports_left);
+            if !is_due && scope != ReportScope::Quarantined {
+                continue;
+            }
+            let mut requests: Vec<Fingerprint> = crash.suspects().collect();
+            requests.retain(|request| is_due || self.quarantined.contains_key(request));
+            if requests.len() > requests_left {
+                self.first_unreported = run;
+                break;
+            }
+            if requests.is_empty() {
                 continue;
             }
             crash.reports_left = crash.reports_left.saturating_sub(1);
             requests_left -= requests.len();
-            report.0.push((*run, now_ms.saturating_sub(crash.at_ms), requests));
+            reported.push((run, now_ms - crash.at_ms, requests));
         }
-        (report != CrashReport::default()).then_some(report)
+        reported
     }
 
-    /// Returns the quarantined requests with their crashes and the times of these.
-    pub fn quarantined_crashes(&self) -> BTreeMap<Fingerprint, Vec<(BackendRun, u64)>> {
+    /// Returns the quarantined requests with their crashes and the times since these.
+    pub fn quarantined_crashes(
+        &self,
+        now_ms: u64,
+    ) -> BTreeMap<Fingerprint, Vec<(BackendRun, u64)>> {
+        let now_ms = since_epoch(now_ms);
         let crashes_of = |request: &Fingerprint| {
             let crashes = self.crashes.iter().filter(|(_, crash)| crash.is_suspect(*request));
-            crashes.map(|(run, crash)| (*run, crash.at_ms)).collect()
+            crashes.map(|(run, crash)| (*run, now_ms - crash.at_ms)).collect()
         };
         self.quarantined.keys().map(|request| (*request, crashes_of(request))).collect()
     }
@@ -294,7 +341,8 @@
     /// Forgets old crashes.
     pub fn expire(&mut self, now_ms: u64) {
         let count = self.crashes.len();
-        self.crashes.retain(|_, crash| now_ms < crash.at_ms + CRASH_TTL_MS);
+        let oldest_ms = since_epoch(now_ms) - CRASH_TTL_MS;
+        self.crashes.retain(|_, crash| crash.at_ms > oldest_ms);
         if self.crashes.len() < count {
             self.update();
         }
--- a/crates/azuregate-core/tests/balance/quarantine.rs
+++ b/crates/azuregate-core/tests/balance/quarantine.rs
@@ -113,6 +113,40 @@
     }
 }
 
+/// Guards against an instance that has just started and takes crashes of before its start for
+/// simultaneous ones with a common cause.
+#[test]
+fn crashes_before_the_start_of_an_instance_count() {
+    let crash = |run: u64, request| (BackendRun(run), 20_000 - run * 1_000, vec![request]);
+    let crashes = (0..10).map(|run| crash(run, if run % 2 == 0 { CAUSE } else { OTHER }));
+    let report = CrashReport(crashes.collect(), Vec::new());
+    let mut quarantine = Quarantine::default();
+    quarantine.record_report(&report, 500);
+    assert!(is_refused(&mut quarantine, CAUSE, 600));
+    assert!(is_refused(&mut quarantine, OTHER, 600));
+}
+
+/// Guards against reports that always contain the same crashes, so that an instance that has
+/// just started never learns of the others.
+#[test]
+fn reports_contain_all_quarantined_requests_in_turn() {
+    let mut quarantine = Quarantine::default();
+    for request in 0..100 {
+        for run in 0..3 {
+            let (run, at_ms) = (BackendRun(request * 3 + run), (request * 3 + run) * 1_000);
+            quarantine.record_crash(run, &[Fingerprint(request)], at_ms);
+        }
+    }
+    let now_ms = 400_000;
+    while quarantine.next_report(ReportScope::Recent, now_ms).is_some() {}
+    let mut started = Quarantine::default();
+    for _ in 0..4 {
+        let report = quarantine.next_report(ReportScope::Quarantined, now_ms).unwrap();
+        started.record_report(&report, 0);
+    }
+    assert_eq!(started.quarantined_requests(), quarantine.quarantined_requests());
+}
+
 /// Guards against counting one crash several times because several instances report it.
 #[test]
 fn crash_reported_by_several_instances_counts_once() {
--- a/crates/azuregate/src/serve/quarantine_rows.rs
+++ b/crates/azuregate/src/serve/quarantine_rows.rs
@@ -97,7 +97,7 @@
 
     /// Writes the rows of the requests that are quarantined now and removes the others.
     async fn update(&mut self) -> Result<(), StoreError> {
-        let quarantined = self.state.quarantine.borrow().quarantined_crashes();
+        let quarantined = self.state.quarantine.borrow().quarantined_crashes(self.state.now_ms());
         if quarantined.is_empty() && self.stored.is_empty() {
             return Ok(());
         }
@@ -107,7 +107,7 @@
                 continue;
             }
             if self.state.rank(*request) < WRITERS {
-                let value = crashes::encode(self.with_epoch_times(crashes));
+                let value = crashes::encode(with_epoch_times(crashes));
                 self.store.put_quarantined(&crashes::key(*request), &value).await?;
                 self.stored.insert(*request, runs);
             }
@@ -121,12 +121,11 @@
         }
         Ok(())
     }
+}
 
-    fn with_epoch_times(&self, crashes: &[(BackendRun, u64)]) -> crashes::TimedCrashes {
-        let (now_ms, now_epoch_ms) = (self.state.now_ms(), epoch_ms());
-        let at_epoch_ms = |at_ms: u64| now_epoch_ms.saturating_sub(now_ms.saturating_sub(at_ms));
-        crashes.iter().map(|&(run, at_ms)| (run, at_epoch_ms(at_ms))).collect()
-    }
+fn with_epoch_times(crashes: &[(BackendRun, u64)]) -> crashes::TimedCrashes {
+    let now_epoch_ms = epoch_ms();
+    crashes.iter().map(|&(run, age_ms)| (run, now_epoch_ms.saturating_sub(age_ms))).collect()
 }
 
 fn epoch_ms() -> u64 {
