Do not blame requests that were sent to a server after its crash

Callers would have seen 503 for a popular request, for some milliseconds, after all instances had restarted while servers behind proxies were down.

A connection that is accepted and closed now shows a crash only if the server has responded to this instance before, and requests that break over a second after a crash that is known don't count for it. A refused connection shows a crash as before.

--- a/crates/azuregate-core/src/balance/quarantine.rs
+++ b/crates/azuregate-core/src/balance/quarantine.rs
@@ -29,6 +29,9 @@
 /// Number of simultaneous crashes from which a common cause is assumed, unless most of the
 /// servers had a request in common.
 const MIN_COMMON_CRASHES: usize = 4;
+/// Time within which all instances notice one crash. Requests that break later were sent to a
+/// server that had crashed already.
+const MAX_NOTICE_MS: u64 = 1_000;
 /// Time after which a crash is forgotten.
 const CRASH_TTL_MS: u64 = 24 * 3_600_000;
 /// Bounds the memory to some hundred kilobytes, whatever callers send.
@@ -358,6 +361,9 @@
             requests: BTreeMap::new(),
             reports_left: 0,
         });
+        if at_ms > crash.at_ms + MAX_NOTICE_MS {
+            return false;
+        }
         let count = crash.requests.len();
         for request in requests {
             if crash.requests.len() < MAX_REQUESTS_PER_CRASH {
--- a/crates/azuregate-core/tests/balance/quarantine.rs
+++ b/crates/azuregate-core/tests/balance/quarantine.rs
@@ -147,6 +147,19 @@
     assert_eq!(started.quarantined_requests(), quarantine.quarantined_requests());
 }
 
+/// Guards against blaming requests that were sent to a server after it had crashed, since a
+/// proxy in front of it accepts connections.
+#[test]
+fn requests_sent_after_a_crash_are_not_suspects() {
+    let mut quarantine = Quarantine::default();
+    for run in 0..3 {
+        quarantine.record_crash(BackendRun(run), &[CAUSE], run * 10_000);
+        quarantine.record_crash(BackendRun(run), &[OTHER], run * 10_000 + 1_500);
+    }
+    assert!(is_refused(&mut quarantine, CAUSE, 30_000));
+    assert!(!is_refused(&mut quarantine, OTHER, 30_000));
+}
+
 /// Guards against counting one crash several times because several instances report it.
 #[test]
 fn crash_reported_by_several_instances_counts_once() {
--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -9,15 +9,13 @@
 };
 use tokio::{task::spawn_local, time};
 
-use super::{metrics, pool::Connection, state::State};
+use super::{metrics, state::State};
 
 /// Time after a broken connection until the server is examined: the other connections to a
 /// crashed server break meanwhile, and its process ends.
 const SETTLING_MS: u64 = 50;
-/// How long a new connection must stay open to show that the server is alive. A proxy in
-/// front of a crashed server accepts connections and closes them.
+/// How long a new connection must stay open to show that the server is alive.
 const MIN_OPEN_MS: u64 = 100;
-
 /// How long requests are remembered after the server was found alive. Until then it may turn
 /// out that another run has taken its place.
 const REMEMBERED_MS: u64 = 5_000;
@@ -58,13 +56,18 @@
 /// Records a crash if the server does not serve any more.
 async fn examine(state: Rc<State>, handle: BackendHandle, addr: SocketAddr) {
     time::sleep(Duration::from_millis(SETTLING_MS)).await;
-    if state.pool.has_open(handle) || accepts_connections(&state, handle, addr).await {
-        if let Some(broken) = state.broken_requests.borrow_mut().get_mut(&handle) {
-            broken.was_alive = true;
-        }
-        return;
+    let has_ended = !state.pool.has_open(handle)
+        && match probe(&state, handle, addr).await {
+            Probe::Refused => true,
+            // Behind a proxy, the server may have crashed before the requests were sent.
+            Probe::Closed => state.balancer.borrow().has_responded(handle),
+            Probe::Open | Probe::TimedOut => false,
+        };
+    if has_ended {
+        record_end(&state, handle);
+    } else if let Some(broken) = state.broken_requests.borrow_mut().get_mut(&handle) {
+        broken.was_alive = true;
     }
-    record_end(&state, handle);
 }
 
 /// Records a crash if requests broke at a server lately. To be called when the run of the server
@@ -100,18 +103,26 @@
     }
 }
 
-/// Returns whether a server accepts a connection and keeps it open. If the connection cannot
-/// be established in time, the server counts as alive: the network may be cut.
-async fn accepts_connections(state: &State, handle: BackendHandle, addr: SocketAddr) -> bool {
-    match state.pool.connect(handle, addr).await {
-        Ok(connection) => stays_open(state, handle, connection).await,
-        Err(e) => e.kind() == io::ErrorKind::TimedOut,
-    }
+/// The result of a new connection to a server.
+enum Probe {
+    /// It stays open.
+    Open,
+    /// It is accepted and closed at once, as by a proxy in front of a crashed server.
+    Closed,
+    /// It is refused or reset.
+    Refused,
+    /// There is no answer: the network may be cut.
+    TimedOut,
 }
 
-async fn stays_open(state: &State, handle: BackendHandle, connection: Connection) -> bool {
+async fn probe(state: &State, handle: BackendHandle, addr: SocketAddr) -> Probe {
+    let connection = match state.pool.connect(handle, addr).await {
+        Ok(connection) => connection,
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => return Probe::TimedOut,
+        Err(_) => return Probe::Refused,
+    };
     time::sleep(Duration::from_millis(MIN_OPEN_MS)).await;
     let is_open = !connection.sender.is_closed();
     state.pool.put(handle, connection, state.now_ms());
-    is_open
+    if is_open { Probe::Open } else { Probe::Closed }
 }
