--- a/crates/azuregate-core/src/balance/quarantine.rs
+++ b/crates/azuregate-core/src/balance/quarantine/mod.rs
@@ -1,21 +1,18 @@
 //! Quarantine of requests that crash the backend servers that execute them.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
-    fmt, mem,
-};
+mod crash;
+mod evidence;
+mod report;
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
+use std::{collections::BTreeMap, mem};
 
-use super::Backend;
-use crate::route::hash::stable_hash;
+pub use self::report::{BackendRun, CrashReport, Fingerprint, ReportScope, ReportedCrash};
+use self::{
+    crash::{CRASH_TTL_MS, Crash, since_epoch},
+    evidence::Evidence,
+    report::{MAX_REQUESTS_PER_DATAGRAM, REPORT_REPETITIONS},
+};
 
-/// Number of crashes of different servers after which a request is quarantined.
-const MAX_CRASHES: usize = 3;
-/// The same for a request that was cleared of earlier crashes. A popular request is often in
-/// flight at a server that crashes for another reason.
-const MAX_CRASHES_AFTER_CLEARING: usize = 6;
 /// Time from the last crash to the first trial of a quarantined request; doubled for each
 /// failed trial. Long enough to roll back the version of a service.
 const FIRST_TRIAL_MS: u64 = 600_000;
@@ -23,96 +20,13 @@
 const MAX_TRIALS: usize = 3;
 /// Time within which a trial must have ended before there is another one.
 const TRIAL_TIMEOUT_MS: u64 = 60_000;
-/// Crashes within this time of each other may have a common cause, such as a power loss. The
-/// instances notice the crash of a server at slightly different times.
-const SIMULTANEOUS_MS: u64 = 100;
-/// Number of simultaneous crashes from which a common cause is assumed, unless most of the
-/// servers had a request in common.
-const MIN_COMMON_CRASHES: usize = 4;
 /// Time within which all instances notice one crash. Requests that break later were sent to a
 /// server that had crashed already.
 const MAX_NOTICE_MS: u64 = 1_000;
-/// Time after which a crash is forgotten.
-const CRASH_TTL_MS: u64 = 24 * 3_600_000;
 /// Bounds the memory to some hundred kilobytes, whatever callers send.
 const MAX_STORED_CRASHES: usize = 256;
 /// Requests stored of one crash.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
-/// How often a report is sent, since datagrams may be lost.
-const REPORT_REPETITIONS: u32 = 4;
-/// Requests per datagram, so that it fits in one packet.
-const MAX_REQUESTS_PER_DATAGRAM: usize = 80;
-
-/// Identifies a request whenever it is sent again, under whatever ID.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
-pub struct Fingerprint(pub u64);
-
-impl Fingerprint {
-    /// Returns the fingerprint of a request that consists of `parts`.
-    pub fn new<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Fingerprint {
-        let mut hasher = Xxh3::new();
-        for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        Fingerprint(hasher.digest())
-    }
-}
-
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
-/// Identifies one run of a backend server, the same on all instances.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-#[serde(transparent)]
-pub struct BackendRun(pub u64);
-
-impl BackendRun {
-    /// Returns the current run of a server.
-    pub fn of(backend: &Backend) -> BackendRun {
-        BackendRun(stable_hash(&[backend.id.as_str(), &backend.start_epoch_ms.to_string()]))
-    }
-}
-
-/// A crashed run, the time since the crash in milliseconds, and the requests that were in flight
-/// there.
-pub type ReportedCrash = (BackendRun, u64, Vec<Fingerprint>);
-
-/// A report of crashes from one instance to another, encoded by position.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct CrashReport(
-    /// The crashes.
-    pub Vec<ReportedCrash>,
-    /// Requests that a server has responded to, so that they are not the cause of the crashes
-    /// reported so far.
-    pub Vec<Fingerprint>,
-);
-
-/// What a [`CrashReport`] contains.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReportScope {
-    /// What was not reported yet.
-    Unsent,
-    /// Also repetitions of what was reported, since datagrams may be lost.
-    Recent,
-    /// Also the crashes of all quarantined requests, for instances that have just started.
-    Quarantined,
-}
-
-impl ReportScope {
-    fn is_due(self, reports_left: u32) -> bool {
-        match self {
-            ReportScope::Unsent => reports_left == REPORT_REPETITIONS,
-            ReportScope::Recent | ReportScope::Quarantined => reports_left > 0,
-        }
-    }
-}
 
 /// Whether a request may be sent to backend servers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -126,34 +40,6 @@
     },
 }
 
-/// Converts a time so that crashes before the start of this instance can be represented.
-fn since_epoch(now_ms: u64) -> u64 {
-    now_ms + CRASH_TTL_MS
-}
-
-#[derive(Clone, Debug)]
-struct Crash {
-    /// Time since the epoch of [`since_epoch`].
-    at_ms: u64,
-    /// The requests in flight; the value is whether the request was cleared since.
-    requests: BTreeMap<Fingerprint, bool>,
-    reports_left: u32,
-}
-
-impl Crash {
-    fn is_suspect(&self, request: Fingerprint) -> bool {
-        self.requests.get(&request) == Some(&false)
-    }
-
-    fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
-        self.requests.iter().filter(|(_, is_cleared)| !**is_cleared).map(|(request, _)| *request)
-    }
-
-    fn cleared(&self) -> impl Iterator<Item = Fingerprint> {
-        self.requests.iter().filter(|(_, is_cleared)| **is_cleared).map(|(request, _)| *request)
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Quarantined {
     failed_trials: usize,
@@ -177,7 +63,7 @@
 ///
 /// Such a request comes back under new IDs and at any instance, so no instance sees more than
 /// a few of its crashes. Instances therefore report which requests were in flight at each
-/// crash. A request is quarantined after [`MAX_CRASHES`] crashes of different servers, without
+/// crash. A request is quarantined after three crashes of different servers, without
 /// a response of any server in between.
 ///
 /// Other requests in flight at the same servers are told from the cause by the number of their
@@ -429,66 +315,3 @@
         added
     }
 }
-
-/// The crashes that count against the requests that were in flight at [`MAX_CRASHES`] or more.
-#[derive(Debug, Default)]
-struct Evidence {
-    runs: BTreeMap<Fingerprint, BTreeSet<BackendRun>>,
-    /// The requests that were cleared of other crashes.
-    cleared: HashSet<Fingerprint>,
-}
-
-impl Evidence {
-    fn of(crashes: &BTreeMap<BackendRun, Crash>) -> Evidence {
-        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
-        for request in crashes.values().flat_map(Crash::suspects) {
-            *counts.entry(request).or_default() += 1;
-        }
-        let mut runs: BTreeMap<Fingerprint, BTreeSet<BackendRun>> = BTreeMap::new();
-        for (run, crash) in crashes {
-            let simultaneous: Vec<&Crash> = crashes
-                .values()
-                .filter(|other| other.at_ms.abs_diff(crash.at_ms) <= SIMULTANEOUS_MS)
-                .collect();
-            for request in crash.suspects().filter(|request| counts[request] >= MAX_CRASHES) {
-                // Servers that lose power together have only some requests in common.
-                let has_common_cause = simultaneous.len() >= MIN_COMMON_CRASHES;
-                let shared = simultaneous.iter().filter(|other| other.is_suspect(request)).count();
-                if !has_common_cause || shared * 2 > simultaneous.len() {
-                    runs.entry(request).or_default().insert(*run);
-                }
-            }
-        }
-        runs.retain(|_, runs| runs.len() >= MAX_CRASHES);
-        let cleared = crashes.values().flat_map(Crash::cleared).collect();
-        Evidence { runs, cleared }
-    }
-
-    /// Returns the number of crashes after which a request is quarantined.
-    fn needed(&self, request: Fingerprint) -> usize {
-        if self.cleared.contains(&request) { MAX_CRASHES_AFTER_CLEARING } else { MAX_CRASHES }
-    }
-
-    /// Returns whether crashes are attributed to `other` rather than to `request`, given that
-    /// both were in flight.
-    ///
-    /// Of two requests that were always together, only one is quarantined. If the other one is
-    /// the cause, the next crash shows it.
-    fn explains(&self, other: Fingerprint, request: Fingerprint, is_quarantined: bool) -> bool {
-        let Some(other_runs) = self.runs.get(&other) else { return false };
-        if is_quarantined {
-            return !self.dominates(request, other);
-        }
-        (other_runs.len(), other) > (self.runs[&request].len(), request)
-    }
-
-    /// Returns whether `request` was in flight at all crashes of `other` and at more.
-    fn dominates(&self, request: Fingerprint, other: Fingerprint) -> bool {
-        let (runs, other_runs) = (&self.runs[&request], &self.runs[&other]);
-        runs.len() > other_runs.len() && runs.is_superset(other_runs)
-    }
-
-    fn is_dominated(&self, request: Fingerprint) -> bool {
-        self.runs.keys().any(|other| self.dominates(*other, request))
-    }
-}
