Give test servers an address that no other process uses

Servers and their proxies now have loopback addresses of their own, so that their ports cannot be taken.

--- a/crates/azuregate/tests/serve/cluster.rs
+++ b/crates/azuregate/tests/serve/cluster.rs
@@ -27,6 +27,8 @@
 /// The first port of every instance; each instance has its own IP address.
 pub(crate) const FIRST_PORT: u16 = 18_160;
 pub(crate) const PEER_PORT: u16 = 18_170;
+/// The last number of the backend servers' IP address.
+const BACKEND_HOST: u8 = 250;
 /// The metrics port declared in `deploy/system.toml`.
 const METRICS_PORT: u16 = 9_464;
 /// The timeout of every wait.
@@ -61,7 +63,9 @@
     /// Starts another backend server and registers it.
     pub(crate) async fn add_backend(&mut self, zone: &str) -> FakeBackend {
         let id = format!("b{}", self.backends.len());
-        let backend = FakeBackend::start(&id, "127.0.0.1").await;
+        // No other process uses this address, so the port stays free while the server is down.
+        let ip = format!("{}.{BACKEND_HOST}", self.network);
+        let backend = FakeBackend::start(&id, &ip).await;
         self.store.put("servers", &id, backend_row(SERVICE, backend.addr(), zone, "ready"));
         self.backends.push(backend.clone());
         backend
--- a/crates/azuregate/tests/soak/proxy.rs
+++ b/crates/azuregate/tests/soak/proxy.rs
@@ -1,6 +1,9 @@
 //! A loopback proxy that injects faults into the connections through it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use socket2::SockRef;
 use tokio::{
@@ -38,12 +41,17 @@
 impl Proxy {
     /// Starts a proxy of an address that always accepts connections.
     pub(crate) async fn start(target: SocketAddr) -> Proxy {
-        Proxy::start_with(target, watch::Sender::new(true).subscribe()).await
+        let ip = IpAddr::from([127, 0, 0, 1]);
+        Proxy::start_with(ip, target, watch::Sender::new(true).subscribe()).await
     }
 
     /// Starts a proxy that refuses connections while `is_up` is false, as the target does.
-    pub(crate) async fn start_with(target: SocketAddr, mut is_up: watch::Receiver<bool>) -> Proxy {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    pub(crate) async fn start_with(
+        ip: IpAddr,
+        target: SocketAddr,
+        mut is_up: watch::Receiver<bool>,
+    ) -> Proxy {
+        let listener = TcpListener::bind((ip, 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let mode = watch::Sender::new(LinkMode::Forward);
         let modes = mode.clone();
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -32,6 +32,8 @@
 const MANY_ROUTES_MIN_INSTANCES: usize = 16;
 const MANY_ROUTES: usize = 1_400;
 const SERVERS: usize = 6;
+/// The last number of the first server's IP address, above those of the instances.
+const FIRST_SERVER_HOST: usize = 240;
 const CLIENTS: u64 = 14;
 /// Time after the last fault within which the deployment must recover: contact with the
 /// store, lookups of clients, and use of servers that had failed.
@@ -139,21 +141,23 @@
 }
 
 async fn set_up(seed: u64, count: usize) -> Deployment {
+    let run = next_run();
     let store = FakeStore::start("127.0.0.1").await;
     let config = ConfigDocument::new(SERVICE);
     store.put("op", "config", config_row(&config));
     let mut servers = Vec::new();
     for number in 0..SERVERS {
         let id = format!("b{number}");
-        let backend = FakeBackend::start(&id, "127.0.0.1").await;
+        // No other process uses this address, so ports stay free while the server is down.
+        let ip = ip(run, FIRST_SERVER_HOST + number);
+        let backend = FakeBackend::start(&id, &ip.to_string()).await;
         backend.set(NORMAL_BEHAVIOUR);
-        let proxy = Proxy::start_with(backend.addr(), backend.subscribe_up()).await;
+        let proxy = Proxy::start_with(ip, backend.addr(), backend.subscribe_up()).await;
         let (zone, _) = ZONES[number % ZONES.len()];
         store.put("servers", &id, backend_row(SERVICE, proxy.addr, zone, "ready"));
         servers.push(Server { backend, drained_at: Mutex::new(None), proxy, zone });
     }
     let dir = create_run_dir(seed, count);
-    let run = next_run();
     let (mut instances, mut store_proxies) = (Vec::new(), Vec::new());
     for number in 0..count {
         let proxy = Proxy::start(store.addr()).await;
