--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -252,7 +252,7 @@
     }
 
     /// Returns whether a request may be sent to backend servers. `fingerprint` is called only
-    /// if a server has crashed lately.
+    /// if any request is quarantined.
     pub(super) fn admit(&self, fingerprint: impl FnOnce() -> Fingerprint) -> Admission {
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.quarantined_requests() == 0 {
