Log the rate limit that a backend server names

A server that names a limit of its rate in its responses left no trace in any log, so it could not be told whether instances take no notice of it or each of them keeps it alone. One line tells now when the limit of a server changes, and the line of a request has the limit of its server. Nothing else uses it yet.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -93,6 +93,7 @@
     /// Result of the last outlier detection.
     pub(super) is_outlier: bool,
     was_unreachable: bool,
+    rate_limit_per_s: Option<f64>,
 }
 
 impl BackendState {
@@ -205,6 +206,7 @@
             health: Health::default(),
             is_outlier: false,
             was_unreachable: false,
+            rate_limit_per_s: None,
             backend: Arc::new(backend),
         };
         let pool = self.pools.entry(state.backend.service.clone()).or_default();
@@ -346,6 +348,18 @@
         }
     }
 
+    /// Records the rate limit that a server named in a response, `None` if it named none.
+    /// Returns whether that is a change.
+    pub fn set_rate_limit(&mut self, handle: BackendHandle, limit_per_s: Option<f64>) -> bool {
+        let Some(state) = self.backend_state_mut(handle) else { return false };
+        std::mem::replace(&mut state.rate_limit_per_s, limit_per_s) != limit_per_s
+    }
+
+    /// Returns the rate limit that a server named, in requests per second.
+    pub fn rate_limit(&self, handle: BackendHandle) -> Option<f64> {
+        self.backends().find(|state| state.handle == handle)?.rate_limit_per_s
+    }
+
     /// Marks a server as draining because it said so or another server has its address by now.
     pub fn set_draining(&mut self, handle: BackendHandle) {
         if let Some(state) = self.backend_state_mut(handle) {
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -141,6 +141,7 @@
     };
     let taken_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     apply_warmup_header(state, choice, head.headers());
+    record_rate_limit(state, choice, head.headers());
     read_response(state, choice, outgoing, in_flight, head, taken_ms).await
 }
 
@@ -191,6 +192,14 @@
     }
 }
 
+fn record_rate_limit(state: &State, choice: &Choice, headers: &HeaderMap) {
+    let text = headers.get(request::RATE_LIMIT).and_then(|value| value.to_str().ok());
+    let limit_per_s = text.and_then(request::parse_rate_limit);
+    if state.balancer.borrow_mut().set_rate_limit(choice.handle, limit_per_s) {
+        log::info!(backend:% = choice.backend.id, limit_per_s:? = limit_per_s; "backend server rate limit changed");
+    }
+}
+
 async fn read_response(
     state: &Rc<State>,
     choice: &Choice,
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -83,6 +83,8 @@
     attempts: usize,
     failures: String,
     in_flight: u32,
+    /// The rate limit that the last backend server named; empty if it named none.
+    limit_per_s: String,
     deadline_ms: u64,
     /// The state that explains why no backend server was chosen; empty otherwise.
     basis: String,
@@ -106,6 +108,7 @@
             attempts: 0,
             failures: String::new(),
             in_flight: 0,
+            limit_per_s: String::new(),
             deadline_ms: 0,
             basis: String::new(),
             code: "answered",
@@ -142,6 +145,7 @@
             tries = self.attempts,
             failed = self.failures.as_str(),
             in_flight = self.in_flight,
+            limit_per_s = self.limit_per_s.as_str(),
             basis = self.basis.as_str(),
             deadline_ms = self.deadline_ms,
             taken_ms = taken_ms;
@@ -302,6 +306,8 @@
             attempts.is_in_flight = true;
             let result = attempt::send(self.state, &choice, &self.outgoing, remaining_ms).await;
             attempts.is_in_flight = false;
+            let limit_per_s = self.state.balancer.borrow().rate_limit(choice.handle);
+            log_entry.limit_per_s = limit_per_s.map_or_else(String::new, |limit| limit.to_string());
             match result {
                 AttemptResult::Response(response) => {
                     attempts.possible_executions += 1;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -24,6 +24,8 @@
 pub const BACKEND_ID: HeaderName = HeaderName::from_static("x-instance-id");
 /// Remaining warm-up time of the responding backend server, in milliseconds.
 pub const WARMUP_MS: HeaderName = HeaderName::from_static("x-warmup-ms");
+/// Rate limit of the responding backend server, in the form that [`parse_rate_limit`] parses.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Path of the readiness probe.
 pub const READINESS_PATH: &str = "/-/readyz";
@@ -93,3 +95,10 @@
         numbers.next().is_none().then_some(report)
     }
 }
+
+/// Parses the value of [`RATE_LIMIT`]: the requests per second that the server accepts from all
+/// instances together. Returns `None` for anything but a finite number that is not negative.
+pub fn parse_rate_limit(text: &str) -> Option<f64> {
+    let limit_per_s: f64 = text.trim().parse().ok()?;
+    (limit_per_s.is_finite() && limit_per_s >= 0.0).then_some(limit_per_s)
+}
--- a/crates/platform/tests/platform_names.rs
+++ b/crates/platform/tests/platform_names.rs
@@ -6,7 +6,7 @@
 use std::{fs, path::Path};
 
 /// Headers, paths, calls and fields of the platform.
-const NAMES: [&str; 30] = [
+const NAMES: [&str; 31] = [
     "x-affinity-key",
     "x-deadline-ms",
     "x-response-signature",
@@ -15,6 +15,7 @@
     "x-not-executed",
     "x-instance-id",
     "x-warmup-ms",
+    "server-limit",
     "/-/readyz",
     "/-/resolve",
     "rows-get",
