Add a failing test of a server that limits its rate

Four instances send 50 requests a second to three servers, one of which names a limit of 3 a second. It gets 71 requests in 4 s; 23 are allowed. The stand-in of a server can name a limit now.

--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -10,6 +10,7 @@
 mod crashing_requests;
 mod links;
 mod lookups;
+mod rate_limits;
 mod relay;
 mod reload;
 mod responses;
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -97,6 +97,8 @@
     run: watch::Sender<Run>,
     is_up: watch::Sender<bool>,
     crash_downtime: Mutex<Duration>,
+    /// The value of `Server-Limit` in responses, and since when it is sent.
+    rate_limit: Mutex<Option<(String, Instant)>>,
     behaviour: Mutex<Behaviour>,
     received: Mutex<Vec<ReceivedRequest>>,
 }
@@ -119,6 +121,7 @@
             run: watch::Sender::new(Run { starts: 1, is_up: true }),
             is_up: watch::Sender::new(true),
             crash_downtime: Mutex::new(CRASH_DOWNTIME),
+            rate_limit: Mutex::default(),
             behaviour: Mutex::default(),
             received: Mutex::default(),
         });
@@ -136,6 +139,18 @@
         *lock(&self.shared.crash_downtime) = downtime;
     }
 
+    /// Names a rate limit in all further responses of this run, or no limit any more. `text` is the
+    /// value of the header.
+    pub fn set_rate_limit(&self, text: Option<&str>) {
+        let limit = text.map(|text| (text.to_owned(), Instant::now()));
+        *lock(&self.shared.rate_limit) = limit;
+    }
+
+    /// Returns the rate limit that the server names, and since when.
+    pub fn rate_limit(&self) -> Option<(String, Instant)> {
+        lock(&self.shared.rate_limit).clone()
+    }
+
     /// Ends the server as a crash does: without a response to any request.
     pub fn crash(&self) {
         self.shared.crash();
@@ -183,6 +198,7 @@
 
     fn crash(&self) {
         self.run.send_if_modified(|run| std::mem::replace(&mut run.is_up, false));
+        *lock(&self.rate_limit) = None;
         self.is_up.send_replace(false);
     }
 
@@ -257,7 +273,8 @@
                 }
             }
         }
-        if !respond(&mut stream, &behaviour, &id, &last_id).await {
+        let limit = lock(&shared.rate_limit).clone().map(|(text, _)| text);
+        if !respond(&mut stream, &behaviour, &id, &last_id, limit.as_deref()).await {
             return;
         }
         last_id = id;
@@ -265,7 +282,13 @@
 }
 
 /// Responds to a request; returns whether the connection stays open.
-async fn respond(stream: &mut TcpStream, behaviour: &Behaviour, id: &str, last_id: &str) -> bool {
+async fn respond(
+    stream: &mut TcpStream,
+    behaviour: &Behaviour,
+    id: &str,
+    last_id: &str,
+    rate_limit: Option<&str>,
+) -> bool {
     let body = format!("answer to {id}");
     let success_for = |id: &str| success(id, Some(body.len()), &body);
     let text = match behaviour {
@@ -290,6 +313,13 @@
             body.len()
         ),
     };
+    let text = match rate_limit {
+        // Another server responds when it misdirects.
+        Some(limit) if *behaviour != Behaviour::Misdirect => {
+            text.replacen("\r\n", &format!("\r\nServer-Limit: {limit}\r\n"), 1)
+        }
+        _ => text,
+    };
     let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
     if *behaviour == Behaviour::CloseDelimitedReset {
         // Without the delay, the reset would discard bytes that were not yet read.
