Give unregistered instances no share of a cold server's rate

An instance that has started and does not know the other instances yet took the whole rate of a cold server for itself, beside the others that went on sending their shares, and one that had removed its row at a planned stop kept its share when another had taken its place. Callers would have seen a server crash that had just started.

The division of a total moves into a module of its own, and an instance has a share only if it is registered. Before, the test got a limit of 16 of 16 requests a second for an instance that knows no other.

--- a/crates/azuregate-core/src/balance/cold_start.rs
+++ b/crates/azuregate-core/src/balance/cold_start.rs
@@ -2,11 +2,11 @@
 
 use std::collections::VecDeque;
 
-use crate::route::hash::stable_hash;
+use super::share::Share;
 
 /// Maximum number of instances that send to one cold backend server. Shared by all instances,
 /// the rate would leave each of them less than one request per second.
-const MAX_SENDERS_PER_BACKEND: usize = 4;
+const MAX_SENDERS_PER_BACKEND: u32 = 4;
 /// Fraction of the rate that is used; the rest allows for requests in transit when a window
 /// begins.
 const USED_RATE_FRACTION: f64 = 0.8;
@@ -35,34 +35,25 @@
         instances: impl Iterator<Item = &'a str>,
         rate_per_s: f64,
     ) -> u32 {
-        let own_score = stable_hash(&[backend, instance]);
-        let (mut total, mut higher_ranked) = (0, 0);
-        for other in instances {
-            total += 1;
-            higher_ranked +=
-                usize::from(other != instance && stable_hash(&[backend, other]) > own_score);
-        }
-        let senders = MAX_SENDERS_PER_BACKEND.min(total.max(1));
-        if higher_ranked >= senders {
+        let Some(share) = Share::of(backend, instance, instances, MAX_SENDERS_PER_BACKEND) else {
             return 0;
-        }
+        };
         let total_rate = (rate_per_s * USED_RATE_FRACTION).floor() as u32;
-        let rank = u32::try_from(higher_ranked).unwrap_or(u32::MAX);
-        let senders = u32::try_from(senders).unwrap_or(u32::MAX);
-        total_rate / senders + u32::from(rank < total_rate % senders)
+        total_rate / share.parts + u32::from(share.rank < total_rate % share.parts)
     }
 
     /// Returns whether another request may be sent within `limit` per second.
-    pub fn has_capacity(&mut self, limit: u32, now_ms: u64) -> bool {
-        let window_ms = WINDOW_MS + MAX_TRANSIT_VARIATION_MS;
-        while self.sent_at_ms.front().is_some_and(|&at| at + window_ms < now_ms) {
-            self.sent_at_ms.pop_front();
-        }
-        self.sent_at_ms.len() < limit as usize
+    pub fn has_capacity(&self, limit: u32, now_ms: u64) -> bool {
+        let is_in_window = |&&at_ms: &&u64| at_ms + WINDOW_MS + MAX_TRANSIT_VARIATION_MS >= now_ms;
+        self.sent_at_ms.iter().rev().take_while(is_in_window).count() < limit as usize
     }
 
     /// Records a sent request.
     pub fn record_sent(&mut self, now_ms: u64) {
+        let window_ms = WINDOW_MS + MAX_TRANSIT_VARIATION_MS;
+        while self.sent_at_ms.front().is_some_and(|&at| at + window_ms < now_ms) {
+            self.sent_at_ms.pop_front();
+        }
         self.sent_at_ms.push_back(now_ms);
     }
 }
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -34,6 +34,7 @@
 mod replication_source;
 mod retry_after;
 mod retry_budget;
+mod share;
 mod shared_objects;
 mod weighted_round_robin;
 
--- a/crates/azuregate-core/tests/balance/budgets.rs
+++ b/crates/azuregate-core/tests/balance/budgets.rs
@@ -98,3 +98,15 @@
         assert!(count as f64 <= 9.0 * 1.5 + 5.0, "{count} from {start} ms");
     }
 }
+
+/// Guards against an instance that has just started, or has left, and takes the whole rate of a
+/// cold server because it counts no others.
+#[test]
+fn unregistered_instance_sends_nothing_to_cold_backends() {
+    let others = [instance(1), instance(2), instance(3)];
+    for registered in [&[][..], &others[..1], &others[..]] {
+        let names = registered.iter().map(|name| name.as_str());
+        let limit = ColdStartBudget::instance_limit("server-1", instance(0).as_str(), names, 20.0);
+        assert_eq!(limit, 0, "{} others", registered.len());
+    }
+}
