Keep the rate limits that backend servers name, by all instances together

Servers that had named a limit of some 3 requests a second went on getting their usual 10, up to 45 in 4 s where 24 are allowed. Callers saw nothing, but a server in need got no relief.

Cause: the limit was one more header of a response. It was passed on to the client and nothing else read it; the rate of both servers was the same before and after they named their limits (9.5 and 9.9 requests a second before, 9.6 and 10.2 later), and no request went elsewhere.

An instance now keeps the limit of a server's run from the first response that names it until a later request is answered without it. A limit is divided into as many parts as it allows requests a second, less a fifth; rendezvous hashing gives each part to one registered instance, which keeps to it alone. Nobody has to agree on anything: a part whose instance is down, frozen or cut off is left unused. Instances report what they have observed, so that an instance which sends nothing to the server knows it too. Requests go to other servers; if all are limited, they are refused at once with code rate-limited.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -7,8 +7,10 @@
 };
 
 use super::{
-    Baseline, Candidate, ColdStartBudget, Config, Health, InFlightCount, LoadBalancingPolicy,
-    Members, ObjectAffinity, Outcome, remote_load::RemoteLoad,
+    BackendRun, Baseline, Candidate, ColdStartBudget, Config, Health, InFlightCount,
+    LoadBalancingPolicy, Members, ObjectAffinity, Outcome,
+    rate_limit::{self, RateLimit},
+    remote_load::RemoteLoad,
     shared_objects::SharedObjectDetector,
 };
 use crate::{
@@ -93,7 +95,8 @@
     /// Result of the last outlier detection.
     pub(super) is_outlier: bool,
     was_unreachable: bool,
-    rate_limit_per_s: Option<f64>,
+    pub(super) run: BackendRun,
+    pub(super) rate_limit: RateLimit,
 }
 
 impl BackendState {
@@ -156,6 +159,8 @@
     next_handle: u64,
     /// Reused, so that a choice does not allocate.
     pub(super) candidates: Vec<Candidate>,
+    /// The server with which the next report of rate limits begins.
+    pub(super) next_reported: BackendRun,
 }
 
 impl Balancer {
@@ -176,6 +181,7 @@
             shared_objects: SharedObjectDetector::default(),
             next_handle: 0,
             candidates: Vec::new(),
+            next_reported: BackendRun::default(),
         }
     }
 
@@ -193,6 +199,8 @@
         }
         self.remove(backend.id.as_str());
         self.next_handle += 1;
+        let run = BackendRun::of(&backend);
+        let instance = self.settings.instance.as_str();
         let state = BackendState {
             handle: BackendHandle(self.next_handle),
             seed: stable_hash(&[backend.id.as_str()]),
@@ -206,7 +214,8 @@
             health: Health::default(),
             is_outlier: false,
             was_unreachable: false,
-            rate_limit_per_s: None,
+            run,
+            rate_limit: RateLimit::new(stable_hash(&[instance, &run.0.to_string()])),
             backend: Arc::new(backend),
         };
         let pool = self.pools.entry(state.backend.service.clone()).or_default();
@@ -254,13 +263,14 @@
         self.settings.cold_rate_slack = slack;
     }
 
-    /// Recomputes this instance's limit for each cold server; to be called when the members or
-    /// the configuration have changed.
-    pub fn set_cold_limits(&mut self, members: &Members) {
+    /// Recomputes this instance's shares of the limits of cold servers and of servers that limit
+    /// their rate; to be called when the members or the configuration have changed.
+    pub fn update_shares(&mut self, members: &Members, now_ms: u64) {
         // Moved out, because `cold_limit` borrows `self`.
         let mut pools = std::mem::take(&mut self.pools);
         for state in pools.values_mut().flat_map(|pool| &mut pool.backends) {
             state.cold_limit = self.cold_limit(&state.backend, members);
+            rate_limit::update_share(state, &self.settings.instance, members, now_ms);
         }
         self.pools = pools;
     }
@@ -348,18 +358,6 @@
         }
     }
 
-    /// Records the rate limit that a server named in a response, `None` if it named none.
-    /// Returns whether that is a change.
-    pub fn set_rate_limit(&mut self, handle: BackendHandle, limit_per_s: Option<f64>) -> bool {
-        let Some(state) = self.backend_state_mut(handle) else { return false };
-        std::mem::replace(&mut state.rate_limit_per_s, limit_per_s) != limit_per_s
-    }
-
-    /// Returns the rate limit that a server named, in requests per second.
-    pub fn rate_limit(&self, handle: BackendHandle) -> Option<f64> {
-        self.backends().find(|state| state.handle == handle)?.rate_limit_per_s
-    }
-
     /// Marks a server as draining because it said so or another server has its address by now.
     pub fn set_draining(&mut self, handle: BackendHandle) {
         if let Some(state) = self.backend_state_mut(handle) {
@@ -385,7 +383,7 @@
         }
     }
 
-    fn backends(&self) -> impl Iterator<Item = &BackendState> {
+    pub(super) fn backends(&self) -> impl Iterator<Item = &BackendState> {
         self.pools.values().flat_map(|pool| &pool.backends)
     }
 
@@ -397,11 +395,11 @@
         self.pools.get_mut(service)?.backends.iter_mut().find(|state| state.handle == handle)
     }
 
-    fn backend_state_mut(&mut self, handle: BackendHandle) -> Option<&mut BackendState> {
+    pub(super) fn backend_state_mut(&mut self, handle: BackendHandle) -> Option<&mut BackendState> {
         self.backends_mut().find(|state| state.handle == handle)
     }
 
-    fn backends_mut(&mut self) -> impl Iterator<Item = &mut BackendState> {
+    pub(super) fn backends_mut(&mut self) -> impl Iterator<Item = &mut BackendState> {
         self.pools.values_mut().flat_map(|pool| &mut pool.backends)
     }
 
--- a/crates/azuregate-core/src/balance/choice.rs
+++ b/crates/azuregate-core/src/balance/choice.rs
@@ -13,6 +13,9 @@
     topology::Distance,
 };
 
+/// Number of servers with rate limits that the explanation of a refusal names.
+const MAX_EXPLAINED_LIMITS: usize = 2;
+
 /// Returns the affinity hash of an object as requested through `route`.
 ///
 /// Servers cache an object per route. Hashing the route as well spreads the load of a hot object
@@ -63,23 +66,41 @@
 }
 
 /// The state that a choice was based on, for the log line of a refusal.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Explanation {
     /// Number of servers that were eligible.
     pub eligible_servers: usize,
     /// The servers considered, the preferred one first, with their requests in flight and
     /// their slots.
     pub servers: Vec<(BackendId, u32, u32)>,
+    /// The servers that are not eligible only because of their rate limits, with the limits in
+    /// requests per second; a few of them at most.
+    pub limited: Vec<(BackendId, f64)>,
+    /// Number of these servers.
+    pub limited_servers: usize,
     /// Age of the oldest load report in use.
     pub oldest_report_age_ms: u64,
 }
 
+impl Explanation {
+    /// Returns whether the request was refused because of rate limits alone.
+    pub fn is_rate_limited(&self) -> bool {
+        self.eligible_servers == 0 && self.limited_servers > 0
+    }
+}
+
 impl fmt::Display for Explanation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "open:{} oldest_report_ms:{}", self.eligible_servers, self.oldest_report_age_ms)?;
         for (id, in_flight, slots) in &self.servers {
             write!(f, " {id}:{in_flight}/{slots}")?;
         }
+        if self.limited_servers > 0 {
+            write!(f, " limited:{}", self.limited_servers)?;
+        }
+        for (id, limit_per_s) in &self.limited {
+            write!(f, " {id}:{limit_per_s}/s")?;
+        }
         Ok(())
     }
 }
@@ -95,6 +116,7 @@
         if state.is_cold(now_ms) {
             state.cold_start_budget.record_sent(now_ms);
         }
+        state.rate_limit.record_sent(now_ms);
         let in_flight = state.total_in_flight() - 1;
         Some(Choice { handle, backend: Arc::clone(&state.backend), in_flight })
     }
@@ -109,28 +131,45 @@
         Explanation {
             eligible_servers: decision.eligible_servers,
             servers: servers.collect(),
+            limited: self.limited(query, now_ms).take(MAX_EXPLAINED_LIMITS).collect(),
+            limited_servers: self.limited(query, now_ms).count(),
             oldest_report_age_ms: self.oldest_report_age_ms(now_ms),
         }
     }
 
+    /// Returns the servers that only their rate limits exclude, with these limits.
+    fn limited(
+        &self,
+        query: &BackendQuery<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (BackendId, f64)> {
+        let states = self.pools.get(query.service).into_iter().flat_map(|pool| &pool.backends);
+        states.filter_map(move |state| {
+            let is_limited = !state.rate_limit.has_capacity(now_ms)
+                && is_eligible(&self.settings, state, query, now_ms);
+            let limit_per_s = state.rate_limit.limit_per_s().filter(|_| is_limited)?;
+            Some((state.backend.id.clone(), limit_per_s))
+        })
+    }
+
     fn decide(&mut self, query: &BackendQuery<'_>, now_ms: u64) -> Decision {
         let Balancer { settings, pools, policy, candidates, shared_objects, .. } = self;
         let prefers_region = !shared_objects.is_shared();
         let Some(pool) = pools.get_mut(query.service) else { return Decision::default() };
         pool.detect_outliers(now_ms);
-        let eligible = pool.backends.iter_mut().filter_map(|state| {
-            is_eligible(settings, state, query, now_ms)
-                .then(|| candidate(state, query, prefers_region, now_ms))
+        let eligible = pool.backends.iter().filter(|state| {
+            state.rate_limit.has_capacity(now_ms) && is_eligible(settings, state, query, now_ms)
         });
         candidates.clear();
-        candidates.extend(eligible);
+        candidates.extend(eligible.map(|state| candidate(state, query, prefers_region, now_ms)));
         policy.choose(query.has_large_body, candidates)
     }
 }
 
+/// Returns whether a server may get a request, apart from its rate limit.
 fn is_eligible(
     settings: &Settings,
-    state: &mut BackendState,
+    state: &BackendState,
     query: &BackendQuery<'_>,
     now_ms: u64,
 ) -> bool {
--- a/crates/azuregate-core/src/balance/datagrams.rs
+++ b/crates/azuregate-core/src/balance/datagrams.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::CrashReport;
+use super::{CrashReport, RateLimitReport};
 use crate::names::StartNumber;
 
 /// A datagram from one entry instance to another.
@@ -17,6 +17,8 @@
     Load(Load),
     /// Crashes of backend servers. Instances of older versions ignore it.
     Crashes(CrashReport),
+    /// Rate limits of backend servers. Instances of older versions ignore it.
+    RateLimits(RateLimitReport),
 }
 
 /// Requests that an instance has in flight at the backend servers.
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -30,6 +30,7 @@
 mod missing_backends;
 mod policy;
 mod quarantine;
+mod rate_limit;
 mod remote_load;
 mod replication_source;
 mod retry_after;
@@ -52,6 +53,7 @@
 pub use quarantine::{
     Admission, BackendRun, CrashReport, Fingerprint, Quarantine, ReportScope, ReportedCrash,
 };
+pub use rate_limit::{RateLimitChange, RateLimitObservation, RateLimitReport, ReportedRateLimit};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
 pub use retry_after::RetryReason;
--- a/crates/azuregate-core/src/balance/retry_after.rs
+++ b/crates/azuregate-core/src/balance/retry_after.rs
@@ -9,6 +9,8 @@
     StaleState,
     /// No backend server has capacity, or all that were tried rejected the request.
     NoCapacity,
+    /// All backend servers limit the rate of their requests, and their limits are used up.
+    RateLimited,
 }
 
 impl RetryReason {
@@ -21,6 +23,7 @@
         match self {
             RetryReason::StaleState => 100..=400,
             RetryReason::NoCapacity => 30..=150,
+            RetryReason::RateLimited => 100..=500,
         }
     }
 }
--- a/crates/azuregate-core/tests/balance/fixtures.rs
+++ b/crates/azuregate-core/tests/balance/fixtures.rs
@@ -1,6 +1,6 @@
 //! Fixtures: instances, backend servers and balancers in six zones of three regions.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::Ipv4Addr, sync::Arc};
 
 use azuregate_core::{
     balance::{
@@ -63,12 +63,18 @@
     Member {
         instance: instance(number),
         start: StartNumber(1),
-        ip: format!("10.0.0.{}", number + 1).parse().unwrap(),
-        traffic_addr: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+        ip: ip(0, number).into(),
+        traffic_addr: (ip(0, number), 80).into(),
         zone: ZoneName::new(ZONES[number % ZONES.len()].0),
     }
 }
 
+/// Returns the address of the instance or backend server `number`.
+fn ip(network: u8, number: usize) -> Ipv4Addr {
+    let [.., high, low] = u32::try_from(number + 1).unwrap().to_be_bytes();
+    Ipv4Addr::new(10, network, high, low)
+}
+
 pub(crate) fn instance(number: usize) -> InstanceId {
     InstanceId::new(&format!("entry-{number}"))
 }
@@ -77,7 +83,7 @@
     Backend {
         id: BackendId::new(&format!("server-{number}")),
         service: service(),
-        addr: format!("10.1.0.{}:80", number + 1).parse().unwrap(),
+        addr: (ip(1, number), 80).into(),
         zone: ZoneName::new(ZONES[number % ZONES.len()].0),
         slots: 3,
         is_draining: false,
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -15,6 +15,8 @@
 mod overload;
 mod quarantine;
 mod quarantine_simulation;
+mod rate_limit_ways;
+mod rate_limits;
 mod shared_objects;
 mod simulation;
 mod skewed_load;
--- /dev/null
+++ b/crates/azuregate-core/tests/balance/rate_limits.rs
@@ -0,0 +1,285 @@
+//! Rate limits that backend servers name, kept by many instances.
+
+use azuregate_core::balance::{
+    Balancer, Choice, Members, Outcome, RateLimitChange, RateLimitObservation,
+};
+
+use crate::fixtures::{backend, balancer, instance, members, query, service};
+
+const STEP_MS: u64 = 50;
+const WINDOW_MS: u64 = 4_000;
+
+/// Instances that share one backend server.
+struct Fleet {
+    balancers: Vec<Balancer>,
+    members: Vec<Members>,
+    now_ms: u64,
+    sent_at_ms: Vec<u64>,
+}
+
+impl Fleet {
+    /// Creates instances that know each other, after some time without a limit.
+    fn new(instances: usize) -> Fleet {
+        Fleet {
+            balancers: (0..instances).map(|local| balancer(local, instances, 1)).collect(),
+            members: (0..instances).map(|local| members(local, instances)).collect(),
+            now_ms: 100_000,
+            sent_at_ms: Vec::new(),
+        }
+    }
+
+    fn choose(&mut self, local: usize) -> Option<Choice> {
+        let service = service();
+        let choice = self.balancers[local].choose(&query(&service, 1), self.now_ms)?;
+        self.balancers[local].complete(choice.handle, Outcome::Cancelled, self.now_ms);
+        Some(choice)
+    }
+
+    /// Records a response to a request sent `sent_ago_ms` ago.
+    fn respond(
+        &mut self,
+        local: usize,
+        limit_per_s: Option<f64>,
+        sent_ago_ms: u64,
+    ) -> Option<RateLimitChange> {
+        let handle = self.balancers[local].handles().next().unwrap();
+        let observation = RateLimitObservation {
+            limit_per_s,
+            sent_at_ms: self.now_ms - sent_ago_ms,
+            received_at_ms: self.now_ms,
+        };
+        let members = &self.members[local];
+        self.balancers[local].record_rate_limit(handle, observation, members, self.now_ms)
+    }
+
+    fn tell_all(&mut self, limit_per_s: Option<f64>) {
+        for local in 0..self.balancers.len() {
+            self.respond(local, limit_per_s, 0);
+        }
+    }
+
+    /// Sends the report of one instance to another, which receives it `delay_ms` later.
+    fn report(&mut self, from: usize, to: usize, delay_ms: u64) -> Vec<RateLimitChange> {
+        let report = self.balancers[from].next_rate_limit_report(false, self.now_ms);
+        let Some(report) = report else { return Vec::new() };
+        let at_ms = self.now_ms + delay_ms;
+        self.balancers[to].record_rate_limit_report(&report, &self.members[to], at_ms)
+    }
+
+    /// Sends as many requests as the instances `senders` may.
+    fn send_for(&mut self, duration_ms: u64, senders: &[usize]) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            for &local in senders {
+                while self.choose(local).is_some() {
+                    self.sent_at_ms.push(self.now_ms);
+                    if self.limit(local).is_none() {
+                        break;
+                    }
+                }
+            }
+            self.now_ms += STEP_MS;
+        }
+    }
+
+    fn limit(&self, local: usize) -> Option<f64> {
+        let handle = self.balancers[local].handles().next()?;
+        self.balancers[local].rate_limit(handle)
+    }
+
+    fn most_in_a_window(&self) -> usize {
+        let in_window = |start: &u64| {
+            self.sent_at_ms.iter().filter(|at| (*start..start + WINDOW_MS).contains(at)).count()
+        };
+        self.sent_at_ms.iter().map(in_window).max().unwrap_or_default()
+    }
+}
+
+/// Guards against instances that each keep to a server's limit and exceed it together, and
+/// against leaving most of a limit unused.
+#[test]
+fn limit_is_kept_and_used_by_any_number_of_instances() {
+    for instances in [1, 8, 83, 680] {
+        for limit_per_s in [0.0, 0.4, 1.0, 3.0, 3.7, 50.0] {
+            let mut fleet = Fleet::new(instances);
+            fleet.tell_all(Some(limit_per_s));
+            let all: Vec<usize> = (0..instances).collect();
+            fleet.send_for(2 * WINDOW_MS, &all);
+            let (most, sent) = (fleet.most_in_a_window(), fleet.sent_at_ms.len());
+            let in_window = limit_per_s * WINDOW_MS as f64 / 1_000.0;
+            assert!(most as f64 <= in_window + 1.0, "{instances}, {limit_per_s}/s: {most}");
+            let used = sent as f64 / (2.0 * in_window);
+            let is_used = limit_per_s < 1.0 || used >= 0.5;
+            assert!(is_used, "{instances}, {limit_per_s}/s: {sent} sent");
+        }
+    }
+}
+
+/// Guards against exceeding a limit while instances disagree on who is registered: one has
+/// left, one is new, one has just started and knows nobody.
+#[test]
+fn limit_is_kept_while_instances_disagree_on_the_members() {
+    const INSTANCES: usize = 8;
+    let all: Vec<usize> = (0..INSTANCES).collect();
+    for changed in 0..INSTANCES {
+        let mut fleet = Fleet::new(INSTANCES);
+        fleet.members[0].remove(instance(changed).as_str());
+        fleet.members[1] = members(1, INSTANCES + 1);
+        fleet.members[2] = members(2, 0);
+        fleet.tell_all(Some(3.0));
+        fleet.send_for(2 * WINDOW_MS, &all);
+        let most = fleet.most_in_a_window();
+        assert!(most as f64 <= 1.5 * 3.0 * 4.0 + 5.0, "without {changed}: {most}");
+    }
+}
+
+/// Guards against losing the limit, or starting with saved requests, when members or the limit
+/// change all the time.
+#[test]
+fn changes_of_limit_and_members_do_not_add_requests() {
+    const INSTANCES: usize = 8;
+    let all: Vec<usize> = (0..INSTANCES).collect();
+    let mut fleet = Fleet::new(INSTANCES);
+    for round in 0..60 {
+        fleet.tell_all(Some(if round % 2 == 0 { 3.0 } else { 2.6 }));
+        for local in 0..INSTANCES {
+            fleet.members[local] = members(local, INSTANCES + round % 3);
+            let Fleet { balancers, members, now_ms, .. } = &mut fleet;
+            balancers[local].update_shares(&members[local], *now_ms);
+        }
+        fleet.send_for(200, &all);
+    }
+    assert!(fleet.most_in_a_window() <= 13, "{}", fleet.most_in_a_window());
+}
+
+/// Guards against a limit that begins late, ends early or never ends.
+#[test]
+fn limit_holds_from_the_first_response_that_names_it_to_a_later_one_without_it() {
+    let mut fleet = Fleet::new(4);
+    assert_eq!(fleet.respond(0, None, 100), None);
+    let change = fleet.respond(0, Some(3.0), 100).unwrap();
+    assert_eq!(change.limit_per_s, Some(3.0));
+    fleet.now_ms += 10;
+    // The request was sent before the limit was named, so the response may be older.
+    assert_eq!(fleet.respond(0, None, 50), None);
+    assert_eq!(fleet.limit(0), Some(3.0));
+    // Raised, lowered, repeated.
+    for (limit, has_changed) in [(9.5, true), (0.5, true), (0.5, false), (0.0, true)] {
+        assert_eq!(fleet.respond(0, Some(limit), 5).is_some(), has_changed, "{limit}");
+        assert_eq!(fleet.limit(0), Some(limit));
+    }
+    fleet.now_ms += 100;
+    let change = fleet.respond(0, None, 50).unwrap();
+    assert_eq!((change.limit_per_s, change.part_per_s), (None, 0.0));
+    assert!(fleet.choose(0).is_some());
+}
+
+/// Guards against a limit that outlasts the run of the server that named it.
+#[test]
+fn limit_ends_with_the_run_of_the_server() {
+    let mut fleet = Fleet::new(1);
+    fleet.respond(0, Some(0.0), 0);
+    assert!(fleet.choose(0).is_none());
+    let mut again = backend(0);
+    again.is_draining = false;
+    fleet.balancers[0].put(again.clone(), &fleet.members[0], fleet.now_ms);
+    assert_eq!(fleet.limit(0), Some(0.0), "the same run");
+    again.start_epoch_ms += 1;
+    fleet.balancers[0].put(again, &fleet.members[0], fleet.now_ms);
+    assert_eq!(fleet.limit(0), None);
+    assert!(fleet.choose(0).is_some());
+}
+
+/// Guards against instances that learn of a limit only by sending to the server.
+#[test]
+fn limits_are_reported_to_other_instances() {
+    let mut fleet = Fleet::new(3);
+    assert!(fleet.balancers[0].next_rate_limit_report(true, fleet.now_ms).is_none());
+    fleet.respond(0, Some(3.0), 100);
+    assert_eq!(fleet.report(0, 1, 50)[0].limit_per_s, Some(3.0));
+    assert_eq!(fleet.limit(1), Some(3.0));
+    // What was only heard is not passed on.
+    assert!(fleet.report(1, 2, 50).is_empty());
+    assert_eq!(fleet.limit(2), None);
+    // A change is reported at once, then repeated with heartbeats only.
+    assert!(fleet.balancers[0].next_rate_limit_report(true, fleet.now_ms).is_none());
+    fleet.now_ms += 100;
+    fleet.respond(0, Some(2.0), 50);
+    assert!(fleet.balancers[0].next_rate_limit_report(true, fleet.now_ms).is_some());
+    assert!(fleet.balancers[0].next_rate_limit_report(false, fleet.now_ms).is_some());
+    fleet.now_ms += 10_000;
+    assert!(fleet.balancers[0].next_rate_limit_report(false, fleet.now_ms).is_none());
+}
+
+/// Guards against a report that was under way for long and ends, or brings back, a limit that is
+/// known better.
+#[test]
+fn older_reports_do_not_override_newer_observations() {
+    let mut fleet = Fleet::new(2);
+    fleet.respond(0, Some(3.0), 0);
+    fleet.now_ms += 1_000;
+    fleet.respond(0, None, 100);
+    fleet.now_ms += 150;
+    // It was named again later than the request of the response without it was sent.
+    fleet.respond(1, Some(4.0), 100);
+    assert!(fleet.report(0, 1, 150).is_empty());
+    assert_eq!(fleet.limit(1), Some(4.0));
+    // The older limit arrives after the end.
+    let mut fleet = Fleet::new(2);
+    fleet.respond(0, Some(3.0), 0);
+    fleet.now_ms += 500;
+    fleet.respond(1, Some(3.0), 0);
+    fleet.now_ms += 100;
+    fleet.respond(1, None, 50);
+    assert!(fleet.report(0, 1, 20).is_empty());
+    assert_eq!(fleet.limit(1), None);
+}
+
+/// Guards against a limit that nobody learns the end of, since no instance may send a request, and
+/// against all instances trying at once.
+#[test]
+fn limit_without_news_is_tried_now_and_then() {
+    const INSTANCES: usize = 83;
+    let all: Vec<usize> = (0..INSTANCES).collect();
+    let mut fleet = Fleet::new(INSTANCES);
+    fleet.tell_all(Some(0.0));
+    let mut trials = Vec::new();
+    for _ in 0..60_000 / STEP_MS {
+        fleet.send_for(STEP_MS, &all);
+        for at_ms in std::mem::take(&mut fleet.sent_at_ms) {
+            trials.push(at_ms);
+            // The response reaches the sender, and its report the others.
+            fleet.tell_all(Some(0.0));
+        }
+    }
+    assert!((2..=12).contains(&trials.len()), "{trials:?}");
+}
+
+/// Guards against reports that don't fit in a packet, and against servers that are never reported
+/// because others come first.
+#[test]
+fn many_limits_are_reported_in_turn() {
+    const SERVERS: usize = 100;
+    const MAX_DATAGRAM_BYTES: usize = 1_200;
+    let mut reporter = balancer(0, 2, SERVERS);
+    let members = members(0, 2);
+    let now_ms = 100_000;
+    let observation = RateLimitObservation {
+        limit_per_s: Some(3.137),
+        sent_at_ms: now_ms - 900,
+        received_at_ms: now_ms - 800,
+    };
+    for handle in reporter.handles().collect::<Vec<_>>() {
+        reporter.record_rate_limit(handle, observation, &members, now_ms);
+    }
+    let mut reported = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        let report = reporter.next_rate_limit_report(false, now_ms).unwrap();
+        reported.extend(report.0.iter().map(|reported| reported.0));
+        let mut bytes = Vec::new();
+        let datagram = azuregate_core::balance::Datagram::RateLimits(report);
+        ciborium::into_writer(&datagram, &mut bytes).unwrap();
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    }
+    assert_eq!(reported.len(), SERVERS);
+}
--- a/crates/azuregate/src/serve/apply.rs
+++ b/crates/azuregate/src/serve/apply.rs
@@ -40,7 +40,8 @@
             }
         }
         if table == Table::Members && !rows.is_empty() {
-            self.balancer.borrow_mut().set_cold_limits(&self.members.borrow());
+            let now_ms = self.now_ms();
+            self.balancer.borrow_mut().update_shares(&self.members.borrow(), now_ms);
         }
         self.tables_changed.send_replace(());
     }
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -17,7 +17,7 @@
     crash_detection,
     in_flight::InFlightRequest,
     pool::Connection,
-    response,
+    rate_limits, response,
     response_body::{ResponseBody, StreamingBody},
     state::State,
 };
@@ -141,7 +141,6 @@
     };
     let taken_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     apply_warmup_header(state, choice, head.headers());
-    record_rate_limit(state, choice, head.headers());
     read_response(state, choice, outgoing, in_flight, head, taken_ms).await
 }
 
@@ -192,14 +191,6 @@
     }
 }
 
-fn record_rate_limit(state: &State, choice: &Choice, headers: &HeaderMap) {
-    let text = headers.get(request::RATE_LIMIT).and_then(|value| value.to_str().ok());
-    let limit_per_s = text.and_then(request::parse_rate_limit);
-    if state.balancer.borrow_mut().set_rate_limit(choice.handle, limit_per_s) {
-        log::info!(backend:% = choice.backend.id, limit_per_s:? = limit_per_s; "backend server rate limit changed");
-    }
-}
-
 async fn read_response(
     state: &Rc<State>,
     choice: &Choice,
@@ -218,8 +209,11 @@
         in_flight.set_outcome(Outcome::Failed);
         return AttemptResult::Unknown("answer to another request");
     }
+    let is_misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected {
+        rate_limits::record_response(state, choice, &head, in_flight.sent_at_ms());
+    }
     if is_rejected {
-        let is_misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
         if is_misdirected {
             crash_detection::record_end(state, choice.handle);
             state.balancer.borrow_mut().set_draining(choice.handle);
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -12,7 +12,7 @@
 };
 use tokio::net::UdpSocket;
 
-use super::{crash_detection, state::State};
+use super::{crash_detection, rate_limits, state::State};
 
 const HEARTBEAT_INTERVAL_MS: u64 = 500;
 /// One in this many heartbeats includes a sample of the requested objects, which shows
@@ -59,12 +59,14 @@
                 beat = (beat + 1) % REQUESTED_OBJECTS_PERIOD_BEATS;
                 broadcast(&state, &socket, &build_heartbeat(&state, beat == 0)).await;
                 report_crashes(&state, &socket, heartbeat_scope(&state)).await;
+                report_rate_limits(&state, &socket, false).await;
             }
             _ = load_ticks.recv() => {
                 if let Some(datagram) = load_reporter.next_report(&state) {
                     broadcast(&state, &socket, &datagram).await;
                 }
                 report_crashes(&state, &socket, ReportScope::Unsent).await;
+                report_rate_limits(&state, &socket, true).await;
             }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, _)) = received {
@@ -143,6 +145,13 @@
     }
 }
 
+async fn report_rate_limits(state: &State, socket: &UdpSocket, only_changes: bool) {
+    let report = state.balancer.borrow_mut().next_rate_limit_report(only_changes, state.now_ms());
+    if let Some(report) = report {
+        broadcast(state, socket, &Datagram::RateLimits(report)).await;
+    }
+}
+
 /// Sends a datagram to every other instance.
 async fn broadcast(state: &State, socket: &UdpSocket, datagram: &Datagram) {
     let mut bytes = Vec::new();
@@ -164,6 +173,7 @@
         Ok(Datagram::Heartbeat(heartbeat)) => handle_heartbeat(state, lag_detector, &heartbeat),
         Ok(Datagram::Load(load)) => handle_load(state, load),
         Ok(Datagram::Crashes(report)) => crash_detection::record_report(state, &report),
+        Ok(Datagram::RateLimits(report)) => rate_limits::record_report(state, &report),
         // Ignore datagrams of other senders or formats.
         Err(_) => {}
     }
--- a/crates/azuregate/src/serve/in_flight.rs
+++ b/crates/azuregate/src/serve/in_flight.rs
@@ -38,6 +38,11 @@
         self.outcome = outcome;
     }
 
+    /// Returns when the request was sent.
+    pub(super) fn sent_at_ms(&self) -> u64 {
+        self.sent_at_ms
+    }
+
     /// Returns the connection to the pool for reuse.
     pub(super) fn release_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -54,6 +54,8 @@
     pub(super) is_watching: bool,
     /// Quarantined requests.
     pub(super) quarantined_requests: usize,
+    /// Backend servers that limit their rate.
+    pub(super) limited_servers: usize,
     /// The version of the current configuration.
     pub(super) config_version: Option<u64>,
     /// The time since the tables were last confirmed current.
@@ -112,6 +114,7 @@
         line(format_args!("azuregate_followers {}", gauges.followers));
         line(format_args!("azuregate_watching {}", u8::from(gauges.is_watching)));
         line(format_args!("azuregate_quarantined_requests {}", gauges.quarantined_requests));
+        line(format_args!("azuregate_limited_backends {}", gauges.limited_servers));
         line(format_args!("azuregate_backend_crashes_total {}", self.backend_crashes.get()));
         if let Some(version) = gauges.config_version {
             line(format_args!("azuregate_config_version {version}"));
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -21,6 +21,7 @@
   `pool` holds idle connections to backend servers.
 * `crash_detection` tells crashes of backend servers from other broken connections, and
   `quarantine_rows` keeps the requests that cause them in the store.
+* `rate_limits` reads the limits that backend servers name, and reports them to others.
 * `endpoints` serves readiness, lookups and metrics.
 * `shutdown` implements the graceful shutdown.
 */
@@ -40,6 +41,7 @@
 mod pipeline;
 mod pool;
 mod quarantine_rows;
+mod rate_limits;
 mod relay;
 mod reload;
 mod request;
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -285,6 +285,7 @@
         log_entry: &mut AccessLogEntry,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let mut failure = None;
+        let mut refusal = RequestError::NoCapacity;
         loop {
             // Before a retry is taken from the budget.
             let admission = self.state.admit(|| self.outgoing.fingerprint());
@@ -299,7 +300,13 @@
             if is_retry && !self.can_retry(attempts, remaining_ms) {
                 break;
             }
-            let Some(choice) = self.choose(attempts, log_entry) else { break };
+            let choice = match self.choose(attempts, log_entry) {
+                Ok(choice) => choice,
+                Err(e) => {
+                    refusal = e;
+                    break;
+                }
+            };
             log_entry.record_attempt(&choice);
             attempts.tried.push(choice.handle);
             attempts.sends += 1;
@@ -335,7 +342,7 @@
         }
         match failure {
             Some(response) => Ok(self.mask_unsigned_rejection(response)),
-            None if attempts.sends == 0 => Err(RequestError::NoCapacity),
+            None if attempts.sends == 0 => Err(refusal),
             None => Err(attempts.attempts_exhausted(RequestError::Rejected)),
         }
     }
@@ -352,7 +359,11 @@
             && self.state.try_take_retry(self.service)
     }
 
-    fn choose(&self, attempts: &AttemptState, log_entry: &mut AccessLogEntry) -> Option<Choice> {
+    fn choose(
+        &self,
+        attempts: &AttemptState,
+        log_entry: &mut AccessLogEntry,
+    ) -> Result<Choice, RequestError> {
         let headers = &self.outgoing.headers;
         let object_hash =
             headers.get(request::AFFINITY_KEY).filter(|_| self.route.has_session_affinity);
@@ -371,11 +382,15 @@
         if let Some(object) = object_hash {
             balancer.record_request(object, now_ms);
         }
-        let choice = balancer.choose(&query, now_ms);
-        if choice.is_none() {
-            log_entry.basis = balancer.explain(&query, now_ms).to_string();
+        if let Some(choice) = balancer.choose(&query, now_ms) {
+            return Ok(choice);
         }
-        choice
+        let explanation = balancer.explain(&query, now_ms);
+        log_entry.basis = explanation.to_string();
+        Err(match explanation.is_rate_limited() {
+            true => RequestError::RateLimited,
+            false => RequestError::NoCapacity,
+        })
     }
 
     /// Replaces an unsigned 503, 429 or 408 response to a non-idempotent request by a 502.
--- a/crates/azuregate/src/serve/response.rs
+++ b/crates/azuregate/src/serve/response.rs
@@ -29,6 +29,8 @@
     BodyIncomplete,
     /// No backend server has capacity; the request was not executed.
     NoCapacity,
+    /// The rate limits of all backend servers that may serve it are used up; it was not executed.
+    RateLimited,
     /// Every attempted backend server rejected the request; it was not executed.
     Rejected,
     /// The request crashed the backend servers that executed it before; it was not executed
@@ -54,6 +56,7 @@
             RequestError::BodyTooLarge => "body-too-long",
             RequestError::BodyIncomplete => "body-broken",
             RequestError::NoCapacity => "no-room",
+            RequestError::RateLimited => "rate-limited",
             RequestError::Rejected => "rejected",
             RequestError::Quarantined { .. } => "quarantined",
             RequestError::TimedOut => "timed-out",
@@ -70,6 +73,9 @@
             RequestError::NoCapacity | RequestError::Rejected => {
                 Some(fastrand::u64(RetryReason::NoCapacity.retry_after_ms()))
             }
+            RequestError::RateLimited => {
+                Some(fastrand::u64(RetryReason::RateLimited.retry_after_ms()))
+            }
             RequestError::Quarantined { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
@@ -80,6 +86,7 @@
             RequestError::NotReady
             | RequestError::StoreContactLost
             | RequestError::NoCapacity
+            | RequestError::RateLimited
             | RequestError::Rejected
             | RequestError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -144,7 +144,7 @@
         }
         let mut balancer = self.balancer.borrow_mut();
         balancer.set_cold_rates(bounds.cold_rate_factor, bounds.cold_rate_slack);
-        balancer.set_cold_limits(&self.members.borrow());
+        balancer.update_shares(&self.members.borrow(), self.now_ms());
         self.contact.borrow_mut().set_propagation_limit_ms(bounds.propagation_ms);
         *self.bounds.borrow_mut() = bounds;
         // Budgets are recreated with the new ratio. They start empty, which allows fewer
@@ -196,7 +196,7 @@
         *self.config.borrow_mut() = Some(Arc::clone(&config));
         let mut balancer = self.balancer.borrow_mut();
         balancer.set_config(config);
-        balancer.set_cold_limits(&self.members.borrow());
+        balancer.update_shares(&self.members.borrow(), self.now_ms());
         log::info!(version = version, previous:? = previous; "configuration applied");
     }
 
