Let instances use other instances' parts of a rate limit

Callers would have been refused although servers take more: where all servers of a service limit their rate and only a few instances have its requests, most parts of the limits belong to instances without requests.

An instance that has no other server for a request now asks one that has a part of a limit for a single request, and waits 100 ms for the answer at most. Asking costs a round trip, so it is done only if the request would be refused otherwise.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -270,7 +270,7 @@
         let mut pools = std::mem::take(&mut self.pools);
         for state in pools.values_mut().flat_map(|pool| &mut pool.backends) {
             state.cold_limit = self.cold_limit(&state.backend, members);
-            rate_limit::update_share(state, &self.settings.instance, members, now_ms);
+            rate_limit::divide_limit(state, &self.settings.instance, members, now_ms);
         }
         self.pools = pools;
     }
--- a/crates/azuregate-core/src/balance/choice.rs
+++ b/crates/azuregate-core/src/balance/choice.rs
@@ -112,13 +112,8 @@
     pub fn choose(&mut self, query: &BackendQuery<'_>, now_ms: u64) -> Option<Choice> {
         let handle = self.decide(query, now_ms).chosen?;
         let state = self.pool_backend_mut(query.service, handle)?;
-        state.in_flight += 1;
-        if state.is_cold(now_ms) {
-            state.cold_start_budget.record_sent(now_ms);
-        }
         state.rate_limit.record_sent(now_ms);
-        let in_flight = state.total_in_flight() - 1;
-        Some(Choice { handle, backend: Arc::clone(&state.backend), in_flight })
+        Some(state.start_request(now_ms))
     }
 
     /// Returns the state that [`Balancer::choose`] would base a choice for `query` on.
@@ -128,30 +123,43 @@
             let backend = self.backend(server.handle)?;
             Some((backend.id.clone(), server.in_flight, server.slots))
         });
+        let limited = self
+            .limited_states(query, now_ms)
+            .take(MAX_EXPLAINED_LIMITS)
+            .filter_map(|state| Some((state.backend.id.clone(), state.rate_limit.limit_per_s()?)));
         Explanation {
             eligible_servers: decision.eligible_servers,
             servers: servers.collect(),
-            limited: self.limited(query, now_ms).take(MAX_EXPLAINED_LIMITS).collect(),
-            limited_servers: self.limited(query, now_ms).count(),
+            limited: limited.collect(),
+            limited_servers: self.limited_states(query, now_ms).count(),
             oldest_report_age_ms: self.oldest_report_age_ms(now_ms),
         }
     }
 
-    /// Returns the servers that only their rate limits exclude, with these limits.
-    fn limited(
+    /// Returns the servers that only their rate limits exclude.
+    pub(super) fn limited_states(
         &self,
         query: &BackendQuery<'_>,
         now_ms: u64,
-    ) -> impl Iterator<Item = (BackendId, f64)> {
+    ) -> impl Iterator<Item = &BackendState> {
         let states = self.pools.get(query.service).into_iter().flat_map(|pool| &pool.backends);
-        states.filter_map(move |state| {
-            let is_limited = !state.rate_limit.has_capacity(now_ms)
-                && is_eligible(&self.settings, state, query, now_ms);
-            let limit_per_s = state.rate_limit.limit_per_s().filter(|_| is_limited)?;
-            Some((state.backend.id.clone(), limit_per_s))
+        states.filter(move |state| {
+            !state.rate_limit.has_capacity(now_ms)
+                && is_eligible(&self.settings, state, query, now_ms)
         })
     }
 
+    /// Returns whether a server may get a request, apart from its rate limit.
+    pub(super) fn is_eligible(
+        &self,
+        query: &BackendQuery<'_>,
+        handle: BackendHandle,
+        now_ms: u64,
+    ) -> bool {
+        let state = self.backends().find(|state| state.handle == handle);
+        state.is_some_and(|state| is_eligible(&self.settings, state, query, now_ms))
+    }
+
     fn decide(&mut self, query: &BackendQuery<'_>, now_ms: u64) -> Decision {
         let Balancer { settings, pools, policy, candidates, shared_objects, .. } = self;
         let prefers_region = !shared_objects.is_shared();
@@ -181,6 +189,23 @@
             || state.cold_start_budget.has_capacity(state.cold_limit, now_ms))
 }
 
+impl BackendState {
+    /// Returns the rendezvous hash of the server and an object.
+    pub(super) fn hash(&self, object: u64) -> u64 {
+        fmix64(self.seed ^ object)
+    }
+
+    /// Counts a request that is sent to the server.
+    pub(super) fn start_request(&mut self, now_ms: u64) -> Choice {
+        let in_flight = self.total_in_flight();
+        self.in_flight += 1;
+        if self.is_cold(now_ms) {
+            self.cold_start_budget.record_sent(now_ms);
+        }
+        Choice { handle: self.handle, backend: Arc::clone(&self.backend), in_flight }
+    }
+}
+
 fn candidate(
     state: &BackendState,
     query: &BackendQuery<'_>,
@@ -192,7 +217,7 @@
         (false, true) => HealthStatus::Outlier,
         (false, false) => HealthStatus::Healthy,
     };
-    let hash = fmix64(state.seed ^ query.object);
+    let hash = state.hash(query.object);
     let is_preferred = prefers_region && state.distance != Distance::OtherRegion;
     Candidate {
         handle: state.handle,
--- a/crates/azuregate-core/src/balance/datagrams.rs
+++ b/crates/azuregate-core/src/balance/datagrams.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CrashReport, RateLimitReport};
+use super::{BackendRun, CrashReport, RateLimitReport};
 use crate::names::StartNumber;
 
 /// A datagram from one entry instance to another.
@@ -19,6 +19,11 @@
     Crashes(CrashReport),
     /// Rate limits of backend servers. Instances of older versions ignore it.
     RateLimits(RateLimitReport),
+    /// Asks for a request to a server with a rate limit, under a number of the sender's. Instances
+    /// of older versions ignore it.
+    GrantRequest(u32, BackendRun),
+    /// Answers the request for a grant with this number: whether it is granted.
+    Grant(u32, bool),
 }
 
 /// Requests that an instance has in flight at the backend servers.
--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -185,6 +185,12 @@
         live * 2 >= total
     }
 
+    /// Returns the registration of an instance if it is live and not this one.
+    pub(super) fn live_other(&self, instance: &str, now_ms: u64) -> Option<&Member> {
+        let state = self.states.get(instance).filter(|_| instance != self.local.as_str())?;
+        self.is_available(state, now_ms).then_some(&state.member)
+    }
+
     /// Iterates over the live instances that may watch the store on behalf of others.
     pub(super) fn eligible_watchers(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
         let available = self.states.values().filter(move |state| self.is_available(state, now_ms));
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -53,7 +53,9 @@
 pub use quarantine::{
     Admission, BackendRun, CrashReport, Fingerprint, Quarantine, ReportScope, ReportedCrash,
 };
-pub use rate_limit::{RateLimitChange, RateLimitObservation, RateLimitReport, ReportedRateLimit};
+pub use rate_limit::{
+    GrantRequest, RateLimitChange, RateLimitObservation, RateLimitReport, ReportedRateLimit,
+};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
 pub use retry_after::RetryReason;
--- a/crates/azuregate-core/src/balance/rate_limit/mod.rs
+++ b/crates/azuregate-core/src/balance/rate_limit/mod.rs
@@ -2,14 +2,17 @@
 //!
 //! A server in need names the requests per second that it accepts from all instances together.
 //! The limit belongs to the run of the server that names it. A few instances have a part of it
-//! each and keep to that part alone; the others send nothing to the server while it has a limit.
+//! each and keep to that part alone. The others send their requests to other servers; if there are
+//! none, they ask an instance that has a part.
 
+mod grants;
 mod report;
 mod state;
 
-use super::{BackendHandle, Balancer, Members, backends::BackendState, share::Share};
+use super::{BackendHandle, Balancer, Members, backends::BackendState, share};
 pub(super) use state::RateLimit;
 pub use {
+    grants::GrantRequest,
     report::{RateLimitReport, ReportedRateLimit},
     state::RateLimitObservation,
 };
@@ -119,7 +122,7 @@
     members: &Members,
     now_ms: u64,
 ) -> RateLimitChange {
-    update_share(state, local, members, now_ms);
+    divide_limit(state, local, members, now_ms);
     RateLimitChange {
         backend: state.backend.id.clone(),
         limit_per_s: state.rate_limit.limit_per_s(),
@@ -127,21 +130,17 @@
     }
 }
 
-/// Sets this instance's part of a server's limit; to be called when the limit or the members have
+/// Divides a server's limit among the instances; to be called when the limit or the members have
 /// changed.
-pub(super) fn update_share(
+pub(super) fn divide_limit(
     state: &mut BackendState,
     local: &InstanceId,
     members: &Members,
     now_ms: u64,
 ) {
-    let max_parts = state.rate_limit.max_parts();
-    let share = match max_parts {
-        0 => None,
-        _ => {
-            let names = members.registered().map(|member| member.instance.as_str());
-            Share::of(state.backend.id.as_str(), local.as_str(), names, max_parts)
-        }
+    let holders = match state.rate_limit.max_parts() {
+        0 => Vec::new(),
+        max_parts => share::holders(state.backend.id.as_str(), members.registered(), max_parts),
     };
-    state.rate_limit.set_share(share, now_ms);
+    state.rate_limit.set_holders(holders, local, now_ms);
 }
--- a/crates/azuregate-core/src/balance/rate_limit/state.rs
+++ b/crates/azuregate-core/src/balance/rate_limit/state.rs
@@ -1,6 +1,6 @@
 //! What one instance knows of the rate limit of one backend server.
 
-use crate::balance::share::Share;
+use crate::names::InstanceId;
 
 /// Fraction of a limit that is used. With one second's requests saved up, the limit then holds over
 /// every span of four seconds or more.
@@ -36,6 +36,7 @@
     /// The last observation of this instance itself.
     pub(in crate::balance) observed: Option<RateLimitObservation>,
     pub(in crate::balance) is_reported: bool,
+    holders: Vec<InstanceId>,
     part_per_s: f64,
     tokens: f64,
     refilled_at_ms: u64,
@@ -101,16 +102,28 @@
         std::mem::replace(&mut self.limit_per_s, limit_per_s) != limit_per_s
     }
 
-    /// Sets this instance's share of the limit. A part that is new begins without a token,
-    /// since another instance may have just used it.
-    pub(in crate::balance) fn set_share(&mut self, share: Option<Share>, now_ms: u64) {
+    /// Returns the instances that have a part of the limit.
+    pub(in crate::balance) fn holders(&self) -> &[InstanceId] {
+        &self.holders
+    }
+
+    /// Sets the instances that have a part of the limit. A part that is new to this instance begins
+    /// without a token, since another instance may have just used it.
+    pub(in crate::balance) fn set_holders(
+        &mut self,
+        holders: Vec<InstanceId>,
+        local: &InstanceId,
+        now_ms: u64,
+    ) {
         self.refill(now_ms);
-        let parts = share.map_or(0.0, |share| f64::from(share.parts));
-        let limit_per_s = self.limit_per_s.unwrap_or(0.0);
-        self.part_per_s = if parts > 0.0 { limit_per_s * USED_FRACTION / parts } else { 0.0 };
+        self.part_per_s = match holders.contains(local) {
+            true => self.limit_per_s.unwrap_or(0.0) * USED_FRACTION / holders.len() as f64,
+            false => 0.0,
+        };
         if self.part_per_s == 0.0 {
             self.tokens = 0.0;
         }
+        self.holders = holders;
     }
 
     /// Returns whether a request may be sent to the server.
@@ -123,12 +136,19 @@
         if self.limit_per_s.is_none() {
             return;
         }
+        if !self.try_take(now_ms) {
+            self.trial_at_ms = now_ms + TRIAL_INTERVAL_MS + self.trial_jitter_ms;
+        }
+    }
+
+    /// Takes a token if there is one.
+    pub(in crate::balance) fn try_take(&mut self, now_ms: u64) -> bool {
         self.refill(now_ms);
-        if self.tokens >= 1.0 {
+        let has_token = self.limit_per_s.is_some() && self.tokens >= 1.0;
+        if has_token {
             self.tokens -= 1.0;
-        } else {
-            self.trial_at_ms = now_ms + TRIAL_INTERVAL_MS + self.trial_jitter_ms;
         }
+        has_token
     }
 
     fn tokens_at(&self, now_ms: u64) -> f64 {
--- a/crates/azuregate-core/src/balance/share.rs
+++ b/crates/azuregate-core/src/balance/share.rs
@@ -1,6 +1,9 @@
 //! Division of a total rate among a few instances, without communication.
 
-use crate::route::hash::stable_hash;
+use std::cmp::Reverse;
+
+use super::Member;
+use crate::{names::InstanceId, route::hash::stable_hash};
 
 /// The position of this instance among the instances that share a total.
 ///
@@ -41,3 +44,16 @@
         (is_registered && rank < parts).then_some(Share { rank, parts })
     }
 }
+
+/// Returns the instances that have a part of a total for `backend` that at most `max_parts` of the
+/// registered instances divide among them: those of which [`Share::of`] returns a share.
+pub(super) fn holders<'a>(
+    backend: &str,
+    registered: impl Iterator<Item = &'a Member>,
+    max_parts: u32,
+) -> Vec<InstanceId> {
+    let mut holders: Vec<&InstanceId> = registered.map(|member| &member.instance).collect();
+    holders.sort_by_cached_key(|holder| Reverse(stable_hash(&[backend, holder.as_str()])));
+    let max_parts = usize::try_from(max_parts).unwrap_or(usize::MAX);
+    holders.into_iter().take(max_parts).cloned().collect()
+}
--- a/crates/azuregate-core/tests/balance/rate_limits.rs
+++ b/crates/azuregate-core/tests/balance/rate_limits.rs
@@ -1,7 +1,12 @@
 //! Rate limits that backend servers name, kept by many instances.
 
-use azuregate_core::balance::{
-    Balancer, Choice, Members, Outcome, RateLimitChange, RateLimitObservation,
+use std::collections::BTreeSet;
+
+use azuregate_core::{
+    balance::{
+        Balancer, Choice, HeartbeatStatus, Members, Outcome, RateLimitChange, RateLimitObservation,
+    },
+    names::StartNumber,
 };
 
 use crate::fixtures::{backend, balancer, instance, members, query, service};
@@ -82,6 +87,40 @@
         }
     }
 
+    /// Sends a request on the account of another instance, chosen by `random`, if that one has a
+    /// token. Answers come at once.
+    fn send_granted(&mut self, local: usize, random: u64) -> bool {
+        let (service, now_ms) = (service(), self.now_ms);
+        let query = query(&service, random);
+        let members = &self.members[local];
+        let request = self.balancers[local].grant_request(&query, members, random, now_ms);
+        let Some(request) = request else { return false };
+        let holder = (0..self.balancers.len()).find(|&n| instance(n) == request.holder.instance);
+        if !self.balancers[holder.unwrap()].grant(request.run, now_ms) {
+            return false;
+        }
+        let choice = self.balancers[local].choose_granted(&query, request.handle, now_ms).unwrap();
+        self.balancers[local].complete(choice.handle, Outcome::Cancelled, now_ms);
+        self.sent_at_ms.push(now_ms);
+        true
+    }
+
+    /// Lets the first `listeners` instances hear of all others.
+    fn exchange_heartbeats(&mut self, listeners: usize) {
+        for members in &mut self.members[..listeners] {
+            for number in 0..self.balancers.len() {
+                let name = instance(number);
+                let status = HeartbeatStatus {
+                    instance: name.as_str(),
+                    start: StartNumber(1),
+                    is_leaving: false,
+                    can_watch: false,
+                };
+                members.record_heartbeat(&status, self.now_ms);
+            }
+        }
+    }
+
     fn limit(&self, local: usize) -> Option<f64> {
         let handle = self.balancers[local].handles().next()?;
         self.balancers[local].rate_limit(handle)
@@ -115,6 +154,63 @@
     }
 }
 
+/// Guards against a limit that is left unused because the instances that have a part get no
+/// requests, and against exceeding it when all others ask these.
+#[test]
+fn limit_is_used_where_few_instances_have_requests() {
+    for instances in [8, 83, 680] {
+        // Not more than 85, since each asks in each step.
+        for busy in [1, instances / 8, instances.min(85)] {
+            let mut fleet = Fleet::new(instances);
+            fleet.tell_all(Some(3.0));
+            for step in 0..2 * WINDOW_MS / STEP_MS {
+                if step % 20 == 0 {
+                    fleet.exchange_heartbeats(busy);
+                }
+                for local in 0..busy {
+                    match fleet.choose(local) {
+                        Some(_) => fleet.sent_at_ms.push(fleet.now_ms),
+                        None => {
+                            fleet.send_granted(local, step);
+                        }
+                    }
+                }
+                fleet.now_ms += STEP_MS;
+            }
+            let (most, sent) = (fleet.most_in_a_window(), fleet.sent_at_ms.len());
+            assert!(most <= 13, "{busy} of {instances}: {most}");
+            assert!(sent >= 12, "{busy} of {instances}: {sent} of 24 sent");
+        }
+    }
+}
+
+/// Guards against asking those that cannot answer, and for servers that have room or take nothing.
+#[test]
+fn only_live_holders_of_a_limit_are_asked() {
+    let mut fleet = Fleet::new(8);
+    let service = service();
+    let query = query(&service, 1);
+    let asked = |fleet: &Fleet, local: usize, random| {
+        fleet.balancers[local].grant_request(&query, &fleet.members[local], random, fleet.now_ms)
+    };
+    fleet.exchange_heartbeats(8);
+    assert_eq!(asked(&fleet, 0, 0), None, "the server has no limit");
+    fleet.tell_all(Some(0.0));
+    assert_eq!(asked(&fleet, 0, 0), None, "the server takes nothing");
+    fleet.tell_all(Some(3.0));
+    let holders: BTreeSet<_> = (0..8)
+        .flat_map(|local| (0..4).map(move |random| (local, random)))
+        .filter_map(|(local, random)| Some(asked(&fleet, local, random)?.holder.instance))
+        .collect();
+    assert_eq!(holders.len(), 2, "{holders:?}");
+    for (local, random) in (0..8).flat_map(|local| [(local, 0), (local, 1)]) {
+        let holder = asked(&fleet, local, random).map(|request| request.holder.instance);
+        assert_ne!(holder, Some(instance(local)), "asks itself");
+    }
+    fleet.now_ms += 5_000;
+    assert_eq!(asked(&fleet, 0, 0), None, "no heartbeats");
+}
+
 /// Guards against exceeding a limit while instances disagree on who is registered: one has
 /// left, one is new, one has just started and knows nobody.
 #[test]
@@ -272,7 +368,7 @@
     for handle in reporter.handles().collect::<Vec<_>>() {
         reporter.record_rate_limit(handle, observation, &members, now_ms);
     }
-    let mut reported = std::collections::BTreeSet::new();
+    let mut reported = BTreeSet::new();
     for _ in 0..3 {
         let report = reporter.next_rate_limit_report(false, now_ms).unwrap();
         reported.extend(report.0.iter().map(|reported| reported.0));
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -10,9 +10,14 @@
     names::InstanceId,
     replica::Table,
 };
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, sync::mpsc};
 
-use super::{crash_detection, rate_limits, state::State};
+use super::{
+    crash_detection,
+    grants::{PendingGrants, Question},
+    rate_limits,
+    state::State,
+};
 
 const HEARTBEAT_INTERVAL_MS: u64 = 500;
 /// One in this many heartbeats includes a sample of the requested objects, which shows
@@ -40,12 +45,17 @@
 const MAX_LOAD_DATAGRAMS_PER_S: u64 = 100;
 
 /// Sends and receives heartbeats until the process ends.
-pub(super) async fn serve(state: Rc<State>, socket: UdpSocket) {
+pub(super) async fn serve(
+    state: Rc<State>,
+    socket: UdpSocket,
+    mut questions: mpsc::Receiver<Question>,
+) {
     let mut beats = state.timer.subscribe(HEARTBEAT_INTERVAL_MS);
     let mut load_ticks = state.timer.subscribe(LOAD_REPORT_INTERVAL_MS);
     let mut load_reporter = LoadReporter::default();
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     let mut lag_detector = LagDetector::default();
+    let mut pending_grants = PendingGrants::default();
     let mut beat = 0;
     loop {
         tokio::select! {
@@ -55,6 +65,7 @@
                 }
                 lag_detector.detect_lag(&state);
                 state.remove_expired_backends(false);
+                pending_grants.remove_abandoned();
                 state.balancer.borrow_mut().expire_load_reports(state.now_ms());
                 beat = (beat + 1) % REQUESTED_OBJECTS_PERIOD_BEATS;
                 broadcast(&state, &socket, &build_heartbeat(&state, beat == 0)).await;
@@ -68,9 +79,23 @@
                 report_crashes(&state, &socket, ReportScope::Unsent).await;
                 report_rate_limits(&state, &socket, true).await;
             }
+            Some(question) = questions.recv() => {
+                let (datagram, holder) = pending_grants.add(question);
+                send(&socket, &datagram, &[holder]).await;
+            }
             received = socket.recv_from(&mut buffer) => {
-                if let Ok((length, _)) = received {
-                    handle_datagram(&state, &mut lag_detector, &buffer[..length]);
+                let Ok((length, sender)) = received else { continue };
+                // Datagrams of other senders or formats are ignored.
+                let Ok(datagram) = ciborium::from_reader(&buffer[..length]) else { continue };
+                match datagram {
+                    Datagram::GrantRequest(number, run) => {
+                        let is_granted = rate_limits::grant(&state, run);
+                        send(&socket, &Datagram::Grant(number, is_granted), &[sender]).await;
+                    }
+                    Datagram::Grant(number, is_granted) => {
+                        pending_grants.complete(number, is_granted);
+                    }
+                    other => handle_datagram(&state, &mut lag_detector, other),
                 }
             }
         }
@@ -154,28 +179,32 @@
 
 /// Sends a datagram to every other instance.
 async fn broadcast(state: &State, socket: &UdpSocket, datagram: &Datagram) {
+    let port = state.settings.peer_port;
+    let addrs: Vec<SocketAddr> =
+        state.members.borrow().others().map(|member| SocketAddr::new(member.ip, port)).collect();
+    send(socket, datagram, &addrs).await;
+}
+
+async fn send(socket: &UdpSocket, datagram: &Datagram, addrs: &[SocketAddr]) {
     let mut bytes = Vec::new();
     if let Err(e) = ciborium::into_writer(datagram, &mut bytes) {
         log::error!(error:% = e; "cannot encode datagram");
         return;
     }
-    let port = state.settings.peer_port;
-    let addrs: Vec<SocketAddr> =
-        state.members.borrow().others().map(|member| SocketAddr::new(member.ip, port)).collect();
     for addr in addrs {
         // A send error is equivalent to a lost datagram.
         let _ = socket.send_to(&bytes, addr).await;
     }
 }
 
-fn handle_datagram(state: &State, lag_detector: &mut LagDetector, bytes: &[u8]) {
-    match ciborium::from_reader(bytes) {
-        Ok(Datagram::Heartbeat(heartbeat)) => handle_heartbeat(state, lag_detector, &heartbeat),
-        Ok(Datagram::Load(load)) => handle_load(state, load),
-        Ok(Datagram::Crashes(report)) => crash_detection::record_report(state, &report),
-        Ok(Datagram::RateLimits(report)) => rate_limits::record_report(state, &report),
-        // Ignore datagrams of other senders or formats.
-        Err(_) => {}
+fn handle_datagram(state: &State, lag_detector: &mut LagDetector, datagram: Datagram) {
+    match datagram {
+        Datagram::Heartbeat(heartbeat) => handle_heartbeat(state, lag_detector, &heartbeat),
+        Datagram::Load(load) => handle_load(state, load),
+        Datagram::Crashes(report) => crash_detection::record_report(state, &report),
+        Datagram::RateLimits(report) => rate_limits::record_report(state, &report),
+        // The task that owns the socket answers these.
+        Datagram::GrantRequest(..) | Datagram::Grant(..) => {}
     }
 }
 
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -21,7 +21,8 @@
   `pool` holds idle connections to backend servers.
 * `crash_detection` tells crashes of backend servers from other broken connections, and
   `quarantine_rows` keeps the requests that cause them in the store.
-* `rate_limits` reads the limits that backend servers name, and reports them to others.
+* `rate_limits` reads the limits that backend servers name, and reports them to others;
+  `grants` asks others for a request if all servers are limited.
 * `endpoints` serves readiness, lookups and metrics.
 * `shutdown` implements the graceful shutdown.
 */
@@ -34,6 +35,7 @@
 mod encoding;
 mod endpoints;
 mod follower;
+mod grants;
 mod heartbeat;
 mod in_flight;
 mod listen;
@@ -115,13 +117,14 @@
 ) -> Result<(), Report<ServeError>> {
     let listeners = Listeners::open(&settings).await?;
     let (phase, phases) = sync::watch::channel(ShutdownPhase::Serving);
-    let state = Rc::new(State::new(settings, stop, phases));
+    let (grant_questions, questions) = grants::queue();
+    let state = Rc::new(State::new(settings, stop, phases, grant_questions));
     log::info!(instance:% = state.settings.instance, start:% = state.start; "entry instance started");
     table_watch::start(&state);
     if let Some(file) = file {
         spawn_local(reload::serve(Rc::clone(&state), file));
     }
-    spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats));
+    spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats, questions));
     spawn_local(relay::serve(Rc::clone(&state), listeners.followers));
     spawn_local(follower::serve(Rc::clone(&state)));
     spawn_local(quarantine_rows::serve(Rc::clone(&state)));
--- a/crates/azuregate/src/serve/rate_limits.rs
+++ b/crates/azuregate/src/serve/rate_limits.rs
@@ -1,10 +1,12 @@
 //! Reads the rate limits that backend servers name, and reports them to other instances.
 
-use azuregate_core::balance::{Choice, RateLimitChange, RateLimitObservation, RateLimitReport};
+use azuregate_core::balance::{
+    BackendRun, Choice, RateLimitChange, RateLimitObservation, RateLimitReport,
+};
 use azuregate_platform::request;
 use hyper::{HeaderMap, Response, body::Incoming};
 
-use super::state::State;
+use super::{metrics, state::State};
 
 /// Records what a server's response to a request sent at `sent_at_ms` says of its rate limit.
 pub(super) fn record_response(
@@ -30,6 +32,14 @@
     log_changes(&changes, "report");
 }
 
+/// Takes a request from this instance's part of a limit on behalf of another instance; returns
+/// whether there was one.
+pub(super) fn grant(state: &State, run: BackendRun) -> bool {
+    let is_granted = state.balancer.borrow_mut().grant(run, state.now_ms());
+    metrics::inc_by(&state.metrics.grants, u64::from(is_granted));
+    is_granted
+}
+
 /// Returns the limit that a response names, `Some(None)` if it names none, or `None` if it says
 /// nothing of the limit.
 fn named_limit(choice: &Choice, headers: &HeaderMap) -> Option<Option<f64>> {
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -1,9 +1,11 @@
 //! Handles one client request.
 
-use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{fmt::Write, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 
 use azuregate_core::{
-    balance::{self, Admission, BackendHandle, BackendQuery, Choice, RequestKind, Route},
+    balance::{
+        self, Admission, BackendHandle, BackendQuery, Choice, GrantRequest, RequestKind, Route,
+    },
     names::ServiceName,
 };
 use azuregate_platform::request;
@@ -19,6 +21,7 @@
 
 use super::{
     attempt::{self, AttemptResult, NotExecuted, OutgoingRequest},
+    grants,
     response::{self, RequestError},
     response_body::ResponseBody,
     state::State,
@@ -300,7 +303,7 @@
             if is_retry && !self.can_retry(attempts, remaining_ms) {
                 break;
             }
-            let choice = match self.choose(attempts, log_entry) {
+            let choice = match self.choose(attempts, log_entry).await {
                 Ok(choice) => choice,
                 Err(e) => {
                     refusal = e;
@@ -311,6 +314,8 @@
             attempts.tried.push(choice.handle);
             attempts.sends += 1;
             attempts.is_in_flight = true;
+            // The choice may have taken time.
+            let remaining_ms = self.remaining_ms();
             let result = attempt::send(self.state, &choice, &self.outgoing, remaining_ms).await;
             attempts.is_in_flight = false;
             let limit_per_s = self.state.balancer.borrow().rate_limit(choice.handle);
@@ -359,7 +364,8 @@
             && self.state.try_take_retry(self.service)
     }
 
-    fn choose(
+    /// Chooses a server, or returns why there is none.
+    async fn choose(
         &self,
         attempts: &AttemptState,
         log_entry: &mut AccessLogEntry,
@@ -377,20 +383,46 @@
             tried: &attempts.tried,
             home_regions: &self.route.home_regions,
         };
-        let now_ms = self.state.now_ms();
-        let mut balancer = self.state.balancer.borrow_mut();
-        if let Some(object) = object_hash {
-            balancer.record_request(object, now_ms);
+        {
+            let now_ms = self.state.now_ms();
+            let mut balancer = self.state.balancer.borrow_mut();
+            if let Some(object) = object_hash {
+                balancer.record_request(object, now_ms);
+            }
+            if let Some(choice) = balancer.choose(&query, now_ms) {
+                return Ok(choice);
+            }
+            let explanation = balancer.explain(&query, now_ms);
+            log_entry.basis = explanation.to_string();
+            if !explanation.is_rate_limited() {
+                return Err(RequestError::NoCapacity);
+            }
+        }
+        self.choose_granted(&query, log_entry).await.ok_or(RequestError::RateLimited)
+    }
+
+    /// Asks another instance for a request on the account of its part of a rate limit.
+    async fn choose_granted(
+        &self,
+        query: &BackendQuery<'_>,
+        log_entry: &mut AccessLogEntry,
+    ) -> Option<Choice> {
+        // Otherwise the request would be held until its deadline.
+        if self.remaining_ms() <= grants::GRANT_TIMEOUT_MS {
+            return None;
         }
-        if let Some(choice) = balancer.choose(&query, now_ms) {
-            return Ok(choice);
+        let state = self.state;
+        let request = {
+            let members = state.members.borrow();
+            let balancer = state.balancer.borrow();
+            balancer.grant_request(query, &members, fastrand::u64(..), state.now_ms())?
+        };
+        let GrantRequest { handle, backend, holder, .. } = &request;
+        let _ = write!(log_entry.basis, " asked:{}:{backend}", holder.instance);
+        if !grants::ask(state, &request).await {
+            return None;
         }
-        let explanation = balancer.explain(&query, now_ms);
-        log_entry.basis = explanation.to_string();
-        Err(match explanation.is_rate_limited() {
-            true => RequestError::RateLimited,
-            false => RequestError::NoCapacity,
-        })
+        state.balancer.borrow_mut().choose_granted(query, *handle, state.now_ms())
     }
 
     /// Replaces an unsigned 503, 429 or 408 response to a non-idempotent request by a 502.
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -19,8 +19,8 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    crash_detection::BrokenRequests, encoding::EncodedChangesCache, metrics::Metrics,
-    pool::ConnectionPool, shutdown_phase::ShutdownPhase, tables::Tables,
+    crash_detection::BrokenRequests, encoding::EncodedChangesCache, grants::Questions,
+    metrics::Metrics, pool::ConnectionPool, shutdown_phase::ShutdownPhase, tables::Tables,
 };
 use crate::{stop::StopSignal, timer::Timer};
 
@@ -43,6 +43,7 @@
     pub(super) pool: ConnectionPool,
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) broken_requests: BrokenRequests,
+    pub(super) grant_questions: Questions,
     pub(super) metrics: Metrics,
     pub(super) tables: RefCell<Tables>,
     pub(super) encoded_cache: RefCell<EncodedChangesCache>,
@@ -79,6 +80,7 @@
         settings: Settings,
         stop: StopSignal,
         phase: watch::Receiver<ShutdownPhase>,
+        grant_questions: Questions,
     ) -> State {
         let balancer = Balancer::new(balance::Settings {
             instance: settings.instance.clone(),
@@ -100,6 +102,7 @@
             pool: ConnectionPool::default(),
             quarantine: RefCell::default(),
             broken_requests: BrokenRequests::default(),
+            grant_questions,
             metrics: Metrics::default(),
             tables: RefCell::default(),
             encoded_cache: RefCell::default(),
--- a/crates/azuregate/tests/serve/rate_limits.rs
+++ b/crates/azuregate/tests/serve/rate_limits.rs
@@ -178,3 +178,23 @@
     assert_eq!(sent.status, 200);
     assert!(is_limited().await, "ended by nonsense");
 }
+
+/// Guards against a limit that is left unused since the instances that have a part of it get no
+/// requests, and against exceeding it when others send on their account.
+#[tokio::test]
+async fn instance_without_a_part_sends_on_the_account_of_others() {
+    let cluster = TestCluster::start(1).await;
+    let instances = start_instances(&cluster).await;
+    let limited = &cluster.backends[0];
+    limited.set_rate_limit(Some("5"));
+    let named_at = Instant::now();
+    for instance in &instances {
+        let only = std::slice::from_ref(instance);
+        send_for(only, &instance.traffic_addr.to_string(), Duration::from_secs(3)).await;
+    }
+    let arrivals = arrivals(limited, named_at + CONTACT);
+    let most = most_in_a_window(&arrivals);
+    assert!(most <= max_received(5.0), "{most} requests in {WINDOW:?}");
+    // Half of five a second in 11 seconds.
+    assert!(arrivals.len() >= 27, "{} requests", arrivals.len());
+}
