Limit the rate of servers in the soak

The soak's servers named no limits, so it could not find instances that exceed them. Up to four servers of a run now name a limit for a time, nonsense among them, beside all other faults, and a check sums what reaches each of them in any 4 s from all instances that it had told and that were not disturbed. The other faults of a seed stay as they are.

--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -23,6 +23,7 @@
 mod plan;
 mod processes;
 mod proxy;
+mod rate_limits;
 mod run;
 
 /// Availability zones and their regions, as in the settings fixture.
--- a/crates/azuregate/tests/soak/plan.rs
+++ b/crates/azuregate/tests/soak/plan.rs
@@ -11,6 +11,9 @@
 pub(crate) const FAULT_PHASE: Duration = Duration::from_secs(9);
 const MAX_FAULTS: usize = 14;
 const MAX_SERVER_CRASHES: usize = 6;
+const MAX_RATE_LIMITS: usize = 4;
+/// Limits that servers name, nonsense among them.
+const RATE_LIMITS: [&str; 7] = ["0", "0.5", "1.7", "3", "3.2", "6", "NaN"];
 
 /// A fault or a planned operation.
 #[derive(Clone, Debug)]
@@ -28,6 +31,7 @@
     Drain { server: usize },
     ChangeConfig,
     CrashServer { server: usize },
+    LimitRate { server: usize, limit: &'static str, duration: Duration },
 }
 
 /// The faults of a run and their times.
@@ -62,6 +66,7 @@
         if !is_planned_only {
             faults.extend(server_crashes(seed, servers));
         }
+        faults.extend(rate_limits(seed, servers));
         faults.sort_by_key(|(at, _)| *at);
         Plan { is_planned_only, faults }
     }
@@ -78,6 +83,18 @@
     (0..count).map(|_| crash(&mut random)).collect()
 }
 
+/// Returns limits that servers name, from a generator of their own.
+fn rate_limits(seed: u64, servers: usize) -> Vec<(Duration, Fault)> {
+    let mut random = Rng::with_seed(seed.rotate_left(16));
+    let limit = |random: &mut Rng| {
+        let at = Duration::from_millis(random.u64(..5_000));
+        let duration = Duration::from_millis(random.u64(1_000..6_000));
+        let limit = RATE_LIMITS[random.usize(..RATE_LIMITS.len())];
+        (at, Fault::LimitRate { server: random.usize(..servers), limit, duration })
+    };
+    (0..random.usize(..=MAX_RATE_LIMITS)).map(|_| limit(&mut random)).collect()
+}
+
 fn planned_fault(random: &mut Rng, instances: usize, servers: usize) -> Fault {
     match random.usize(..4) {
         0 => Fault::Stop { instance: random.usize(..instances) },
--- a/crates/azuregate/tests/soak/proxy.rs
+++ b/crates/azuregate/tests/soak/proxy.rs
@@ -45,6 +45,11 @@
         Proxy::start_with(ip, target, watch::Sender::new(true).subscribe()).await
     }
 
+    /// Returns whether bytes are forwarded without a fault.
+    pub(crate) fn is_forwarding(&self) -> bool {
+        *self.mode.borrow() == LinkMode::Forward
+    }
+
     /// Starts a proxy that refuses connections while `is_up` is false, as the target does.
     pub(crate) async fn start_with(
         ip: IpAddr,
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -25,6 +25,7 @@
     plan::{FAULT_PHASE, Fault, Plan},
     processes::Process,
     proxy::{LinkMode, Proxy},
+    rate_limits::{self, LimitedPeriod},
 };
 
 const SERVICE: &str = "shop";
@@ -56,6 +57,7 @@
     pub(crate) problems: Mutex<Vec<String>>,
     /// Times during which an instance was killed, stopped or paused.
     disturbances: Mutex<Vec<Disturbance>>,
+    limited_periods: Mutex<Vec<LimitedPeriod>>,
     store: FakeStore,
     store_proxies: Vec<Proxy>,
     config: Mutex<ConfigDocument>,
@@ -106,6 +108,7 @@
     eprintln!("seed {seed}: {} faults, {}", plan.faults.len(), checks::summary(&records));
     let mut problems = deployment.problems.lock().unwrap().clone();
     problems.extend(checks::check_all(&deployment, &plan, &records, recovered_at));
+    problems.extend(rate_limits::check(&deployment, &records));
     if let Some(client) = &crashing {
         problems.extend(client.check(&deployment, &deployment.received()));
     }
@@ -169,6 +172,7 @@
         servers,
         problems: Mutex::default(),
         disturbances: Mutex::default(),
+        limited_periods: Mutex::default(),
         store,
         store_proxies,
         config: Mutex::new(config),
@@ -241,7 +245,41 @@
             Fault::Drain { server } => self.drain(server).await,
             Fault::ChangeConfig => self.publish_config(),
             Fault::CrashServer { server } => self.servers[server].backend.crash(),
+            Fault::LimitRate { server, limit, duration } => {
+                self.limit_rate(server, limit, duration).await;
+            }
+        }
+    }
+
+    /// Lets a server name a rate limit, and records the time until it changes, the server crashes
+    /// or its link has a fault.
+    async fn limit_rate(&self, server: usize, limit: &'static str, duration: Duration) {
+        let backend = &self.servers[server].backend;
+        let (id, from) = (backend.id(), Instant::now());
+        backend.set_rate_limit(Some(limit));
+        let named = backend.rate_limit();
+        let is_as_named = || {
+            backend.rate_limit() == named
+                && backend.id() == id
+                && self.servers[server].proxy.is_forwarding()
+        };
+        let mut to = from;
+        while from.elapsed() < duration && is_as_named() {
+            to = Instant::now();
+            time::sleep(Duration::from_millis(20)).await;
         }
+        if let Some(limit_per_s) = limit.parse().ok().filter(|limit: &f64| limit.is_finite()) {
+            let period = LimitedPeriod { server, limit_per_s, from, to };
+            self.limited_periods.lock().unwrap().push(period);
+        }
+        time::sleep(duration.saturating_sub(from.elapsed())).await;
+        if backend.rate_limit() == named {
+            backend.set_rate_limit(None);
+        }
+    }
+
+    pub(crate) fn limited_periods(&self) -> Vec<LimitedPeriod> {
+        self.limited_periods.lock().unwrap().clone()
     }
 
     /// Injects a fault into the store. After a long fault, `expire_rows` removes the rows
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -75,6 +75,8 @@
     pub cancelled_at: Option<Instant>,
     /// When the request crashed the server.
     pub crashed_at: Option<Instant>,
+    /// When the server responded with its rate limit.
+    pub limit_named_at: Option<Instant>,
 }
 
 /// A fake backend server on a port of its own, which records the requests that it
@@ -274,6 +276,12 @@
             }
         }
         let limit = lock(&shared.rate_limit).clone().map(|(text, _)| text);
+        let names_limit = limit.is_some()
+            && !matches!(
+                behaviour,
+                Behaviour::DropResponse | Behaviour::Misdirect | Behaviour::StaleResponse
+            );
+        lock(&shared.received)[index].limit_named_at = names_limit.then(Instant::now);
         if !respond(&mut stream, &behaviour, &id, &last_id, limit.as_deref()).await {
             return;
         }
@@ -382,6 +390,7 @@
         received_at: Instant::now(),
         cancelled_at: None,
         crashed_at: None,
+        limit_named_at: None,
     })
 }
 
