Test rate limits with instances out of contact and of other versions

Instances that wake from a pause, are cut off, have not been told or start again, and instances beside others of an older version, keep the limit of a server together.

--- a/crates/azuregate-core/tests/balance/rate_limits.rs
+++ b/crates/azuregate-core/tests/balance/rate_limits.rs
@@ -211,6 +211,49 @@
     assert_eq!(asked(&fleet, 0, 0), None, "no heartbeats");
 }
 
+/// Guards against exceeding a limit when instances wake from a pause, are cut off and get neither
+/// heartbeats nor reports, have not been told or have started again.
+#[test]
+fn limit_is_kept_by_instances_that_were_out_of_contact() {
+    const INSTANCES: usize = 8;
+    let all: Vec<usize> = (0..INSTANCES).collect();
+    for count in 1..=INSTANCES {
+        let mut fleet = Fleet::new(INSTANCES);
+        // The others are paused at first, then all are awake.
+        fleet.tell_all(Some(3.0));
+        fleet.send_for(WINDOW_MS, &all[..count]);
+        fleet.send_for(WINDOW_MS, &all);
+        assert!(fleet.most_in_a_window() <= 13, "{count}: {}", fleet.most_in_a_window());
+        // Some start again and are told by their first response.
+        for local in 0..count {
+            fleet.balancers[local] = balancer(local, INSTANCES, 1);
+            assert!(fleet.choose(local).is_some(), "it has not been told");
+            fleet.respond(local, Some(3.0), 0);
+        }
+        fleet.sent_at_ms.clear();
+        fleet.send_for(WINDOW_MS, &all);
+        // Those without news for ten seconds try the server.
+        assert!(fleet.most_in_a_window() <= 23, "{count}: {}", fleet.most_in_a_window());
+    }
+}
+
+/// Guards against instances that take more while others of an older version keep no limits and
+/// grant nothing.
+#[test]
+fn instances_of_older_versions_leave_their_parts_unused() {
+    const INSTANCES: usize = 8;
+    for newer in 1..INSTANCES {
+        let mut fleet = Fleet::new(INSTANCES);
+        fleet.exchange_heartbeats(INSTANCES);
+        for local in 0..newer {
+            fleet.respond(local, Some(3.0), 0);
+        }
+        let all: Vec<usize> = (0..newer).collect();
+        fleet.send_for(WINDOW_MS, &all);
+        assert!(fleet.most_in_a_window() <= 13, "{newer}: {}", fleet.most_in_a_window());
+    }
+}
+
 /// Guards against exceeding a limit while instances disagree on who is registered: one has
 /// left, one is new, one has just started and knows nobody.
 #[test]
