Report all rate limits in turn, not only the first 40

With more than 40 servers that limit their rate, instances without a part of a limit would have learned of the others by their own responses only: a report that did not fit into a datagram should go on where the last one ended, but the look for changes between two heartbeats began anew each time. Found when the code was read again; the test failed with 40 servers of 100 reported. The log line of a limit has the part rounded.

--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -13,7 +13,7 @@
 * [`Balancer`] holds the state of all backend servers and chooses one per request by a
   [`LoadBalancingPolicy`], by default [`ObjectAffinity`].
 * [`RetryBudget`] and [`ColdStartBudget`] enforce limits over all instances, each within its
-  own share.
+  own share. [`Balancer`] keeps the rate limits that backend servers name in the same way.
 * [`Members`] tracks the entry instances and answers clients' lookups.
 * [`Datagram`] is the message between entry instances.
 * [`Quarantine`] recognizes requests that crash backend servers.
--- a/crates/azuregate-core/src/balance/rate_limit/mod.rs
+++ b/crates/azuregate-core/src/balance/rate_limit/mod.rs
@@ -96,7 +96,9 @@
             let observed = state.rate_limit.observed.as_ref();
             reported.extend(observed.map(|observed| report::encode(state.run, observed, now_ms)));
         }
-        self.next_reported = next.unwrap_or_default();
+        if !only_changes {
+            self.next_reported = next.unwrap_or_default();
+        }
         (!reported.is_empty()).then_some(RateLimitReport(reported))
     }
 
--- a/crates/azuregate-core/tests/balance/rate_limits.rs
+++ b/crates/azuregate-core/tests/balance/rate_limits.rs
@@ -411,8 +411,11 @@
     for handle in reporter.handles().collect::<Vec<_>>() {
         reporter.record_rate_limit(handle, observation, &members, now_ms);
     }
+    while reporter.next_rate_limit_report(true, now_ms).is_some() {}
     let mut reported = BTreeSet::new();
     for _ in 0..3 {
+        // Between heartbeats only changes are reported.
+        assert!(reporter.next_rate_limit_report(true, now_ms).is_none());
         let report = reporter.next_rate_limit_report(false, now_ms).unwrap();
         reported.extend(report.0.iter().map(|reported| reported.0));
         let mut bytes = Vec::new();
--- a/crates/azuregate/src/serve/rate_limits.rs
+++ b/crates/azuregate/src/serve/rate_limits.rs
@@ -57,6 +57,7 @@
 fn log_changes(changes: &[RateLimitChange], source: &str) {
     for RateLimitChange { backend, limit_per_s, part_per_s } in changes {
         let limit = limit_per_s.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
-        log::info!(backend:% = backend, limit_per_s = limit, part_per_s = *part_per_s, source = source; "backend server rate limit changed");
+        let part = format!("{part_per_s:.2}");
+        log::info!(backend:% = backend, limit_per_s = limit, part_per_s = part, source = source; "backend server rate limit changed");
     }
 }
