Use the whole of a rate limit, and ask for it also when other servers are full

What limits leave must be refused, but more was refused than that: a fifth of each limit was held back, and an instance asked the holder of a limit only if every server had one. Where a few servers had none, these were full and the request was refused, although limits of the others had room.

The whole limit is divided now. Over any span T all instances send no more than N T, and what was saved up in one second, which is within what a server that names N takes. And an instance asks a holder before it refuses a request for whatever reason, if a server has room but for its limit.

--- a/crates/azuregate-core/src/balance/rate_limit/grants.rs
+++ b/crates/azuregate-core/src/balance/rate_limit/grants.rs
@@ -19,10 +19,10 @@
 }
 
 impl Balancer {
-    /// Returns whom to ask for a request that only rate limits keep from being sent. `random`
-    /// chooses among the instances that have a part.
+    /// Returns whom to ask for a request that is refused otherwise, if a server has room but for its
+    /// rate limit. `random` chooses among the instances that have a part.
     ///
-    /// Asking costs a round trip, so it is worth while only if there is no other server.
+    /// Asking costs a round trip, so it is worth while only if no other server has room.
     pub fn grant_request(
         &self,
         query: &BackendQuery<'_>,
--- a/crates/azuregate-core/src/balance/rate_limit/mod.rs
+++ b/crates/azuregate-core/src/balance/rate_limit/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! A server in need names the requests per second that it accepts from all instances together.
 //! The limit belongs to the run of the server that names it. A few instances have a part of it
-//! each and keep to that part alone. The others send their requests to other servers; if there are
-//! none, they ask an instance that has a part.
+//! each and keep to that part alone. The others send their requests to other servers; if these have
+//! no room, they ask an instance that has a part.
 
 mod grants;
 mod report;
--- a/crates/azuregate-core/src/balance/rate_limit/state.rs
+++ b/crates/azuregate-core/src/balance/rate_limit/state.rs
@@ -2,9 +2,6 @@
 
 use crate::names::InstanceId;
 
-/// Fraction of a limit that is used. With one second's requests saved up, the limit then holds over
-/// every span of four seconds or more.
-const USED_FRACTION: f64 = 0.8;
 /// Time without news of a limit after which one request is sent to learn whether it still holds.
 /// Nobody learns it otherwise if the instances that have a part send nothing or are gone.
 const TRIAL_INTERVAL_MS: u64 = 10_000;
@@ -63,7 +60,7 @@
 
     /// Returns the number of parts that the limit is divided into.
     pub(in crate::balance) fn max_parts(&self) -> u32 {
-        self.limit_per_s.map_or(0, |limit| ((limit * USED_FRACTION) as u32).max(1))
+        self.limit_per_s.map_or(0, |limit| (limit as u32).max(1))
     }
 
     /// Records what a response to this instance says; returns whether the limit has changed.
@@ -117,7 +114,7 @@
     ) {
         self.refill(now_ms);
         self.part_per_s = match holders.contains(local) {
-            true => self.limit_per_s.unwrap_or(0.0) * USED_FRACTION / holders.len() as f64,
+            true => self.limit_per_s.unwrap_or(0.0) / holders.len() as f64,
             false => 0.0,
         };
         if self.part_per_s == 0.0 {
--- a/crates/azuregate-core/tests/balance/overload.rs
+++ b/crates/azuregate-core/tests/balance/overload.rs
@@ -23,6 +23,7 @@
         cache_capacity: 43,
         cache_insertion: CacheInsertion::AtEnd,
         retry_after_ms: 250..=250,
+        limited: (0, 0.0),
         rejection_rate: |_| 0.0,
         max_attempts: 1,
         may_retry_same_backend: |_| false,
--- a/crates/azuregate-core/tests/balance/skewed_load.rs
+++ b/crates/azuregate-core/tests/balance/skewed_load.rs
@@ -42,6 +42,7 @@
         cache_capacity: 28,
         cache_insertion: CacheInsertion::AtStart,
         retry_after_ms: RetryReason::NoCapacity.retry_after_ms(),
+        limited: (0, 0.0),
         rejection_rate: |_| 0.0,
         max_attempts: 2,
         may_retry_same_backend: Choice::had_free_slot,
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -22,7 +22,7 @@
 * `crash_detection` tells crashes of backend servers from other broken connections, and
   `quarantine_rows` keeps the requests that cause them in the store.
 * `rate_limits` reads the limits that backend servers name, and reports them to others;
-  `grants` asks others for a request if all servers are limited.
+  `grants` asks others for a request that is refused otherwise.
 * `endpoints` serves readiness, lookups and metrics.
 * `shutdown` implements the graceful shutdown.
 */
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -383,7 +383,7 @@
             tried: &attempts.tried,
             home_regions: &self.route.home_regions,
         };
-        {
+        let refusal = {
             let now_ms = self.state.now_ms();
             let mut balancer = self.state.balancer.borrow_mut();
             if let Some(object) = object_hash {
@@ -394,11 +394,12 @@
             }
             let explanation = balancer.explain(&query, now_ms);
             log_entry.basis = explanation.to_string();
-            if !explanation.is_rate_limited() {
-                return Err(RequestError::NoCapacity);
+            match explanation.is_rate_limited() {
+                true => RequestError::RateLimited,
+                false => RequestError::NoCapacity,
             }
-        }
-        self.choose_granted(&query, log_entry).await.ok_or(RequestError::RateLimited)
+        };
+        self.choose_granted(&query, log_entry).await.ok_or(refusal)
     }
 
     /// Asks another instance for a request on the account of its part of a rate limit.
