Log each retry with the state of its budget, and count retries

A request's line told how many servers it was sent to, but not when, nor what the retry budget had counted. The new line and the metric azuregate_retries_total tell a budget that was created a moment ago from one whose requests have gone elsewhere since, and retries in the logs can be compared with arrivals at the servers. No decision changes.

--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -59,5 +59,5 @@
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
 pub use retry_after::RetryReason;
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{RetryBudget, RetryUsage};
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/azuregate-core/src/balance/retry_budget.rs
+++ b/crates/azuregate-core/src/balance/retry_budget.rs
@@ -19,6 +19,15 @@
     buckets: VecDeque<Bucket>,
 }
 
+/// What a [`RetryBudget`] has counted in its window.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RetryUsage {
+    /// Requests of clients.
+    pub requests: u32,
+    /// Retries.
+    pub retries: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     index: u64,
@@ -39,9 +48,7 @@
 
     /// Counts a retry if the budget allows it, and returns whether it does.
     pub fn try_acquire(&mut self, now_ms: u64) -> bool {
-        self.bucket(now_ms);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let RetryUsage { requests, retries } = self.usage(now_ms);
         if f64::from(retries + 1) > self.ratio * f64::from(requests) {
             return false;
         }
@@ -49,6 +56,15 @@
         true
     }
 
+    /// Returns what was counted in the window that ends at `now_ms`.
+    pub fn usage(&mut self, now_ms: u64) -> RetryUsage {
+        self.bucket(now_ms);
+        RetryUsage {
+            requests: self.buckets.iter().map(|bucket| bucket.requests).sum(),
+            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+        }
+    }
+
     fn bucket(&mut self, now_ms: u64) -> &mut Bucket {
         let index = now_ms * BUCKETS / self.window_ms;
         while self.buckets.front().is_some_and(|bucket| bucket.index + BUCKETS < index) {
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -22,6 +22,16 @@
     /// Requests that other instances sent on the account of this one's parts of rate limits.
     pub(super) grants: Cell<u64>,
     series: RefCell<BTreeMap<Labels, Histogram<u64>>>,
+    /// Retries by service.
+    retries: RefCell<BTreeMap<String, RetryCounters>>,
+}
+
+/// Retries of requests for one service.
+#[derive(Clone, Copy, Debug, Default)]
+struct RetryCounters {
+    allowed: u64,
+    /// Refused for lack of budget.
+    denied: u64,
 }
 
 /// Counters of the replication of table changes between instances.
@@ -103,6 +113,17 @@
         histogram.saturating_record(taken_ms);
     }
 
+    /// Counts a retry that the budget of `service` allowed or denied.
+    pub(super) fn record_retry(&self, service: &str, is_allowed: bool) {
+        let mut retries = self.retries.borrow_mut();
+        if retries.len() >= MAX_SERIES && !retries.contains_key(service) {
+            return;
+        }
+        let counters = retries.entry(service.to_owned()).or_default();
+        counters.allowed += u64::from(is_allowed);
+        counters.denied += u64::from(!is_allowed);
+    }
+
     /// Renders all metrics as text, one per line.
     pub(super) fn render(&self, gauges: Gauges) -> String {
         let mut text = String::new();
@@ -128,6 +149,12 @@
         for (name, counter) in self.changes.with_names() {
             line(format_args!("azuregate_{name}_total {}", counter.get()));
         }
+        for (service, RetryCounters { allowed, denied }) in self.retries.borrow().iter() {
+            for (result, count) in [("allowed", allowed), ("denied", denied)] {
+                let labels = format!("service=\"{service}\",result=\"{result}\"");
+                line(format_args!("azuregate_retries_total{{{labels}}} {count}"));
+            }
+        }
         for (Labels { service, route, code }, histogram) in self.series.borrow().iter() {
             let labels = format!("service=\"{service}\",route=\"{route}\",code=\"{code}\"");
             line(format_args!("azuregate_requests_total{{{labels}}} {}", histogram.len()));
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -311,6 +311,9 @@
                 }
             };
             log_entry.record_attempt(&choice);
+            if is_retry {
+                self.log_retry(log_entry);
+            }
             attempts.tried.push(choice.handle);
             attempts.sends += 1;
             attempts.is_in_flight = true;
@@ -364,6 +367,21 @@
             && self.state.try_take_retry(self.service)
     }
 
+    /// Logs a retry and what its budget had counted, this retry included.
+    fn log_retry(&self, log_entry: &AccessLogEntry) {
+        let usage = self.state.retry_usage(self.service);
+        log::info!(
+            id = log_entry.id.as_str(),
+            service:% = self.service,
+            backend = log_entry.backend.as_str(),
+            failed = log_entry.failures.as_str(),
+            window_requests = usage.requests,
+            window_retries = usage.retries,
+            up_ms = self.state.now_ms();
+            "request retried"
+        );
+    }
+
     /// Chooses a server, or returns why there is none.
     async fn choose(
         &self,
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -10,7 +10,7 @@
 use azuregate_core::{
     balance::{
         self, Admission, Balancer, Config, Fingerprint, Members, MissingBackends, Quarantine,
-        RetryBudget, WeightedRoundRobin,
+        RetryBudget, RetryUsage, WeightedRoundRobin,
     },
     names::{ServiceName, StartNumber},
     replica::{FreshnessTracker, Table},
@@ -234,7 +234,15 @@
     /// Takes a retry from the budget of `service` and returns whether one was available.
     pub(super) fn try_take_retry(&self, service: &ServiceName) -> bool {
         let now_ms = self.now_ms();
-        self.with_retry_budget(service, |budget| budget.try_acquire(now_ms))
+        let is_allowed = self.with_retry_budget(service, |budget| budget.try_acquire(now_ms));
+        self.metrics.record_retry(service.as_str(), is_allowed);
+        is_allowed
+    }
+
+    /// Returns what the retry budget of `service` has counted.
+    pub(super) fn retry_usage(&self, service: &ServiceName) -> RetryUsage {
+        let now_ms = self.now_ms();
+        self.with_retry_budget(service, |budget| budget.usage(now_ms))
     }
 
     fn with_retry_budget<T>(
