Count new connections to backend servers and those that fail

The line of a request names the servers that were unreachable for it, but not whether any server was within reach of the instance at the time. No decision changes.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -16,6 +16,7 @@
 use super::{
     crash_detection,
     in_flight::InFlightRequest,
+    metrics,
     pool::Connection,
     rate_limits, response,
     response_body::{ResponseBody, StreamingBody},
@@ -115,8 +116,12 @@
         let connection = match pooled.take() {
             Some(connection) => connection,
             None => match state.pool.connect(choice.handle, choice.backend.addr).await {
-                Ok(connection) => connection,
+                Ok(connection) => {
+                    metrics::inc_by(&state.metrics.connects, 1);
+                    connection
+                }
                 Err(_) => {
+                    metrics::inc_by(&state.metrics.failed_connects, 1);
                     in_flight.set_outcome(Outcome::Unreachable);
                     return AttemptResult::NotExecuted(NotExecuted::Unreachable);
                 }
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -19,6 +19,10 @@
     pub(super) changes: ChangeCounters,
     /// Crashes of backend servers that this instance saw.
     pub(super) backend_crashes: Cell<u64>,
+    /// New connections to backend servers.
+    pub(super) connects: Cell<u64>,
+    /// New connections to backend servers that failed.
+    pub(super) failed_connects: Cell<u64>,
     /// Requests that other instances sent on the account of this one's parts of rate limits.
     pub(super) grants: Cell<u64>,
     series: RefCell<BTreeMap<Labels, Histogram<u64>>>,
@@ -139,6 +143,10 @@
         line(format_args!("azuregate_quarantined_requests {}", gauges.quarantined_requests));
         line(format_args!("azuregate_limited_backends {}", gauges.limited_servers));
         line(format_args!("azuregate_backend_crashes_total {}", self.backend_crashes.get()));
+        for (result, count) in [("ok", &self.connects), ("failed", &self.failed_connects)] {
+            let labels = format!("result=\"{result}\"");
+            line(format_args!("azuregate_backend_connects_total{{{labels}}} {}", count.get()));
+        }
         line(format_args!("azuregate_rate_limit_grants_total {}", self.grants.get()));
         if let Some(version) = gauges.config_version {
             line(format_args!("azuregate_config_version {version}"));
