Open connections to backend servers through a connector

Tests need an instance whose links to servers hang, are reset, or refuse new connections, while all other links work. Connections start from the instance's own address now, so that servers and proxies can tell instances apart. No decision changes.

--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -18,7 +18,7 @@
   `client_stream` detects that its client has disconnected.
 * `pipeline` starts pipelined requests before the previous responses are sent.
 * `request` handles one client request, `attempt` sends it to one backend server, and
-  `pool` holds idle connections to backend servers.
+  `pool` holds idle connections to backend servers, which `connector` opens.
 * `crash_detection` tells crashes of backend servers from other broken connections, and
   `quarantine_rows` keeps the requests that cause them in the store.
 * `rate_limits` reads the limits that backend servers name, and reports them to others;
@@ -31,6 +31,7 @@
 mod attempt;
 mod client_stream;
 mod connection;
+mod connector;
 mod crash_detection;
 mod encoding;
 mod endpoints;
@@ -68,6 +69,7 @@
     task::{LocalSet, spawn_local},
 };
 
+pub use self::connector::{Connector, TcpConnector};
 use self::{endpoints::Audience, listen::Listeners, shutdown_phase::ShutdownPhase, state::State};
 use crate::stop::StopSignal;
 
@@ -107,18 +109,34 @@
     file: Option<PathBuf>,
     stop: StopSignal,
 ) -> Result<(), Report<ServeError>> {
-    LocalSet::new().run_until(run_local(settings, file, stop)).await
+    let connector = TcpConnector { ip: settings.ip };
+    run_with_connector(settings, file, stop, Box::new(connector)).await
+}
+
+/// Runs an entry instance that reaches backend servers through `connector`.
+///
+/// # Errors
+///
+/// Returns an error if a port cannot be bound.
+pub async fn run_with_connector(
+    settings: Settings,
+    file: Option<PathBuf>,
+    stop: StopSignal,
+    connector: Box<dyn Connector>,
+) -> Result<(), Report<ServeError>> {
+    LocalSet::new().run_until(run_local(settings, file, stop, connector)).await
 }
 
 async fn run_local(
     settings: Settings,
     file: Option<PathBuf>,
     stop: StopSignal,
+    connector: Box<dyn Connector>,
 ) -> Result<(), Report<ServeError>> {
     let listeners = Listeners::open(&settings).await?;
     let (phase, phases) = sync::watch::channel(ShutdownPhase::Serving);
     let (grant_questions, questions) = grants::queue();
-    let state = Rc::new(State::new(settings, stop, phases, grant_questions));
+    let state = Rc::new(State::new(settings, stop, phases, grant_questions, connector));
     log::info!(instance:% = state.settings.instance, start:% = state.start; "entry instance started");
     table_watch::start(&state);
     if let Some(file) = file {
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -13,18 +13,15 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::{
-    net::TcpStream,
     task::{AbortHandle, spawn_local},
     time,
 };
 
+use super::connector::Connector;
+
 /// Several times the longest round-trip time between regions.
 const CONNECT_TIMEOUT_MS: u64 = 200;
-/// `TCP_USER_TIMEOUT` of connections. Without it, requests to a server that lost power
-/// would wait until their deadline.
-const UNACKED_DATA_TIMEOUT_MS: u64 = 350;
 /// How long a connection may be idle and still be reused. Backend servers close idle
 /// connections after a few seconds, and a request sent at that moment may have been
 /// executed.
@@ -56,13 +53,17 @@
 }
 
 /// Connections to all backend servers.
-#[derive(Default)]
 pub(super) struct ConnectionPool {
+    connector: Box<dyn Connector>,
     idle: RefCell<HashMap<BackendHandle, Vec<Connection>>>,
     open_counts: RefCell<HashMap<BackendHandle, Rc<Cell<usize>>>>,
 }
 
 impl ConnectionPool {
+    pub(super) fn new(connector: Box<dyn Connector>) -> ConnectionPool {
+        ConnectionPool { connector, idle: RefCell::default(), open_counts: RefCell::default() }
+    }
+
     /// Takes the most recently used idle connection to a server, if one is usable.
     pub(super) fn take(
         &self,
@@ -130,10 +131,7 @@
         addr: SocketAddr,
     ) -> std::io::Result<Connection> {
         let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let stream = time::timeout(connect_timeout, TcpStream::connect(addr)).await??;
-        stream.set_nodelay(true)?;
-        let unacked_timeout = Duration::from_millis(UNACKED_DATA_TIMEOUT_MS);
-        SockRef::from(&stream).set_tcp_user_timeout(Some(unacked_timeout))?;
+        let stream = time::timeout(connect_timeout, self.connector.connect(addr)).await??;
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -19,8 +19,9 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    crash_detection::BrokenRequests, encoding::EncodedChangesCache, grants::Questions,
-    metrics::Metrics, pool::ConnectionPool, shutdown_phase::ShutdownPhase, tables::Tables,
+    connector::Connector, crash_detection::BrokenRequests, encoding::EncodedChangesCache,
+    grants::Questions, metrics::Metrics, pool::ConnectionPool, shutdown_phase::ShutdownPhase,
+    tables::Tables,
 };
 use crate::{stop::StopSignal, timer::Timer};
 
@@ -78,6 +79,7 @@
         stop: StopSignal,
         phase: watch::Receiver<ShutdownPhase>,
         grant_questions: Questions,
+        connector: Box<dyn Connector>,
     ) -> State {
         let balancer = Balancer::new(balance::Settings {
             instance: settings.instance.clone(),
@@ -96,7 +98,7 @@
             timer: Timer::start(),
             balancer: RefCell::new(balancer),
             members: RefCell::new(members),
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(connector),
             quarantine: RefCell::default(),
             broken_requests: BrokenRequests::default(),
             grant_questions,
--- a/crates/azuregate/tests/serve/cluster.rs
+++ b/crates/azuregate/tests/serve/cluster.rs
@@ -9,7 +9,7 @@
 };
 
 use azuregate::{
-    serve,
+    serve::{self, Connector, TcpConnector},
     stop::{self, StopHandle},
 };
 use azuregate_platform::{
@@ -104,6 +104,18 @@
     ) -> Instance {
         let text = change(self.settings_text(number));
         let settings = Settings::parse(&text).expect("the settings are complete");
+        let connector = TcpConnector { ip: settings.ip };
+        self.start_instance_with_connector(number, &text, Box::new(connector))
+    }
+
+    /// Starts an instance that reaches backend servers through `connector`.
+    pub(crate) fn start_instance_with_connector(
+        &self,
+        number: u8,
+        text: &str,
+        connector: Box<dyn Connector>,
+    ) -> Instance {
+        let settings = Settings::parse(text).expect("the settings are complete");
         std::fs::write(self.settings_file(number), text).expect("the file can be written");
         let (traffic_addr, readiness_addr, lookup_addr) =
             (settings.traffic_addr, settings.readiness_addr, settings.lookup_addr);
@@ -112,7 +124,8 @@
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.expect("a runtime can be built");
-            runtime.block_on(serve::run(settings, Some(file), stop)).expect("the ports are free");
+            let run = serve::run_with_connector(settings, Some(file), stop, connector);
+            runtime.block_on(run).expect("the ports are free");
         });
         let metrics_addr = SocketAddr::new(traffic_addr.ip(), METRICS_PORT);
         Instance { traffic_addr, readiness_addr, lookup_addr, metrics_addr, stopper, thread }
