--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -8,6 +8,7 @@
 mod cluster;
 mod configuration;
 mod crashing_requests;
+mod cut_off;
 mod links;
 mod lookups;
 mod rate_limits;
