--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -299,6 +299,40 @@
         self.backends().find(|state| state.handle == handle).map(|state| Arc::clone(&state.backend))
     }
 
+    /// Iterates over the services that have backend servers.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let pools = self.pools.iter().filter(|(_, pool)| !pool.backends.is_empty());
+        pools.map(|(service, _)| service)
+    }
+
+    /// Returns the number of backend servers of a service.
+    pub fn servers(&self, service: &ServiceName) -> usize {
+        self.pools.get(service).map_or(0, |pool| pool.backends.len())
+    }
+
+    /// Returns up to `count` servers of a service, other ones for another `random` number.
+    pub fn sample_servers(
+        &self,
+        service: &ServiceName,
+        count: usize,
+        random: u64,
+    ) -> Vec<(BackendHandle, SocketAddr)> {
+        let states = self.pools.get(service).into_iter().flat_map(|pool| &pool.backends);
+        let usable = states.filter(|state| !state.backend.is_draining && !state.is_evacuated);
+        let mut sample: Vec<&BackendState> = usable.collect();
+        sample.sort_by_key(|state| state.hash(random));
+        sample.iter().take(count).map(|state| (state.handle, state.backend.addr)).collect()
+    }
+
+    /// Forgets failures of all servers of a service, since the links to them were down.
+    pub fn forget_failures(&mut self, service: &ServiceName) {
+        let states = self.pools.get_mut(service).into_iter().flat_map(|pool| &mut pool.backends);
+        for state in states {
+            state.health = Health::default();
+            state.was_unreachable = false;
+        }
+    }
+
     /// Returns the requests in flight from this instance, for each server that has any.
     pub fn in_flight(&self) -> Vec<InFlightCount> {
         let busy = self.backends().filter(|state| state.in_flight > 0);
--- a/crates/azuregate-core/src/balance/datagrams.rs
+++ b/crates/azuregate-core/src/balance/datagrams.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{BackendRun, CrashReport, RateLimitReport};
+use super::{BackendRun, CrashReport, RateLimitReport, ReachabilityReport};
 use crate::names::StartNumber;
 
 /// A datagram from one entry instance to another.
@@ -24,6 +24,8 @@
     GrantRequest(u32, BackendRun),
     /// Answers the request for a grant with this number: whether it is granted.
     Grant(u32, bool),
+    /// Services that an instance cannot reach. Instances of older versions ignore it.
+    Reachability(ReachabilityReport),
 }
 
 /// Requests that an instance has in flight at the backend servers.
--- a/crates/azuregate-core/src/balance/members.rs
+++ b/crates/azuregate-core/src/balance/members.rs
@@ -5,8 +5,9 @@
     net::{IpAddr, SocketAddr},
 };
 
+use super::ReachabilityReport;
 use crate::{
-    names::{InstanceId, RegionName, StartNumber, ZoneName},
+    names::{InstanceId, RegionName, ServiceName, StartNumber, ZoneName},
     route::hash::stable_hash,
 };
 
@@ -24,10 +25,20 @@
     pub ip: IpAddr,
     /// Its address for clients.
     pub traffic_addr: SocketAddr,
+    /// The port at which it takes requests that other instances forward; `None` if it is of an
+    /// older version.
+    pub forwarding_port: Option<u16>,
     /// Its availability zone.
     pub zone: ZoneName,
 }
 
+impl Member {
+    /// Returns the address at which it takes requests that other instances forward.
+    pub fn forwarding_addr(&self) -> Option<SocketAddr> {
+        self.forwarding_port.map(|port| SocketAddr::new(self.ip, port))
+    }
+}
+
 /// The part of a heartbeat that concerns membership.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HeartbeatStatus<'a> {
@@ -47,6 +58,8 @@
     last_heartbeat_ms: Option<u64>,
     is_leaving: bool,
     can_watch: bool,
+    /// The last report of services that it cannot reach, and when it came.
+    reachability: Option<(ReachabilityReport, u64)>,
 }
 
 /// All registered instances and their liveness, as one instance sees them.
@@ -56,6 +69,7 @@
     zones: BTreeMap<ZoneName, RegionName>,
     heartbeat_timeout_ms: u64,
     local_can_watch: bool,
+    is_local_cut_off: bool,
     states: BTreeMap<InstanceId, MemberState>,
 }
 
@@ -72,6 +86,7 @@
             zones,
             heartbeat_timeout_ms,
             local_can_watch: false,
+            is_local_cut_off: false,
             states: BTreeMap::new(),
         }
     }
@@ -84,8 +99,13 @@
             state.member = member;
             return;
         }
-        let state =
-            MemberState { last_heartbeat_ms: None, is_leaving: false, can_watch: false, member };
+        let state = MemberState {
+            last_heartbeat_ms: None,
+            is_leaving: false,
+            can_watch: false,
+            reachability: None,
+            member,
+        };
         self.states.insert(state.member.instance.clone(), state);
     }
 
@@ -109,6 +129,19 @@
         true
     }
 
+    /// Records which services an instance cannot reach.
+    pub fn record_reachability(&mut self, report: ReachabilityReport, now_ms: u64) {
+        let state = self.states.get_mut(report.instance.as_str());
+        if let Some(state) = state.filter(|state| state.member.start == report.start) {
+            state.reachability = Some((report, now_ms));
+        }
+    }
+
+    /// Sets whether this instance reaches no backend server at all.
+    pub fn set_local_cut_off(&mut self, is_cut_off: bool) {
+        self.is_local_cut_off = is_cut_off;
+    }
+
     /// Sets whether this instance may watch the store on behalf of others.
     pub fn set_local_can_watch(&mut self, can_watch: bool) {
         self.local_can_watch = can_watch;
@@ -147,12 +180,15 @@
     }
 
     /// Returns the addresses of the live instances nearest to a client: those in its zone if
-    /// there are any, else those in its region, else all.
+    /// there are any, else those in its region, else all. Instances that reach no backend server
+    /// are left out unless all do.
     pub fn lookup(&self, zone: &str, region: &str, now_ms: u64) -> Vec<SocketAddr> {
-        let mut ranked: Vec<(u8, u64, &MemberState)> = self
-            .states
-            .values()
-            .filter(|state| self.is_available(state, now_ms))
+        let live: Vec<&MemberState> =
+            self.states.values().filter(|state| self.is_available(state, now_ms)).collect();
+        let are_all_cut_off = live.iter().all(|state| self.is_cut_off(state, now_ms));
+        let mut ranked: Vec<(u8, u64, &MemberState)> = live
+            .into_iter()
+            .filter(|state| are_all_cut_off || !self.is_cut_off(state, now_ms))
             .map(|state| {
                 let rank = self.proximity_rank(state, zone, region);
                 (rank, stable_hash(&[zone, state.member.instance.as_str()]), state)
@@ -164,6 +200,41 @@
         selected.map(|(.., state)| state.member.traffic_addr).collect()
     }
 
+    /// Returns an instance to which a request for `service` can be forwarded: one of the nearest
+    /// that are live and do not report the service unreachable, in one of `regions` unless these are
+    /// empty. `random` chooses among them.
+    pub fn forwarding_target(
+        &self,
+        service: &ServiceName,
+        regions: &[RegionName],
+        excluded: &[InstanceId],
+        random: u64,
+        now_ms: u64,
+    ) -> Option<&Member> {
+        let zone = self.local_zone().map_or("", ZoneName::as_str);
+        let region = self.zones.get(zone).map_or("", RegionName::as_str);
+        let is_target = |state: &&MemberState| {
+            let member = &state.member;
+            member.instance != self.local
+                && member.forwarding_port.is_some()
+                && !excluded.contains(&member.instance)
+                && (regions.is_empty()
+                    || self.zones.get(&member.zone).is_some_and(|r| regions.contains(r)))
+                && self.is_available(state, now_ms)
+                && self.reachability(state, now_ms).is_none_or(|r| r.reaches(service.as_str()))
+        };
+        let targets: Vec<&MemberState> = self.states.values().filter(is_target).collect();
+        let rank = |state: &MemberState| self.proximity_rank(state, zone, region);
+        let nearest = targets.iter().map(|state| rank(state)).min()?;
+        let nearest: Vec<&Member> = targets
+            .into_iter()
+            .filter(|state| rank(state) == nearest)
+            .map(|state| &state.member)
+            .collect();
+        let index = random % u64::try_from(nearest.len()).ok()?;
+        nearest.get(usize::try_from(index).ok()?).copied()
+    }
+
     /// Returns the rank of this instance for `key` among the live instances by rendezvous
     /// hashing, 0 for the first.
     pub fn rank(&self, key: &str, now_ms: u64) -> usize {
@@ -213,6 +284,23 @@
         &self.zones
     }
 
+    /// Returns the report of an instance that is still in force.
+    fn reachability<'a>(
+        &self,
+        state: &'a MemberState,
+        now_ms: u64,
+    ) -> Option<&'a ReachabilityReport> {
+        let (report, at_ms) = state.reachability.as_ref()?;
+        (now_ms.saturating_sub(*at_ms) <= self.heartbeat_timeout_ms).then_some(report)
+    }
+
+    fn is_cut_off(&self, state: &MemberState, now_ms: u64) -> bool {
+        match state.member.instance == self.local {
+            true => self.is_local_cut_off,
+            false => self.reachability(state, now_ms).is_some_and(|report| report.is_cut_off),
+        }
+    }
+
     fn is_available(&self, state: &MemberState, now_ms: u64) -> bool {
         if state.is_leaving {
             return false;
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -16,6 +16,8 @@
   own share. [`Balancer`] keeps the rate limits that backend servers name in the same way.
 * [`Members`] tracks the entry instances and answers clients' lookups.
 * [`Datagram`] is the message between entry instances.
+* [`Reachability`] tells an instance that is cut off from backend servers from servers that are
+  down; [`Members`] chooses the instance that sends its requests meanwhile.
 * [`Quarantine`] recognizes requests that crash backend servers.
 * [`RetryReason`] determines the retry delay of refused clients.
 */
@@ -31,6 +33,7 @@
 mod policy;
 mod quarantine;
 mod rate_limit;
+mod reachability;
 mod remote_load;
 mod replication_source;
 mod retry_after;
@@ -56,6 +59,7 @@
 pub use rate_limit::{
     GrantRequest, RateLimitChange, RateLimitObservation, RateLimitReport, ReportedRateLimit,
 };
+pub use reachability::{Reachability, ReachabilityReport};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
 pub use retry_after::RetryReason;
--- a/crates/azuregate-core/tests/balance/fixtures.rs
+++ b/crates/azuregate-core/tests/balance/fixtures.rs
@@ -65,6 +65,7 @@
         start: StartNumber(1),
         ip: ip(0, number).into(),
         traffic_addr: (ip(0, number), 80).into(),
+        forwarding_port: Some(90),
         zone: ZoneName::new(ZONES[number % ZONES.len()].0),
     }
 }
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -18,6 +18,7 @@
 mod quarantine_simulation;
 mod rate_limit_ways;
 mod rate_limits;
+mod reachability;
 mod retry_windows;
 mod shared_objects;
 mod simulation;
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -18,8 +18,8 @@
     in_flight::InFlightRequest,
     metrics,
     pool::Connection,
-    rate_limits, response,
-    response_body::{ResponseBody, StreamingBody},
+    rate_limits, reachability, response,
+    response_body::{ResponseBody, StreamedFrom},
     state::State,
 };
 
@@ -52,6 +52,17 @@
         }
     }
 
+    /// Returns the request to send to a server that may take `remaining_ms` for it.
+    pub(super) fn to_request(&self, remaining_ms: u64) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = self.headers.clone();
+        request.headers_mut().insert(request::DEADLINE_MS, HeaderValue::from(remaining_ms));
+        request
+    }
+
     /// Returns the fingerprint, which is computed when it is first needed.
     pub(super) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
@@ -88,6 +99,14 @@
 }
 
 impl NotExecuted {
+    /// Returns whether the request has reached a server.
+    pub(super) fn has_arrived(self) -> bool {
+        match self {
+            NotExecuted::Unreachable | NotExecuted::ClosedBeforeSend => false,
+            NotExecuted::Rejected | NotExecuted::WrongServer => true,
+        }
+    }
+
     /// Returns the name used in the log.
     pub(super) fn as_str(self) -> &'static str {
         match self {
@@ -118,10 +137,12 @@
             None => match state.pool.connect(choice.handle, choice.backend.addr).await {
                 Ok(connection) => {
                     metrics::inc_by(&state.metrics.connects, 1);
+                    reachability::record_connection(state, choice);
                     connection
                 }
                 Err(_) => {
                     metrics::inc_by(&state.metrics.failed_connects, 1);
+                    reachability::record_failure(state, choice);
                     in_flight.set_outcome(Outcome::Unreachable);
                     return AttemptResult::NotExecuted(NotExecuted::Unreachable);
                 }
@@ -135,10 +156,12 @@
             Err(SendError::NotSent) if is_reused => in_flight.connection = None,
             Err(SendError::NotSent) => {
                 in_flight.set_outcome(Outcome::Unreachable);
+                reachability::record_failure(state, choice);
                 return AttemptResult::NotExecuted(NotExecuted::ClosedBeforeSend);
             }
             Err(SendError::ConnectionBroken) => {
                 in_flight.set_outcome(Outcome::ResponseLost);
+                reachability::record_failure(state, choice);
                 crash_detection::record_broken(state, choice, outgoing.fingerprint());
                 return AttemptResult::Unknown("connection broke");
             }
@@ -175,15 +198,9 @@
     outgoing: &OutgoingRequest,
     remaining_ms: u64,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    *request.version_mut() = Version::HTTP_11;
-    *request.headers_mut() = outgoing.headers.clone();
-    let headers = request.headers_mut();
-    headers.insert(request::DEADLINE_MS, HeaderValue::from(remaining_ms));
+    let mut request = outgoing.to_request(remaining_ms);
     if let Ok(id) = HeaderValue::from_str(choice.backend.id.as_str()) {
-        headers.insert(request::TARGET_BACKEND, id);
+        request.headers_mut().insert(request::TARGET_BACKEND, id);
     }
     request
 }
@@ -239,18 +256,11 @@
     }
     let (mut parts, mut incoming) = head.into_parts();
     let is_failure = parts.status.is_server_error();
-    let mut buffered = BytesMut::new();
-    while buffered.len() <= RESPONSE_BUFFER_BYTES {
-        let Some(frame) = incoming.frame().await else { break };
-        let Ok(frame) = frame else {
-            in_flight.set_outcome(Outcome::Failed);
-            crash_detection::record_broken(state, choice, outgoing.fingerprint());
-            return AttemptResult::Unknown("answer ended early");
-        };
-        if let Ok(data) = frame.into_data() {
-            buffered.extend_from_slice(&data);
-        }
-    }
+    let Ok(buffered) = buffer_body(&mut incoming).await else {
+        in_flight.set_outcome(Outcome::Failed);
+        crash_detection::record_broken(state, choice, outgoing.fingerprint());
+        return AttemptResult::Unknown("answer ended early");
+    };
     in_flight.set_outcome(if is_failure {
         Outcome::Failed
     } else {
@@ -259,14 +269,11 @@
     parts.version = Version::HTTP_11;
     response::remove_hop_by_hop_headers(&mut parts.headers);
     response::remove_internal_headers(&mut parts.headers);
-    let buffered = buffered.freeze();
-    if !incoming.is_end_stream() && buffered.len() > RESPONSE_BUFFER_BYTES {
-        let request = outgoing.fingerprint();
-        let body = StreamingBody::new(buffered, incoming, in_flight, choice.clone(), request);
-        return AttemptResult::Response(Response::from_parts(
-            parts,
-            ResponseBody::Streaming(Box::new(body)),
-        ));
+    if !is_complete(&incoming, &buffered) {
+        let (request, choice) = (outgoing.fingerprint(), choice.clone());
+        let from = StreamedFrom::Backend { in_flight, choice, request };
+        let body = ResponseBody::streaming(buffered, incoming, from);
+        return AttemptResult::Response(Response::from_parts(parts, body));
     }
     state.record_response(outgoing.fingerprint());
     in_flight.release_connection();
@@ -278,9 +285,30 @@
     AttemptResult::Response(Response::from_parts(parts, ResponseBody::buffered(buffered)))
 }
 
+/// Reads a body, or the start of a long one.
+///
+/// # Errors
+///
+/// Returns an error if the connection breaks first.
+pub(super) async fn buffer_body(incoming: &mut Incoming) -> hyper::Result<Bytes> {
+    let mut buffered = BytesMut::new();
+    while buffered.len() <= RESPONSE_BUFFER_BYTES {
+        let Some(frame) = incoming.frame().await else { break };
+        if let Ok(data) = frame?.into_data() {
+            buffered.extend_from_slice(&data);
+        }
+    }
+    Ok(buffered.freeze())
+}
+
+/// Returns whether [`buffer_body`] has read the whole body.
+pub(super) fn is_complete(incoming: &Incoming, buffered: &Bytes) -> bool {
+    incoming.is_end_stream() || buffered.len() <= RESPONSE_BUFFER_BYTES
+}
+
 /// Returns whether clients accept this successful response: it must carry the
 /// server's signature and the request ID, and must not be content-encoded.
-fn is_valid_success(headers: &HeaderMap) -> bool {
+pub(super) fn is_valid_success(headers: &HeaderMap) -> bool {
     headers.contains_key(request::RESPONSE_SIGNATURE)
         && headers.contains_key(request::REQUEST_ID)
         && !headers.contains_key(header::CONTENT_ENCODING)
--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -9,7 +9,7 @@
 };
 use tokio::{task::spawn_local, time};
 
-use super::{metrics, state::State};
+use super::{metrics, reachability, state::State};
 
 /// Time after a broken connection until the server is examined: the other connections to a
 /// crashed server break meanwhile, and its process ends.
@@ -58,7 +58,10 @@
     time::sleep(Duration::from_millis(SETTLING_MS)).await;
     let has_ended = !state.pool.has_open(handle)
         && matches!(probe(&state, handle, addr).await, Probe::Refused | Probe::Closed);
-    if has_ended {
+    if has_ended && !reachability::reaches_others(&state, handle).await {
+        // The links of this instance broke. The server may be well.
+        state.broken_requests.borrow_mut().remove(&handle);
+    } else if has_ended {
         record_end(&state, handle);
     } else if let Some(broken) = state.broken_requests.borrow_mut().get_mut(&handle) {
         broken.was_alive = true;
@@ -99,7 +102,7 @@
 }
 
 /// The result of a new connection to a server.
-enum Probe {
+pub(super) enum Probe {
     /// It stays open.
     Open,
     /// It is accepted and closed at once, as by a proxy in front of a crashed server.
@@ -110,7 +113,7 @@
     TimedOut,
 }
 
-async fn probe(state: &State, handle: BackendHandle, addr: SocketAddr) -> Probe {
+pub(super) async fn probe(state: &State, handle: BackendHandle, addr: SocketAddr) -> Probe {
     let connection = match state.pool.connect(handle, addr).await {
         Ok(connection) => connection,
         Err(e) if e.kind() == io::ErrorKind::TimedOut => return Probe::TimedOut,
--- a/crates/azuregate/src/serve/endpoints.rs
+++ b/crates/azuregate/src/serve/endpoints.rs
@@ -74,6 +74,7 @@
         followers: state.followers.get(),
         is_watching: *state.is_watching.borrow(),
         quarantined_requests: state.quarantine.borrow().quarantined_requests(),
+        unreachable_services: state.reachability.borrow().unreachable_services(),
         limited_servers: state.balancer.borrow().limited_servers(),
         config_version: state.config().map(|config| config.version()),
         age_ms: state.contact.borrow().age_ms(state.now_ms()),
--- /dev/null
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -0,0 +1,202 @@
+//! Forwards requests to another instance while this one reaches no backend server, and takes
+//! requests that other instances forward.
+//!
+//! The receiving instance handles a request as if a client had sent it, but never forwards it, so
+//! there are no loops. Both ends are ours: headers of this module say what the other one needs.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc};
+
+use azuregate_core::balance::Member;
+use azuregate_platform::request::REQUEST_ID;
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderName, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::Instant,
+};
+
+use super::{
+    attempt::{self, OutgoingRequest},
+    pool::Connection,
+    request,
+    response::{self, RequestError},
+    response_body::{ResponseBody, StreamedFrom},
+    state::State,
+};
+use crate::accept;
+
+/// How many times the request may have been executed before it was forwarded.
+const EXECUTIONS: HeaderName = HeaderName::from_static("azuregate-executions");
+/// The code of the error for which the receiving instance responds itself.
+const ERROR_CODE: HeaderName = HeaderName::from_static("azuregate-error");
+
+/// The result of forwarding a request.
+pub(super) enum ForwardResult {
+    /// A backend server's response.
+    Response(Response<ResponseBody>),
+    /// The other instance refused the request. It was not executed.
+    Refused {
+        /// What to tell the client if no other instance takes it.
+        response: Response<ResponseBody>,
+        /// Whether another instance may be able to serve it.
+        is_retriable: bool,
+    },
+    /// The request did not reach the other instance.
+    NotSent,
+    /// The request may have been executed, but there is no usable response.
+    Unknown,
+}
+
+/// Forwards a request to `target`.
+///
+/// Dropping the future closes the connection, which cancels the request there.
+pub(super) async fn send(
+    state: &Rc<State>,
+    target: &Member,
+    outgoing: &OutgoingRequest,
+    executions: u32,
+    remaining_ms: u64,
+) -> ForwardResult {
+    let Some(addr) = target.forwarding_addr() else { return ForwardResult::NotSent };
+    let is_non_idempotent = !outgoing.is_idempotent;
+    let mut pooled = state.instance_pool.take(addr, is_non_idempotent, state.now_ms());
+    loop {
+        let mut connection = match pooled.take() {
+            Some(connection) => connection,
+            None => match state.instance_pool.connect(addr, addr).await {
+                Ok(connection) => connection,
+                Err(_) => return ForwardResult::NotSent,
+            },
+        };
+        let mut request = outgoing.to_request(remaining_ms);
+        request.headers_mut().insert(EXECUTIONS, HeaderValue::from(executions));
+        let result = connection.sender.try_send_request(request).await;
+        match result.map_err(|mut e| e.take_message().is_some()) {
+            Ok(head) => return read_response(state, addr, connection, outgoing, head).await,
+            // The other instance closed an idle connection.
+            Err(true) if connection.is_reused => {}
+            Err(true) => return ForwardResult::NotSent,
+            Err(false) => return ForwardResult::Unknown,
+        }
+    }
+}
+
+async fn read_response(
+    state: &Rc<State>,
+    addr: SocketAddr,
+    connection: Connection,
+    outgoing: &OutgoingRequest,
+    head: Response<Incoming>,
+) -> ForwardResult {
+    if let Some(code) = head.headers().get(ERROR_CODE).cloned() {
+        return refusal(head.status(), head.headers(), &code);
+    }
+    let is_other = head.headers().get(REQUEST_ID) != outgoing.headers.get(REQUEST_ID);
+    if is_other || head.status().is_success() && !attempt::is_valid_success(head.headers()) {
+        return ForwardResult::Unknown;
+    }
+    let (mut parts, mut incoming) = head.into_parts();
+    let Ok(buffered) = attempt::buffer_body(&mut incoming).await else {
+        return ForwardResult::Unknown;
+    };
+    response::remove_hop_by_hop_headers(&mut parts.headers);
+    let body = match attempt::is_complete(&incoming, &buffered) {
+        true => {
+            state.instance_pool.put(addr, connection, state.now_ms());
+            parts.headers.remove(header::CONTENT_LENGTH);
+            ResponseBody::buffered(buffered)
+        }
+        false => {
+            let state = Rc::clone(state);
+            let from = StreamedFrom::Instance { addr, connection: Some(connection), state };
+            ResponseBody::streaming(buffered, incoming, from)
+        }
+    };
+    ForwardResult::Response(Response::from_parts(parts, body))
+}
+
+/// Returns what the other instance's own response says of the request.
+fn refusal(status: StatusCode, headers: &HeaderMap, code: &HeaderValue) -> ForwardResult {
+    match status {
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => ForwardResult::Unknown,
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let mut response = Response::new(ResponseBody::buffered(Default::default()));
+            *response.status_mut() = status;
+            if let Some(value) = headers.get(header::RETRY_AFTER) {
+                response.headers_mut().insert(header::RETRY_AFTER, value.clone());
+            }
+            let is_full = [RequestError::NoCapacity, RequestError::RateLimited]
+                .iter()
+                .any(|error| error.code().as_bytes() == code.as_bytes());
+            ForwardResult::Refused { response, is_retriable: !is_full }
+        }
+        // This instance accepted the request, so the other one has another configuration.
+        _ => ForwardResult::Refused {
+            response: RequestError::Unreachable.into_response(),
+            is_retriable: true,
+        },
+    }
+}
+
+/// Takes forwarded requests until the process ends.
+pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
+    loop {
+        let (stream, peer) = accept::next(&listener).await;
+        spawn_local(serve_connection(Rc::clone(&state), stream, peer));
+    }
+}
+
+async fn serve_connection(state: Rc<State>, stream: TcpStream, peer: SocketAddr) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| handle(Rc::clone(&state), peer, request));
+    // An error means that the other instance disconnected.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Counts a forwarded request that is in progress until dropped.
+struct InProgress(Rc<State>);
+
+impl InProgress {
+    fn new(state: &Rc<State>) -> InProgress {
+        state.forwarded_in_progress.set(state.forwarded_in_progress.get() + 1);
+        InProgress(Rc::clone(state))
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.forwarded_in_progress.set(self.0.forwarded_in_progress.get() - 1);
+    }
+}
+
+async fn handle(
+    state: Rc<State>,
+    peer: SocketAddr,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    let _in_progress = InProgress::new(&state);
+    let received_at = Instant::now();
+    let (mut parts, body) = request.into_parts();
+    let executions = parts.headers.remove(EXECUTIONS);
+    let executions = executions.and_then(|value| value.to_str().ok()?.parse().ok());
+    let Some(executions) = executions else {
+        return Ok(own_response(RequestError::BadRequest));
+    };
+    let origin = request::Origin::Instance { executions };
+    let result = request::respond(&state, origin, peer.ip(), parts, Some(body), received_at).await;
+    Ok(result.unwrap_or_else(own_response))
+}
+
+/// Returns the response for an error of this instance, marked as its own.
+fn own_response(error: RequestError) -> Response<ResponseBody> {
+    let mut response = error.into_response();
+    response.headers_mut().insert(ERROR_CODE, HeaderValue::from_static(error.code()));
+    response
+}
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -15,7 +15,7 @@
 use super::{
     crash_detection,
     grants::{PendingGrants, Question},
-    rate_limits,
+    rate_limits, reachability,
     state::State,
 };
 
@@ -71,6 +71,10 @@
                 broadcast(&state, &socket, &build_heartbeat(&state, beat == 0)).await;
                 report_crashes(&state, &socket, heartbeat_scope(&state)).await;
                 report_rate_limits(&state, &socket, false).await;
+                report_reachability(&state, &socket).await;
+            }
+            () = state.reachability_changed.notified() => {
+                report_reachability(&state, &socket).await;
             }
             _ = load_ticks.recv() => {
                 if let Some(datagram) = load_reporter.next_report(&state) {
@@ -177,6 +181,12 @@
     }
 }
 
+async fn report_reachability(state: &State, socket: &UdpSocket) {
+    if let Some(datagram) = reachability::next_report(state) {
+        broadcast(state, socket, &datagram).await;
+    }
+}
+
 /// Sends a datagram to every other instance.
 async fn broadcast(state: &State, socket: &UdpSocket, datagram: &Datagram) {
     let port = state.settings.peer_port;
@@ -202,6 +212,7 @@
         Datagram::Heartbeat(heartbeat) => handle_heartbeat(state, lag_detector, &heartbeat),
         Datagram::Load(load) => handle_load(state, load),
         Datagram::Crashes(report) => crash_detection::record_report(state, &report),
+        Datagram::Reachability(report) => reachability::record_report(state, report),
         Datagram::RateLimits(report) => rate_limits::record_report(state, &report),
         // The task that owns the socket answers these.
         Datagram::GrantRequest(..) | Datagram::Grant(..) => {}
--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -23,6 +23,8 @@
     pub(super) heartbeats: UdpSocket,
     /// Accepts instances that follow this one.
     pub(super) followers: TcpListener,
+    /// Accepts requests that other instances forward.
+    pub(super) forwarded: TcpListener,
     /// `None` if the metrics port is unavailable; the instance serves without it.
     pub(super) metrics: Option<TcpListener>,
 }
@@ -48,6 +50,7 @@
             lookups: bind(settings.lookup_addr).await?,
             heartbeats,
             followers: bind(heartbeats_addr).await?,
+            forwarded: bind(SocketAddr::new(settings.ip, settings.forwarding_port())).await?,
             metrics,
         })
     }
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -23,6 +23,8 @@
     pub(super) connects: Cell<u64>,
     /// New connections to backend servers that failed.
     pub(super) failed_connects: Cell<u64>,
+    /// Requests sent to other instances, since no backend server was reachable.
+    pub(super) forwarded: Cell<u64>,
     /// Requests that other instances sent on the account of this one's parts of rate limits.
     pub(super) grants: Cell<u64>,
     series: RefCell<BTreeMap<Labels, Histogram<u64>>>,
@@ -72,6 +74,8 @@
     pub(super) quarantined_requests: usize,
     /// Backend servers that limit their rate.
     pub(super) limited_servers: usize,
+    /// Services of which no backend server is reachable.
+    pub(super) unreachable_services: usize,
     /// The version of the current configuration.
     pub(super) config_version: Option<u64>,
     /// The time since the tables were last confirmed current.
@@ -142,6 +146,9 @@
         line(format_args!("azuregate_watching {}", u8::from(gauges.is_watching)));
         line(format_args!("azuregate_quarantined_requests {}", gauges.quarantined_requests));
         line(format_args!("azuregate_limited_backends {}", gauges.limited_servers));
+        let unreachable = gauges.unreachable_services;
+        line(format_args!("azuregate_unreachable_services {unreachable}"));
+        line(format_args!("azuregate_forwarded_requests_total {}", self.forwarded.get()));
         line(format_args!("azuregate_backend_crashes_total {}", self.backend_crashes.get()));
         for (result, count) in [("ok", &self.connects), ("failed", &self.failed_connects)] {
             let labels = format!("result=\"{result}\"");
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -23,6 +23,8 @@
   `quarantine_rows` keeps the requests that cause them in the store.
 * `rate_limits` reads the limits that backend servers name, and reports them to others;
   `grants` asks others for a request that is refused otherwise.
+* `reachability` checks whether backend servers can be reached at all, and `forwarding` sends
+  requests through other instances while they cannot.
 * `endpoints` serves readiness, lookups and metrics.
 * `shutdown` implements the graceful shutdown.
 */
@@ -36,6 +38,7 @@
 mod encoding;
 mod endpoints;
 mod follower;
+mod forwarding;
 mod grants;
 mod heartbeat;
 mod in_flight;
@@ -45,6 +48,7 @@
 mod pool;
 mod quarantine_rows;
 mod rate_limits;
+mod reachability;
 mod relay;
 mod reload;
 mod request;
@@ -145,6 +149,7 @@
     spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats, questions));
     spawn_local(relay::serve(Rc::clone(&state), listeners.followers));
     spawn_local(follower::serve(Rc::clone(&state)));
+    spawn_local(forwarding::serve(Rc::clone(&state), listeners.forwarded));
     spawn_local(quarantine_rows::serve(Rc::clone(&state)));
     spawn_local(evict_idle_connections(Rc::clone(&state)));
     spawn_local(endpoints::serve(Rc::clone(&state), listeners.readiness, Audience::Clients));
@@ -162,5 +167,6 @@
     let mut ticks = state.timer.subscribe(pool::EVICTION_INTERVAL_MS);
     while ticks.recv().await.is_some() {
         state.pool.evict_idle(state.now_ms());
+        state.instance_pool.evict_idle(state.now_ms());
     }
 }
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -1,14 +1,14 @@
-//! A pool of idle connections to backend servers.
+//! Pools of idle connections to backend servers and to other instances.
 
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    hash::Hash,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
-use azuregate_core::balance::BackendHandle;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -32,7 +32,7 @@
 const MAX_IDLE_PER_SERVER: usize = 6;
 pub(super) const EVICTION_INTERVAL_MS: u64 = 1_000;
 
-/// A connection to a backend server, used for one request at a time.
+/// A connection to a server, used for one request at a time.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has already served a request.
@@ -52,28 +52,23 @@
     }
 }
 
-/// Connections to all backend servers.
-pub(super) struct ConnectionPool {
+/// Connections to servers that keys of the type `K` identify.
+pub(super) struct ConnectionPool<K> {
     connector: Box<dyn Connector>,
-    idle: RefCell<HashMap<BackendHandle, Vec<Connection>>>,
-    open_counts: RefCell<HashMap<BackendHandle, Rc<Cell<usize>>>>,
+    idle: RefCell<HashMap<K, Vec<Connection>>>,
+    open_counts: RefCell<HashMap<K, Rc<Cell<usize>>>>,
 }
 
-impl ConnectionPool {
-    pub(super) fn new(connector: Box<dyn Connector>) -> ConnectionPool {
+impl<K: Copy + Eq + Hash> ConnectionPool<K> {
+    pub(super) fn new(connector: Box<dyn Connector>) -> ConnectionPool<K> {
         ConnectionPool { connector, idle: RefCell::default(), open_counts: RefCell::default() }
     }
 
     /// Takes the most recently used idle connection to a server, if one is usable.
-    pub(super) fn take(
-        &self,
-        handle: BackendHandle,
-        is_non_idempotent: bool,
-        now_ms: u64,
-    ) -> Option<Connection> {
+    pub(super) fn take(&self, key: K, is_non_idempotent: bool, now_ms: u64) -> Option<Connection> {
         let max_idle_ms = if is_non_idempotent { MAX_IDLE_NON_IDEMPOTENT_MS } else { MAX_IDLE_MS };
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&handle)?;
+        let connections = idle.get_mut(&key)?;
         while let Some(connection) = connections.pop() {
             if now_ms.saturating_sub(connection.idle_since_ms) > max_idle_ms {
                 connections.push(connection);
@@ -87,14 +82,14 @@
     }
 
     /// Returns a connection to the pool after its response was read completely.
-    pub(super) fn put(&self, handle: BackendHandle, mut connection: Connection, now_ms: u64) {
+    pub(super) fn put(&self, key: K, mut connection: Connection, now_ms: u64) {
         if connection.sender.is_closed() {
             return;
         }
         connection.idle_since_ms = now_ms;
         connection.is_reused = true;
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(handle).or_default();
+        let connections = idle.entry(key).or_default();
         if connections.len() < MAX_IDLE_PER_SERVER {
             connections.push(connection);
         }
@@ -113,23 +108,19 @@
     }
 
     /// Returns whether any connection to a server is open.
-    pub(super) fn has_open(&self, handle: BackendHandle) -> bool {
-        if let Some(connections) = self.idle.borrow_mut().get_mut(&handle) {
+    pub(super) fn has_open(&self, key: K) -> bool {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(&key) {
             connections.retain(|connection| !connection.sender.is_closed());
         }
-        self.open_counts.borrow().get(&handle).is_some_and(|open_count| open_count.get() > 0)
+        self.open_counts.borrow().get(&key).is_some_and(|open_count| open_count.get() > 0)
     }
 
-    /// Opens a connection to a backend server.
+    /// Opens a connection to a server.
     ///
     /// # Errors
     ///
     /// Returns an error if no connection is established within `CONNECT_TIMEOUT_MS`.
-    pub(super) async fn connect(
-        &self,
-        handle: BackendHandle,
-        addr: SocketAddr,
-    ) -> std::io::Result<Connection> {
+    pub(super) async fn connect(&self, key: K, addr: SocketAddr) -> std::io::Result<Connection> {
         let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let stream = time::timeout(connect_timeout, self.connector.connect(addr)).await??;
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
@@ -139,7 +130,7 @@
             // Errors are reported through the connection's sender.
             let _ = connection.await;
         });
-        let open_count = Rc::clone(self.open_counts.borrow_mut().entry(handle).or_default());
+        let open_count = Rc::clone(self.open_counts.borrow_mut().entry(key).or_default());
         open_count.set(open_count.get() + 1);
         Ok(Connection {
             sender,
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -4,9 +4,10 @@
 
 use azuregate_core::{
     balance::{
-        self, Admission, BackendHandle, BackendQuery, Choice, GrantRequest, RequestKind, Route,
+        self, Admission, BackendHandle, BackendQuery, Choice, GrantRequest, Member, RequestKind,
+        Route,
     },
-    names::ServiceName,
+    names::{InstanceId, ServiceName},
 };
 use azuregate_platform::request;
 use bytes::{Bytes, BytesMut};
@@ -21,7 +22,8 @@
 
 use super::{
     attempt::{self, AttemptResult, NotExecuted, OutgoingRequest},
-    grants,
+    forwarding::{self, ForwardResult},
+    grants, metrics,
     response::{self, RequestError},
     response_body::ResponseBody,
     state::State,
@@ -36,9 +38,23 @@
 const EXTRA_SENDS_AFTER_REJECTION: u32 = 1;
 /// Longer paths are truncated in the log.
 const MAX_LOGGED_PATH_CHARS: usize = 128;
+/// Instances that a request is sent through, one after the other.
+const MAX_FORWARDS: usize = 2;
 /// The least time before the deadline at which a retry is still useful.
 const MIN_RETRY_REMAINING_MS: u64 = 20;
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Origin {
+    /// A client.
+    Client,
+    /// Another instance, which reaches no backend server.
+    Instance {
+        /// How many times the request may have been executed.
+        executions: u32,
+    },
+}
+
 /// Handles a request of `client` whose head was received at `received_at`.
 pub(super) async fn handle(
     state: Rc<State>,
@@ -47,19 +63,36 @@
     body: Option<Incoming>,
     received_at: Instant,
 ) -> Response<ResponseBody> {
-    let mut log_entry = AccessLogEntry::new(client, &parts);
-    let result = serve(&state, parts, body, received_at, &mut log_entry).await;
+    let result = respond(&state, Origin::Client, client, parts, body, received_at).await;
+    result.unwrap_or_else(RequestError::into_response)
+}
+
+/// Handles a request, and records its outcome.
+///
+/// # Errors
+///
+/// Returns why there is no response of a backend server.
+pub(super) async fn respond(
+    state: &Rc<State>,
+    origin: Origin,
+    sender: IpAddr,
+    parts: Parts,
+    body: Option<Incoming>,
+    received_at: Instant,
+) -> Result<Response<ResponseBody>, RequestError> {
+    let mut log_entry = AccessLogEntry::new(origin, sender, &parts);
+    let result = serve(state, origin, parts, body, received_at, &mut log_entry).await;
     let taken_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-    let response = match result {
-        Ok(response) => response,
+    let status = match &result {
+        Ok(response) => response.status(),
         Err(error) => {
             log_entry.code = error.code();
-            error.into_response()
+            error.status()
         }
     };
     state.metrics.record_request(&log_entry.service, &log_entry.route, log_entry.code, taken_ms);
-    log_entry.log(response.status(), taken_ms);
-    response
+    log_entry.log(status, taken_ms);
+    result
 }
 
 /// Returns whether a pipelined request may start before the previous responses are
@@ -75,6 +108,7 @@
 /// The access log entry of a request.
 struct AccessLogEntry {
     id: String,
+    origin: &'static str,
     client: IpAddr,
     /// The start of the path and query.
     path: String,
@@ -85,6 +119,8 @@
     backend: String,
     attempts: usize,
     failures: String,
+    /// The instance that the request was forwarded to last; empty if it was not.
+    forwarded_to: String,
     in_flight: u32,
     /// The rate limit that the last backend server named; empty if it named none.
     limit_per_s: String,
@@ -95,11 +131,16 @@
 }
 
 impl AccessLogEntry {
-    fn new(client: IpAddr, parts: &Parts) -> AccessLogEntry {
+    fn new(origin: Origin, client: IpAddr, parts: &Parts) -> AccessLogEntry {
         let text =
             |name| parts.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let origin = match origin {
+            Origin::Client => "client",
+            Origin::Instance { .. } => "instance",
+        };
         AccessLogEntry {
+            origin,
             client,
             path: path.chars().take(MAX_LOGGED_PATH_CHARS).collect(),
             id: text(request::REQUEST_ID).unwrap_or_default().to_owned(),
@@ -110,6 +151,7 @@
             backend: String::new(),
             attempts: 0,
             failures: String::new(),
+            forwarded_to: String::new(),
             in_flight: 0,
             limit_per_s: String::new(),
             deadline_ms: 0,
@@ -136,6 +178,7 @@
     fn log(&self, status: StatusCode, taken_ms: u64) {
         log::info!(
             id = self.id.as_str(),
+            origin = self.origin,
             client:% = self.client,
             path = self.path.as_str(),
             code = self.code,
@@ -147,6 +190,7 @@
             backend = self.backend.as_str(),
             tries = self.attempts,
             failed = self.failures.as_str(),
+            forwarded_to = self.forwarded_to.as_str(),
             in_flight = self.in_flight,
             limit_per_s = self.limit_per_s.as_str(),
             basis = self.basis.as_str(),
@@ -159,6 +203,7 @@
 
 async fn serve(
     state: &Rc<State>,
+    origin: Origin,
     parts: Parts,
     body: Option<Incoming>,
     received_at: Instant,
@@ -185,17 +230,20 @@
     let deadline = received_at + Duration::from_millis(timeout_ms);
     let service = state.next_service(&route);
     log_entry.service.push_str(service.as_str());
-    state.record_request(&service);
+    // The instance that took the request from the client has counted a forwarded one.
+    if origin == Origin::Client {
+        state.record_request(&service);
+    }
     if !state.has_backends() {
         return Err(RequestError::NotReady);
     }
     let body_limit = config.limits().body_bytes;
     drop(config);
 
-    let mut attempts = AttemptState::default();
+    let mut attempts = AttemptState::new(origin);
     let work = async {
         let outgoing = read_request(parts, body, &route, body_limit).await?;
-        Forwarder { state, route: &route, service: &service, outgoing, deadline }
+        Forwarder { state, origin, route: &route, service: &service, outgoing, deadline }
             .forward(&mut attempts, log_entry)
             .await
     };
@@ -254,11 +302,21 @@
     sends: u32,
     /// The number of attempts that may have executed the request.
     possible_executions: u32,
+    /// The number of attempts that may have reached a server.
+    possible_arrivals: u32,
     /// Whether an attempt is in flight.
     is_in_flight: bool,
 }
 
 impl AttemptState {
+    fn new(origin: Origin) -> AttemptState {
+        let possible_executions = match origin {
+            Origin::Client => 0,
+            Origin::Instance { executions } => executions,
+        };
+        AttemptState { possible_executions, ..AttemptState::default() }
+    }
+
     fn timeout_error(&self) -> RequestError {
         if self.possible_executions > 0 || self.is_in_flight {
             RequestError::TimedOut
@@ -275,6 +333,7 @@
 /// Forwards a request to backend servers until one attempt succeeds.
 struct Forwarder<'a> {
     state: &'a Rc<State>,
+    origin: Origin,
     route: &'a Route,
     service: &'a ServiceName,
     outgoing: OutgoingRequest,
@@ -298,6 +357,9 @@
                     attempts.attempts_exhausted(RequestError::Quarantined { retry_after_ms })
                 );
             }
+            if self.should_forward() {
+                return self.forward_to_instance(attempts, log_entry).await;
+            }
             let remaining_ms = self.remaining_ms();
             let is_retry = attempts.sends > 0;
             if is_retry && !self.can_retry(attempts, remaining_ms) {
@@ -325,6 +387,7 @@
             log_entry.limit_per_s = limit_per_s.map_or_else(String::new, |limit| limit.to_string());
             match result {
                 AttemptResult::Response(response) => {
+                    attempts.possible_arrivals += 1;
                     attempts.possible_executions += 1;
                     let is_failure = response.status().is_server_error();
                     if !is_failure || !self.outgoing.is_idempotent {
@@ -334,12 +397,14 @@
                     failure = Some(response);
                 }
                 AttemptResult::NotExecuted(cause) => {
+                    attempts.possible_arrivals += u32::from(cause.has_arrived());
                     log_entry.record_failure(cause.as_str());
                     if cause == NotExecuted::Rejected && choice.had_free_slot() {
                         attempts.tried.pop();
                     }
                 }
                 AttemptResult::Unknown(cause) => {
+                    attempts.possible_arrivals += 1;
                     attempts.possible_executions += 1;
                     log_entry.record_failure(cause);
                     if !self.outgoing.is_idempotent {
@@ -364,7 +429,87 @@
         attempts.possible_executions < self.route.attempts
             && attempts.sends < self.route.attempts + EXTRA_SENDS_AFTER_REJECTION
             && remaining_ms > MIN_RETRY_REMAINING_MS
-            && self.state.try_take_retry(self.service)
+            && self.take_retry(attempts)
+    }
+
+    /// Takes a retry from the budget, which bounds what servers receive: a request that has
+    /// reached none of them needs none.
+    fn take_retry(&self, attempts: &AttemptState) -> bool {
+        attempts.possible_arrivals == 0 || self.state.try_take_retry(self.service)
+    }
+
+    /// Returns whether to send the request through another instance, since this one reaches no
+    /// server of the service.
+    fn should_forward(&self) -> bool {
+        self.origin == Origin::Client
+            && self.state.reachability.borrow().is_unreachable(self.service)
+    }
+
+    fn forwarding_target(&self, excluded: &[InstanceId]) -> Option<Member> {
+        let members = self.state.members.borrow();
+        let random = fastrand::u64(..);
+        let regions = &self.route.home_regions;
+        let now_ms = self.state.now_ms();
+        members.forwarding_target(self.service, regions, excluded, random, now_ms).cloned()
+    }
+
+    /// Forwards the request to other instances until one of them returns a response.
+    async fn forward_to_instance(
+        &self,
+        attempts: &mut AttemptState,
+        log_entry: &mut AccessLogEntry,
+    ) -> Result<Response<ResponseBody>, RequestError> {
+        let mut excluded = Vec::new();
+        let mut refusal = None;
+        while excluded.len() < MAX_FORWARDS
+            && attempts.possible_executions < self.route.attempts
+            && self.remaining_ms() > MIN_RETRY_REMAINING_MS
+        {
+            let Some(target) = self.forwarding_target(&excluded) else { break };
+            if !self.take_retry(attempts) {
+                break;
+            }
+            log_entry.forwarded_to = target.instance.as_str().to_owned();
+            metrics::inc_by(&self.state.metrics.forwarded, 1);
+            attempts.is_in_flight = true;
+            let executions = attempts.possible_executions;
+            let result = forwarding::send(
+                self.state,
+                &target,
+                &self.outgoing,
+                executions,
+                self.remaining_ms(),
+            );
+            let result = result.await;
+            attempts.is_in_flight = false;
+            match result {
+                ForwardResult::Response(response) => {
+                    return Ok(self.mask_unsigned_rejection(response));
+                }
+                ForwardResult::Refused { response, is_retriable } => {
+                    refusal = Some(response);
+                    if !is_retriable {
+                        break;
+                    }
+                }
+                ForwardResult::NotSent => {}
+                ForwardResult::Unknown => {
+                    attempts.possible_arrivals += 1;
+                    attempts.possible_executions += 1;
+                    if !self.outgoing.is_idempotent {
+                        break;
+                    }
+                }
+            }
+            excluded.push(target.instance);
+        }
+        match refusal {
+            Some(response) if attempts.possible_executions == 0 => {
+                log_entry.code = "refused-elsewhere";
+                Ok(response)
+            }
+            _ => Err(attempts.attempts_exhausted(RequestError::Unreachable)),
+        }
     }
 
     /// Logs a retry and what it has left of its budget.
--- a/crates/azuregate/src/serve/response.rs
+++ b/crates/azuregate/src/serve/response.rs
@@ -31,6 +31,9 @@
     NoCapacity,
     /// The rate limits of all backend servers that may serve it are used up; it was not executed.
     RateLimited,
+    /// This instance reaches no backend server, and no other instance takes the request; it was
+    /// not executed.
+    Unreachable,
     /// Every attempted backend server rejected the request; it was not executed.
     Rejected,
     /// The request crashed the backend servers that executed it before; it was not executed
@@ -57,6 +60,7 @@
             RequestError::BodyIncomplete => "body-broken",
             RequestError::NoCapacity => "no-room",
             RequestError::RateLimited => "rate-limited",
+            RequestError::Unreachable => "unreachable",
             RequestError::Rejected => "rejected",
             RequestError::Quarantined { .. } => "quarantined",
             RequestError::TimedOut => "timed-out",
@@ -70,7 +74,7 @@
             RequestError::NotReady | RequestError::StoreContactLost => {
                 Some(fastrand::u64(RetryReason::StaleState.retry_after_ms()))
             }
-            RequestError::NoCapacity | RequestError::Rejected => {
+            RequestError::NoCapacity | RequestError::Unreachable | RequestError::Rejected => {
                 Some(fastrand::u64(RetryReason::NoCapacity.retry_after_ms()))
             }
             RequestError::RateLimited => {
@@ -81,12 +85,14 @@
         }
     }
 
-    fn status(self) -> StatusCode {
+    /// Returns the status of the response to the client.
+    pub(super) fn status(self) -> StatusCode {
         match self {
             RequestError::NotReady
             | RequestError::StoreContactLost
             | RequestError::NoCapacity
             | RequestError::RateLimited
+            | RequestError::Unreachable
             | RequestError::Rejected
             | RequestError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/azuregate/src/serve/response_body.rs
+++ b/crates/azuregate/src/serve/response_body.rs
@@ -1,7 +1,9 @@
 //! Response bodies sent to clients.
 
 use std::{
+    net::SocketAddr,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -10,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::{crash_detection, in_flight::InFlightRequest};
+use super::{crash_detection, in_flight::InFlightRequest, pool::Connection, state::State};
 
 /// A response body.
 pub(super) enum ResponseBody {
@@ -24,27 +26,73 @@
     pub(super) fn buffered(bytes: Bytes) -> ResponseBody {
         ResponseBody::Buffered(Full::new(bytes))
     }
+
+    /// Returns a body that begins with `buffered` and goes on with `incoming`.
+    pub(super) fn streaming(
+        buffered: Bytes,
+        incoming: Incoming,
+        from: StreamedFrom,
+    ) -> ResponseBody {
+        ResponseBody::Streaming(Box::new(StreamingBody {
+            buffered: Some(buffered),
+            incoming,
+            from,
+        }))
+    }
 }
 
 /// A response body whose first part is buffered and whose rest is still arriving.
 pub(super) struct StreamingBody {
     buffered: Option<Bytes>,
     incoming: Incoming,
-    /// Held until the body is sent or the client disconnects.
-    in_flight: InFlightRequest,
-    choice: Choice,
-    request: Fingerprint,
+    from: StreamedFrom,
 }
 
-impl StreamingBody {
-    pub(super) fn new(
-        buffered: Bytes,
-        incoming: Incoming,
+/// Where a streaming body comes from. Held until the body is sent or the client disconnects.
+pub(super) enum StreamedFrom {
+    /// A backend server.
+    Backend {
+        /// The request's accounting, with the connection.
         in_flight: InFlightRequest,
+        /// The server.
         choice: Choice,
+        /// The request.
         request: Fingerprint,
-    ) -> StreamingBody {
-        StreamingBody { buffered: Some(buffered), incoming, in_flight, choice, request }
+    },
+    /// Another instance.
+    Instance {
+        /// Its address.
+        addr: SocketAddr,
+        /// The connection to it until the body ends.
+        connection: Option<Connection>,
+        /// The state that holds idle connections.
+        state: Rc<State>,
+    },
+}
+
+impl StreamedFrom {
+    fn record_end(&mut self) {
+        match self {
+            StreamedFrom::Backend { in_flight, request, .. } => {
+                in_flight.release_connection();
+                in_flight.state.record_response(*request);
+            }
+            StreamedFrom::Instance { addr, connection, state } => {
+                if let Some(connection) = connection.take() {
+                    state.instance_pool.put(*addr, connection, state.now_ms());
+                }
+            }
+        }
+    }
+
+    fn record_broken(&self) {
+        match self {
+            StreamedFrom::Backend { in_flight, choice, request } => {
+                crash_detection::record_broken(&in_flight.state, choice, *request);
+            }
+            // The other instance has seen what happened to its server.
+            StreamedFrom::Instance { .. } => {}
+        }
     }
 }
 
@@ -91,13 +139,8 @@
         }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
         match polled {
-            Poll::Ready(None) => {
-                self.in_flight.release_connection();
-                self.in_flight.state.record_response(self.request);
-            }
-            Poll::Ready(Some(Err(_))) => {
-                crash_detection::record_broken(&self.in_flight.state, &self.choice, self.request);
-            }
+            Poll::Ready(None) => self.from.record_end(),
+            Poll::Ready(Some(Err(_))) => self.from.record_broken(),
             Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         polled
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -3,14 +3,15 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     sync::Arc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
 use azuregate_core::{
     balance::{
-        self, Admission, Balancer, Config, Fingerprint, Members, MissingBackends, Quarantine,
-        RetryBudgets, RetryLimits, WeightedRoundRobin,
+        self, Admission, BackendHandle, Balancer, Config, Fingerprint, Members, MissingBackends,
+        Quarantine, Reachability, RetryBudgets, RetryLimits, WeightedRoundRobin,
     },
     names::{ServiceName, StartNumber},
     replica::{FreshnessTracker, Table},
@@ -19,8 +20,13 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    connector::Connector, crash_detection::BrokenRequests, encoding::EncodedChangesCache,
-    grants::Questions, metrics::Metrics, pool::ConnectionPool, shutdown_phase::ShutdownPhase,
+    connector::{Connector, TcpConnector},
+    crash_detection::BrokenRequests,
+    encoding::EncodedChangesCache,
+    grants::Questions,
+    metrics::Metrics,
+    pool::ConnectionPool,
+    shutdown_phase::ShutdownPhase,
     tables::Tables,
 };
 use crate::{stop::StopSignal, timer::Timer};
@@ -38,7 +44,12 @@
     pub(super) timer: Timer,
     pub(super) balancer: RefCell<Balancer>,
     pub(super) members: RefCell<Members>,
-    pub(super) pool: ConnectionPool,
+    pub(super) pool: ConnectionPool<BackendHandle>,
+    /// Connections on which requests are forwarded to other instances.
+    pub(super) instance_pool: ConnectionPool<SocketAddr>,
+    pub(super) reachability: RefCell<Reachability>,
+    /// Notified when [`State::reachability`] changes.
+    pub(super) reachability_changed: Notify,
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) broken_requests: BrokenRequests,
     pub(super) grant_questions: Questions,
@@ -66,6 +77,8 @@
     pub(super) unknown_member: Notify,
     /// The number of open client connections.
     pub(super) connections: Cell<usize>,
+    /// The number of requests in progress that other instances forwarded.
+    pub(super) forwarded_in_progress: Cell<usize>,
     config: RefCell<Option<Arc<Config>>>,
     bounds: RefCell<Bounds>,
     retry_budgets: RefCell<RetryBudgets>,
@@ -99,6 +112,9 @@
             balancer: RefCell::new(balancer),
             members: RefCell::new(members),
             pool: ConnectionPool::new(connector),
+            instance_pool: ConnectionPool::new(Box::new(TcpConnector { ip: settings.ip })),
+            reachability: RefCell::default(),
+            reachability_changed: Notify::new(),
             quarantine: RefCell::default(),
             broken_requests: BrokenRequests::default(),
             grant_questions,
@@ -115,6 +131,7 @@
             lag_detected: Notify::new(),
             unknown_member: Notify::new(),
             connections: Cell::new(0),
+            forwarded_in_progress: Cell::new(0),
             config: RefCell::new(None),
             bounds: RefCell::new(settings.bounds.clone()),
             retry_budgets: RefCell::new(RetryBudgets::new(retry_limits(&settings.bounds))),
--- a/crates/platform/src/member.rs
+++ b/crates/platform/src/member.rs
@@ -16,6 +16,9 @@
     ip: IpAddr,
     zone: String,
     start: u64,
+    /// Instances of older versions have none.
+    #[serde(default)]
+    forwarding_port: Option<u16>,
 }
 
 /// Encodes the value of an instance's row, whose key is the instance's name.
@@ -25,6 +28,7 @@
         ip: member.ip,
         zone: member.zone.as_str().to_owned(),
         start: member.start.0,
+        forwarding_port: member.forwarding_port,
     };
     serde_json::to_vec(&row).expect("strings, addresses and numbers always serialize to JSON")
 }
@@ -41,6 +45,7 @@
         start: StartNumber(row.start),
         ip: row.ip,
         traffic_addr: row.traffic,
+        forwarding_port: row.forwarding_port,
         zone: ZoneName::new(&row.zone),
     })
 }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -93,6 +93,11 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// Returns the port for requests that other instances forward: the last one, or the only one.
+    pub fn forwarding_port(&self) -> u16 {
+        self.last_peer_port
+    }
+
     /// Returns the path of the settings file.
     pub fn path() -> PathBuf {
         std::env::var_os(PATH_VARIABLE).map_or_else(|| PathBuf::from(DEFAULT_PATH), PathBuf::from)
--- a/crates/platform/tests/rows.rs
+++ b/crates/platform/tests/rows.rs
@@ -125,9 +125,13 @@
         start: StartNumber(7),
         ip: "10.0.0.1".parse().unwrap(),
         traffic_addr: "10.0.0.1:80".parse().unwrap(),
+        forwarding_port: Some(7721),
         zone: ZoneName::new("sofia-a"),
     };
     assert_eq!(member::decode("entry-1", &member::encode(&member)).unwrap(), member);
+    // The row of an older version.
+    let row = br#"{"traffic":"10.0.0.1:80","ip":"10.0.0.1","zone":"zone-a","start":7}"#;
+    assert_eq!(member::decode("entry-1", row).unwrap().forwarding_port, None);
     assert!(member::decode("entry-1", b"{}").is_err());
 }
 
