Cut instances off in the soak, and judge crashes once links are known to work

Callers of all instances had a popular read refused as one that crashes servers after a cut of seven instances: each saw another server refuse connections and reported its crash.

A break is judged now when another server of the service is reached again: if the broken one still refuses connections, it has crashed. A new connection counts as a link that works only with its first response, since what lies in between may accept and reset it. An instance that forwards a request is told how often it may have been executed there.

The soak cuts instances, zones or all off by resets, or by refusing new connections only, and compares their first tries with those of instances that have links.

--- a/crates/azuregate-core/src/balance/reachability.rs
+++ b/crates/azuregate-core/src/balance/reachability.rs
@@ -10,7 +10,7 @@
     route::hash::stable_hash,
 };
 
-/// Servers of a service that fail in a row, without a new connection to any of them, before the
+/// Servers of a service that fail in a row, without a response on a new connection to any of them, before the
 /// links are checked.
 const FAILURES_BEFORE_CHECK: usize = 2;
 /// Minimum time between two checks of a service that was reachable.
@@ -32,7 +32,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct ServiceReachability {
-    /// Servers that failed since the last new connection.
+    /// Servers that failed since the last response on a new connection.
     failed: Vec<BackendHandle>,
     is_checking: bool,
     checked_at_ms: Option<u64>,
@@ -64,7 +64,7 @@
         self.services.entry(service.clone()).or_default().start_check()
     }
 
-    /// Records a new connection to a server of a service.
+    /// Records a response on a new connection to a server of a service.
     pub fn record_connection(&mut self, service: &ServiceName) {
         if let Some(state) = self.services.get_mut(service) {
             state.failed.clear();
@@ -88,6 +88,11 @@
         has_changed
     }
 
+    /// Returns whether a check of a service goes on: it has not ended yet, or no server was reached.
+    pub fn is_checking(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|state| state.is_checking)
+    }
+
     /// Returns whether no server of a service can be reached.
     pub fn is_unreachable(&self, service: &ServiceName) -> bool {
         self.services.get(service).is_some_and(|state| state.is_unreachable)
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -137,7 +137,6 @@
             None => match state.pool.connect(choice.handle, choice.backend.addr).await {
                 Ok(connection) => {
                     metrics::inc_by(&state.metrics.connects, 1);
-                    reachability::record_connection(state, choice);
                     connection
                 }
                 Err(_) => {
@@ -151,7 +150,12 @@
         let is_reused = connection.is_reused;
         let connection = in_flight.connection.insert(connection);
         match send_on_connection(connection, choice, outgoing, remaining_ms).await {
-            Ok(head) => break head,
+            Ok(head) => {
+                if !is_reused {
+                    reachability::record_connection(state, choice);
+                }
+                break head;
+            }
             // The server closed an idle connection and nothing was sent: open a new one.
             Err(SendError::NotSent) if is_reused => in_flight.connection = None,
             Err(SendError::NotSent) => {
--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -56,18 +56,36 @@
 /// Records a crash if the server does not serve any more.
 async fn examine(state: Rc<State>, handle: BackendHandle, addr: SocketAddr) {
     time::sleep(Duration::from_millis(SETTLING_MS)).await;
-    let has_ended = !state.pool.has_open(handle)
-        && matches!(probe(&state, handle, addr).await, Probe::Refused | Probe::Closed);
-    if has_ended && !reachability::reaches_others(&state, handle).await {
-        // The links of this instance broke. The server may be well.
-        state.broken_requests.borrow_mut().remove(&handle);
-    } else if has_ended {
+    let has_ended = has_ended(&state, handle, addr).await;
+    // While no server can be reached, the links may have broken and not the server.
+    let has_ended = has_ended
+        && (is_only_server(&state, handle)
+            || links_are_up(&state, handle).await && self::has_ended(&state, handle, addr).await);
+    if has_ended {
         record_end(&state, handle);
     } else if let Some(broken) = state.broken_requests.borrow_mut().get_mut(&handle) {
         broken.was_alive = true;
     }
 }
 
+async fn has_ended(state: &State, handle: BackendHandle, addr: SocketAddr) -> bool {
+    !state.pool.has_open(handle)
+        && matches!(probe(state, handle, addr).await, Probe::Refused | Probe::Closed)
+}
+
+fn is_only_server(state: &State, handle: BackendHandle) -> bool {
+    let balancer = state.balancer.borrow();
+    balancer.backend(handle).is_none_or(|backend| balancer.servers(&backend.service) < 2)
+}
+
+/// Waits until another server of the service can be reached, and returns whether that happened
+/// while the requests are remembered.
+async fn links_are_up(state: &Rc<State>, handle: BackendHandle) -> bool {
+    let Some(backend) = state.balancer.borrow().backend(handle) else { return true };
+    let links_are_up = reachability::wait_until_reachable(state, &backend.service);
+    time::timeout(Duration::from_millis(REMEMBERED_MS), links_are_up).await.is_ok()
+}
+
 /// Records a crash if requests broke at a server lately. To be called when the run of the server
 /// has ended.
 pub(super) fn record_end(state: &State, handle: BackendHandle) {
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -25,7 +25,7 @@
 use super::{
     attempt::{self, OutgoingRequest},
     pool::Connection,
-    request,
+    request::{self, AttemptState},
     response::{self, RequestError},
     response_body::{ResponseBody, StreamedFrom},
     state::State,
@@ -51,7 +51,10 @@
     /// The request did not reach the other instance.
     NotSent,
     /// The request may have been executed, but there is no usable response.
-    Unknown,
+    Unknown {
+        /// How many times at most, those before it was forwarded included; `None` if not known.
+        executions: Option<u32>,
+    },
 }
 
 /// Forwards a request to `target`.
@@ -83,7 +86,7 @@
             // The other instance closed an idle connection.
             Err(true) if connection.is_reused => {}
             Err(true) => return ForwardResult::NotSent,
-            Err(false) => return ForwardResult::Unknown,
+            Err(false) => return ForwardResult::Unknown { executions: None },
         }
     }
 }
@@ -100,11 +103,11 @@
     }
     let is_other = head.headers().get(REQUEST_ID) != outgoing.headers.get(REQUEST_ID);
     if is_other || head.status().is_success() && !attempt::is_valid_success(head.headers()) {
-        return ForwardResult::Unknown;
+        return ForwardResult::Unknown { executions: None };
     }
     let (mut parts, mut incoming) = head.into_parts();
     let Ok(buffered) = attempt::buffer_body(&mut incoming).await else {
-        return ForwardResult::Unknown;
+        return ForwardResult::Unknown { executions: None };
     };
     response::remove_hop_by_hop_headers(&mut parts.headers);
     let body = match attempt::is_complete(&incoming, &buffered) {
@@ -125,7 +128,9 @@
 /// Returns what the other instance's own response says of the request.
 fn refusal(status: StatusCode, headers: &HeaderMap, code: &HeaderValue) -> ForwardResult {
     match status {
-        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => ForwardResult::Unknown,
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => {
+            ForwardResult::Unknown { executions: executions(headers) }
+        }
         StatusCode::SERVICE_UNAVAILABLE => {
             let mut response = Response::new(ResponseBody::buffered(Default::default()));
             *response.status_mut() = status;
@@ -184,19 +189,24 @@
     let _in_progress = InProgress::new(&state);
     let received_at = Instant::now();
     let (mut parts, body) = request.into_parts();
-    let executions = parts.headers.remove(EXECUTIONS);
-    let executions = executions.and_then(|value| value.to_str().ok()?.parse().ok());
-    let Some(executions) = executions else {
-        return Ok(own_response(RequestError::BadRequest));
+    let Some(executions) = executions(&parts.headers) else {
+        return Ok(own_response(RequestError::BadRequest, 0));
     };
-    let origin = request::Origin::Instance { executions };
-    let result = request::respond(&state, origin, peer.ip(), parts, Some(body), received_at).await;
-    Ok(result.unwrap_or_else(own_response))
+    parts.headers.remove(EXECUTIONS);
+    let mut attempts = AttemptState::forwarded(executions);
+    let body = Some(body);
+    let result = request::respond(&state, &mut attempts, peer.ip(), parts, body, received_at).await;
+    Ok(result.unwrap_or_else(|error| own_response(error, attempts.possible_executions())))
+}
+
+fn executions(headers: &HeaderMap) -> Option<u32> {
+    headers.get(EXECUTIONS)?.to_str().ok()?.parse().ok()
 }
 
 /// Returns the response for an error of this instance, marked as its own.
-fn own_response(error: RequestError) -> Response<ResponseBody> {
+fn own_response(error: RequestError, executions: u32) -> Response<ResponseBody> {
     let mut response = error.into_response();
     response.headers_mut().insert(ERROR_CODE, HeaderValue::from_static(error.code()));
+    response.headers_mut().insert(EXECUTIONS, HeaderValue::from(executions));
     response
 }
--- a/crates/azuregate/src/serve/reachability.rs
+++ b/crates/azuregate/src/serve/reachability.rs
@@ -19,7 +19,9 @@
 /// The same while a service is unreachable.
 const RECHECKED_SERVERS: usize = 3;
 /// Time between checks while a service is unreachable.
-const RECHECK_INTERVAL_MS: u64 = 500;
+const RECHECK_INTERVAL_MS: u64 = 250;
+/// Time between looks at the result of a check.
+const WAIT_INTERVAL_MS: u64 = 50;
 
 /// Records that a connection to a server failed or broke, and checks others of its service if
 /// that happens to several servers.
@@ -33,20 +35,18 @@
     }
 }
 
-/// Records a new connection to a server.
+/// Records a response on a new connection to a server.
 pub(super) fn record_connection(state: &State, choice: &Choice) {
     state.reachability.borrow_mut().record_connection(&choice.backend.service);
 }
 
-/// Returns whether a server of any service other than `failed` accepts a connection, or whether
-/// there is no other server that could tell.
-pub(super) async fn reaches_others(state: &State, failed: BackendHandle) -> bool {
-    let others: Vec<_> = {
-        let balancer = state.balancer.borrow();
-        let sample = |service| balancer.sample_servers(service, CHECKED_SERVERS, fastrand::u64(..));
-        balancer.services().flat_map(sample).filter(|(handle, _)| *handle != failed).collect()
-    };
-    others.is_empty() || any_accepts(state, &others).await
+/// Checks a service, and waits until it is reachable.
+pub(super) async fn wait_until_reachable(state: &Rc<State>, service: &ServiceName) {
+    if state.reachability.borrow_mut().start_check(service) {
+        spawn_local(check(Rc::clone(state), service.clone()));
+    }
+    let mut ticks = state.timer.subscribe(WAIT_INTERVAL_MS);
+    while state.reachability.borrow().is_checking(service) && ticks.recv().await.is_some() {}
 }
 
 /// Checks a service until it is reachable.
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -43,18 +43,6 @@
 /// The least time before the deadline at which a retry is still useful.
 const MIN_RETRY_REMAINING_MS: u64 = 20;
 
-/// Where a request comes from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Origin {
-    /// A client.
-    Client,
-    /// Another instance, which reaches no backend server.
-    Instance {
-        /// How many times the request may have been executed.
-        executions: u32,
-    },
-}
-
 /// Handles a request of `client` whose head was received at `received_at`.
 pub(super) async fn handle(
     state: Rc<State>,
@@ -63,7 +51,8 @@
     body: Option<Incoming>,
     received_at: Instant,
 ) -> Response<ResponseBody> {
-    let result = respond(&state, Origin::Client, client, parts, body, received_at).await;
+    let mut attempts = AttemptState::default();
+    let result = respond(&state, &mut attempts, client, parts, body, received_at).await;
     result.unwrap_or_else(RequestError::into_response)
 }
 
@@ -74,14 +63,14 @@
 /// Returns why there is no response of a backend server.
 pub(super) async fn respond(
     state: &Rc<State>,
-    origin: Origin,
+    attempts: &mut AttemptState,
     sender: IpAddr,
     parts: Parts,
     body: Option<Incoming>,
     received_at: Instant,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let mut log_entry = AccessLogEntry::new(origin, sender, &parts);
-    let result = serve(state, origin, parts, body, received_at, &mut log_entry).await;
+    let mut log_entry = AccessLogEntry::new(attempts.is_forwarded, sender, &parts);
+    let result = serve(state, attempts, parts, body, received_at, &mut log_entry).await;
     let taken_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let status = match &result {
         Ok(response) => response.status(),
@@ -131,14 +120,11 @@
 }
 
 impl AccessLogEntry {
-    fn new(origin: Origin, client: IpAddr, parts: &Parts) -> AccessLogEntry {
+    fn new(is_forwarded: bool, client: IpAddr, parts: &Parts) -> AccessLogEntry {
         let text =
             |name| parts.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-        let origin = match origin {
-            Origin::Client => "client",
-            Origin::Instance { .. } => "instance",
-        };
+        let origin = if is_forwarded { "instance" } else { "client" };
         AccessLogEntry {
             origin,
             client,
@@ -203,7 +189,7 @@
 
 async fn serve(
     state: &Rc<State>,
-    origin: Origin,
+    attempts: &mut AttemptState,
     parts: Parts,
     body: Option<Incoming>,
     received_at: Instant,
@@ -231,7 +217,7 @@
     let service = state.next_service(&route);
     log_entry.service.push_str(service.as_str());
     // The instance that took the request from the client has counted a forwarded one.
-    if origin == Origin::Client {
+    if !attempts.is_forwarded {
         state.record_request(&service);
     }
     if !state.has_backends() {
@@ -240,11 +226,10 @@
     let body_limit = config.limits().body_bytes;
     drop(config);
 
-    let mut attempts = AttemptState::new(origin);
     let work = async {
         let outgoing = read_request(parts, body, &route, body_limit).await?;
-        Forwarder { state, origin, route: &route, service: &service, outgoing, deadline }
-            .forward(&mut attempts, log_entry)
+        Forwarder { state, route: &route, service: &service, outgoing, deadline }
+            .forward(attempts, log_entry)
             .await
     };
     match time::timeout_at(deadline, work).await {
@@ -295,7 +280,9 @@
 
 /// The state of a request's attempts.
 #[derive(Default)]
-struct AttemptState {
+pub(super) struct AttemptState {
+    /// Whether another instance forwarded the request, because it reaches no server.
+    is_forwarded: bool,
     /// Servers excluded from further attempts.
     tried: Vec<BackendHandle>,
     /// The number of attempts, including rejected ones.
@@ -309,12 +296,19 @@
 }
 
 impl AttemptState {
-    fn new(origin: Origin) -> AttemptState {
-        let possible_executions = match origin {
-            Origin::Client => 0,
-            Origin::Instance { executions } => executions,
-        };
-        AttemptState { possible_executions, ..AttemptState::default() }
+    /// Returns the state of a request that another instance forwarded, which may have been executed
+    /// `executions` times before.
+    pub(super) fn forwarded(executions: u32) -> AttemptState {
+        AttemptState {
+            is_forwarded: true,
+            possible_executions: executions,
+            ..AttemptState::default()
+        }
+    }
+
+    /// Returns how many times the request may have been executed.
+    pub(super) fn possible_executions(&self) -> u32 {
+        self.possible_executions + u32::from(self.is_in_flight)
     }
 
     fn timeout_error(&self) -> RequestError {
@@ -333,7 +327,6 @@
 /// Forwards a request to backend servers until one attempt succeeds.
 struct Forwarder<'a> {
     state: &'a Rc<State>,
-    origin: Origin,
     route: &'a Route,
     service: &'a ServiceName,
     outgoing: OutgoingRequest,
@@ -357,7 +350,7 @@
                     attempts.attempts_exhausted(RequestError::Quarantined { retry_after_ms })
                 );
             }
-            if self.should_forward() {
+            if self.should_forward(attempts) {
                 return self.forward_to_instance(attempts, log_entry).await;
             }
             let remaining_ms = self.remaining_ms();
@@ -440,9 +433,8 @@
 
     /// Returns whether to send the request through another instance, since this one reaches no
     /// server of the service.
-    fn should_forward(&self) -> bool {
-        self.origin == Origin::Client
-            && self.state.reachability.borrow().is_unreachable(self.service)
+    fn should_forward(&self, attempts: &AttemptState) -> bool {
+        !attempts.is_forwarded && self.state.reachability.borrow().is_unreachable(self.service)
     }
 
     fn forwarding_target(&self, excluded: &[InstanceId]) -> Option<Member> {
@@ -493,9 +485,9 @@
                     }
                 }
                 ForwardResult::NotSent => {}
-                ForwardResult::Unknown => {
+                ForwardResult::Unknown { executions } => {
                     attempts.possible_arrivals += 1;
-                    attempts.possible_executions += 1;
+                    attempts.possible_executions = executions.unwrap_or(self.route.attempts).max(1);
                     if !self.outgoing.is_idempotent {
                         break;
                     }
--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -20,6 +20,7 @@
 #[path = "../serve/cluster.rs"]
 mod cluster;
 mod crashing;
+mod cuts;
 mod plan;
 mod processes;
 mod proxy;
--- a/crates/azuregate/tests/soak/plan.rs
+++ b/crates/azuregate/tests/soak/plan.rs
@@ -5,7 +5,11 @@
 use azuregate_platform::fakes::{Behaviour, StoreFault};
 use fastrand::Rng;
 
-use crate::proxy::LinkMode;
+use crate::{
+    ZONES,
+    cuts::{self, Cut},
+    proxy::LinkMode,
+};
 
 /// Period in which faults begin.
 pub(crate) const FAULT_PHASE: Duration = Duration::from_secs(9);
@@ -31,6 +35,7 @@
     Drain { server: usize },
     ChangeConfig,
     CrashServer { server: usize },
+    CutOff { instances: Vec<usize>, cut: Cut, duration: Duration },
     LimitRate { server: usize, limit: &'static str, duration: Duration },
 }
 
@@ -65,6 +70,7 @@
         }
         if !is_planned_only {
             faults.extend(server_crashes(seed, servers));
+            faults.extend(cuts::generate(seed, instances, ZONES.len()));
         }
         faults.extend(rate_limits(seed, servers));
         faults.sort_by_key(|(at, _)| *at);
--- a/crates/azuregate/tests/soak/proxy.rs
+++ b/crates/azuregate/tests/soak/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy that injects faults into the connections through it.
 
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -16,6 +17,10 @@
     time,
 };
 
+use crate::cuts::{Cut, Cuts};
+
+type CutsReceiver = watch::Receiver<BTreeMap<IpAddr, Cut>>;
+
 /// How a proxy treats the bytes that it receives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LinkMode {
@@ -42,7 +47,8 @@
     /// Starts a proxy of an address that always accepts connections.
     pub(crate) async fn start(target: SocketAddr) -> Proxy {
         let ip = IpAddr::from([127, 0, 0, 1]);
-        Proxy::start_with(ip, target, watch::Sender::new(true).subscribe()).await
+        let (is_up, cuts) = (watch::Sender::new(true), Cuts::default());
+        Proxy::start_with(ip, target, is_up.subscribe(), cuts.subscribe()).await
     }
 
     /// Returns whether bytes are forwarded without a fault.
@@ -50,11 +56,13 @@
         *self.mode.borrow() == LinkMode::Forward
     }
 
-    /// Starts a proxy that refuses connections while `is_up` is false, as the target does.
+    /// Starts a proxy that refuses connections while `is_up` is false, as the target does, and
+    /// resets those of instances that are cut off.
     pub(crate) async fn start_with(
         ip: IpAddr,
         target: SocketAddr,
         mut is_up: watch::Receiver<bool>,
+        cuts: CutsReceiver,
     ) -> Proxy {
         let listener = TcpListener::bind((ip, 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
@@ -64,7 +72,7 @@
             let mut listener = listener;
             loop {
                 tokio::select! {
-                    () = accept(&listener, target, &modes) => return,
+                    () = accept(&listener, target, &modes, &cuts) => return,
                     // An error means that the target is always up.
                     Ok(_) = is_up.wait_for(|is_up| !is_up) => {}
                 }
@@ -81,9 +89,25 @@
     }
 }
 
-async fn accept(listener: &TcpListener, target: SocketAddr, modes: &watch::Sender<LinkMode>) {
-    while let Ok((caller, _)) = listener.accept().await {
-        tokio::spawn(proxy_connection(caller, target, modes.subscribe()));
+async fn accept(
+    listener: &TcpListener,
+    target: SocketAddr,
+    modes: &watch::Sender<LinkMode>,
+    cuts: &CutsReceiver,
+) {
+    while let Ok((caller, addr)) = listener.accept().await {
+        if cuts.borrow().contains_key(&addr.ip()) {
+            let _ = SockRef::from(&caller).set_linger(Some(Duration::ZERO));
+            continue;
+        }
+        let mut cuts = cuts.clone();
+        let connection = proxy_connection(caller, target, modes.subscribe());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = connection => {}
+                Ok(_) = cuts.wait_for(|cuts| cuts.get(&addr.ip()) == Some(&Cut::Reset)) => {}
+            }
+        });
     }
 }
 
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -23,6 +23,7 @@
     clients::{RequestRecord, Traffic},
     cluster::{Client, get_request, lookup, readiness_status},
     crashing::CrashingClient,
+    cuts::{self, Cut, CutPeriod, Cuts},
     plan::{FAULT_PHASE, Fault, Plan},
     processes::Process,
     proxy::{LinkMode, Proxy},
@@ -60,6 +61,8 @@
     /// Times during which an instance was killed, stopped or paused.
     disturbances: Mutex<Vec<Disturbance>>,
     limited_periods: Mutex<Vec<LimitedPeriod>>,
+    cuts: Cuts,
+    cut_periods: Mutex<Vec<CutPeriod>>,
     store: FakeStore,
     store_proxies: Vec<Proxy>,
     config: Mutex<ConfigDocument>,
@@ -112,6 +115,7 @@
     problems.extend(checks::check_all(&deployment, &plan, &records, recovered_at));
     problems.extend(rate_limits::check(&deployment, &records));
     problems.extend(deployment.check_retries(&records));
+    problems.extend(cuts::check(&deployment, &records));
     if let Some(client) = &crashing {
         problems.extend(client.check(&deployment, &deployment.received()));
     }
@@ -151,14 +155,15 @@
     let store = FakeStore::start("127.0.0.1").await;
     let config = ConfigDocument::new(SERVICE);
     store.put("op", "config", config_row(&config));
-    let mut servers = Vec::new();
+    let (mut servers, cuts) = (Vec::new(), Cuts::default());
     for number in 0..SERVERS {
         let id = format!("b{number}");
         // No other process uses this address, so ports stay free while the server is down.
         let ip = ip(run, FIRST_SERVER_HOST + number);
         let backend = FakeBackend::start(&id, &ip.to_string()).await;
         backend.set(NORMAL_BEHAVIOUR);
-        let proxy = Proxy::start_with(ip, backend.addr(), backend.subscribe_up()).await;
+        let proxy =
+            Proxy::start_with(ip, backend.addr(), backend.subscribe_up(), cuts.subscribe()).await;
         let (zone, _) = ZONES[number % ZONES.len()];
         store.put("servers", &id, backend_row(SERVICE, proxy.addr, zone, "ready"));
         servers.push(Server { backend, drained_at: Mutex::new(None), proxy, zone });
@@ -176,6 +181,8 @@
         problems: Mutex::default(),
         disturbances: Mutex::default(),
         limited_periods: Mutex::default(),
+        cuts,
+        cut_periods: Mutex::default(),
         store,
         store_proxies,
         config: Mutex::new(config),
@@ -248,12 +255,31 @@
             Fault::Drain { server } => self.drain(server).await,
             Fault::ChangeConfig => self.publish_config(),
             Fault::CrashServer { server } => self.servers[server].backend.crash(),
+            Fault::CutOff { instances, cut, duration } => {
+                self.cut_off(instances, cut, duration).await;
+            }
             Fault::LimitRate { server, limit, duration } => {
                 self.limit_rate(server, limit, duration).await;
             }
         }
     }
 
+    /// Cuts instances off from all servers, and records the time.
+    async fn cut_off(&self, instances: Vec<usize>, cut: Cut, duration: Duration) {
+        let ips: Vec<IpAddr> =
+            instances.iter().map(|&number| self.instances[number].traffic_addr.ip()).collect();
+        self.cuts.send_modify(|cuts| cuts.extend(ips.iter().map(|&ip| (ip, cut))));
+        let from = Instant::now();
+        time::sleep(duration).await;
+        let period = CutPeriod { instances, from, to: Instant::now() };
+        self.cut_periods.lock().unwrap().push(period);
+        self.cuts.send_modify(|cuts| cuts.retain(|ip, _| !ips.contains(ip)));
+    }
+
+    pub(crate) fn cut_periods(&self) -> Vec<CutPeriod> {
+        self.cut_periods.lock().unwrap().clone()
+    }
+
     /// Lets a server name a rate limit, and records the time until it changes, the server crashes
     /// or its link has a fault.
     async fn limit_rate(&self, server: usize, limit: &'static str, duration: Duration) {
