--- a/crates/azuregate/tests/serve/cut_off.rs
+++ b/crates/azuregate/tests/serve/cut_off.rs
@@ -17,6 +17,8 @@
 
 /// The contact bound of the settings fixture: the time from which requests must be served.
 const CONTACT: Duration = Duration::from_secs(1);
+/// The contact bound of the platform's example, within which a cut must be noticed.
+const PLATFORM_CONTACT: Duration = Duration::from_secs(3);
 /// Unacknowledged data breaks a connection after this time.
 const UNACKED_DATA_TIMEOUT: Duration = Duration::from_millis(350);
 const SERVERS: usize = 4;
@@ -161,11 +163,43 @@
         switches[0].set(cut).await;
         send_for(&instances[0], "b", CONTACT).await;
         let counts = send_for(&instances[0], "c", Duration::from_secs(2)).await;
+        eprintln!("{cut:?}: {counts:?}");
         assert!(counts.served >= counts.sent * 9 / 10, "{cut:?}: {counts:?}");
         assert_eq!(repeated_writes(&cluster), Vec::<String>::new(), "{cut:?}");
     }
 }
 
+/// Returns the time until an instance that has requests considers `count` services unreachable.
+async fn time_until_unreachable(instance: &Instance, count: f64) -> Duration {
+    let start = Instant::now();
+    let noticed = async {
+        while metric(instance, "azuregate_unreachable_services").await != count
+            && start.elapsed() < PLATFORM_CONTACT
+        {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        start.elapsed()
+    };
+    let (_, elapsed) = tokio::join!(send_for(instance, "n", PLATFORM_CONTACT), noticed);
+    elapsed
+}
+
+/// Guards against a cut, or its end, that is noticed too late for the contact bound.
+#[tokio::test]
+async fn cuts_are_noticed_within_the_contact_bound() {
+    // While open connections live on, they are used.
+    for cut in [Links::Hang, Links::Reset] {
+        let (_cluster, instances, switches) = start(&["zone-a", "zone-a"]).await;
+        send_for(&instances[0], "a", Duration::from_millis(500)).await;
+        let set = async { switches[0].set(cut).await };
+        let (down, ()) = tokio::join!(time_until_unreachable(&instances[0], 1.0), set);
+        switches[0].set(Links::Up).await;
+        let up = time_until_unreachable(&instances[0], 0.0).await;
+        eprintln!("{cut:?}: noticed after {down:?}, back after {up:?}");
+        assert!(down.max(up) < PLATFORM_CONTACT, "{cut:?}: {down:?}, {up:?}");
+    }
+}
+
 /// Guards against clients of a zone that has no instance with links to servers.
 #[tokio::test]
 async fn requests_are_served_while_a_zone_has_no_links_to_servers() {
