Start without a port for forwarded requests

An instance whose settings name one internal port would not have started: the listener for forwarded requests and the one for followers took the same port. It registers without a port for them now and gets none. Found by reading; the new test fails without the change.

--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -23,8 +23,8 @@
     pub(super) heartbeats: UdpSocket,
     /// Accepts instances that follow this one.
     pub(super) followers: TcpListener,
-    /// Accepts requests that other instances forward.
-    pub(super) forwarded: TcpListener,
+    /// Accepts requests that other instances forward; `None` if the settings have no port for it.
+    pub(super) forwarded: Option<TcpListener>,
     /// `None` if the metrics port is unavailable; the instance serves without it.
     pub(super) metrics: Option<TcpListener>,
 }
@@ -50,7 +50,10 @@
             lookups: bind(settings.lookup_addr).await?,
             heartbeats,
             followers: bind(heartbeats_addr).await?,
-            forwarded: bind(SocketAddr::new(settings.ip, settings.forwarding_port())).await?,
+            forwarded: match settings.forwarding_port() {
+                Some(port) => Some(bind(SocketAddr::new(settings.ip, port)).await?),
+                None => None,
+            },
             metrics,
         })
     }
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -149,7 +149,9 @@
     spawn_local(heartbeat::serve(Rc::clone(&state), listeners.heartbeats, questions));
     spawn_local(relay::serve(Rc::clone(&state), listeners.followers));
     spawn_local(follower::serve(Rc::clone(&state)));
-    spawn_local(forwarding::serve(Rc::clone(&state), listeners.forwarded));
+    if let Some(forwarded) = listeners.forwarded {
+        spawn_local(forwarding::serve(Rc::clone(&state), forwarded));
+    }
     spawn_local(quarantine_rows::serve(Rc::clone(&state)));
     spawn_local(evict_idle_connections(Rc::clone(&state)));
     spawn_local(endpoints::serve(Rc::clone(&state), listeners.readiness, Audience::Clients));
--- a/crates/azuregate/src/serve/table_watch.rs
+++ b/crates/azuregate/src/serve/table_watch.rs
@@ -61,7 +61,7 @@
         start: state.start,
         ip: settings.ip,
         traffic_addr: settings.traffic_addr,
-        forwarding_port: Some(settings.forwarding_port()),
+        forwarding_port: settings.forwarding_port(),
         zone: settings.zone.clone(),
     }
 }
--- a/crates/azuregate/tests/serve/cut_off.rs
+++ b/crates/azuregate/tests/serve/cut_off.rs
@@ -239,6 +239,24 @@
     }
 }
 
+/// Guards against an instance that does not start, or gets forwarded requests, without a port for
+/// them.
+#[tokio::test]
+async fn instance_with_one_internal_port_takes_no_forwarded_requests() {
+    let (cluster, instances, switches) = start(&["zone-a"]).await;
+    let one_port = |text: String| text.replace(",18171", ",18170");
+    let other = cluster.start_instance_with(2, one_port);
+    eventually("the instance is ready", async || other.readiness().await == 200).await;
+    time::sleep(CONTACT).await;
+    switches[0].set(Links::Reset).await;
+    send_for(&instances[0], "a", CONTACT).await;
+    let counts = send_for(&instances[0], "b", CONTACT / 2).await;
+    assert!(counts.failed.iter().all(|&status| status == 503), "{counts:?}");
+    assert_eq!(counts.served, 0);
+    let response = other.send(&get_request("/read/x", "c")).await;
+    assert_eq!(response.map(|response| response.status), Some(200));
+}
+
 /// Guards against requests that instances send to each other while all servers are down, and that
 /// wait instead of being refused.
 #[tokio::test]
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -93,9 +93,10 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
-    /// Returns the port for requests that other instances forward: the last one, or the only one.
-    pub fn forwarding_port(&self) -> u16 {
-        self.last_peer_port
+    /// Returns the port for requests that other instances forward: the last one, unless it is also
+    /// the first.
+    pub fn forwarding_port(&self) -> Option<u16> {
+        (self.last_peer_port != self.peer_port).then_some(self.last_peer_port)
     }
 
     /// Returns the path of the settings file.
