List what the soak found beside cuts and is not mended

In the second an instance that reached no server waited for its links before it judged a crash, and the server had restarted by then, so the crash was lost; the first is not traced. In two cut-off instances served 71 of 129 requests, the others 280 of 323, while four of six servers were down; not traced.

--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -44,7 +44,7 @@
 ];
 const FIXED_SEEDS: [u64; 4] = [1, 2, 3, 4];
 /// Seeds with findings that are not fixed.
-const OPEN_SEEDS: [(u64, &str); 2] = [
+const OPEN_SEEDS: [(u64, &str); 5] = [
     (
         406_365_673,
         "a read that all clients send is refused as crashing servers, when servers crash soon \
@@ -54,6 +54,17 @@
         343_914_116,
         "the same without a restart; before, requests sent to crashed servers were blamed",
     ),
+    (831_510_557, "a crashing request is retried 4 times; not traced"),
+    (
+        783_488_911,
+        "the same, 5 times: an instance that reaches no server judges a crash after the server has \
+         restarted",
+    ),
+    (
+        836_922_230,
+        "two instances without links served 71 of 129 requests, the others 280 of 323, while most \
+         servers were down; not traced",
+    ),
 ];
 
 /// Seeds for large runs: one of planned operations only, one of all faults.
@@ -88,7 +99,8 @@
     assert!(findings.is_empty(), "{} findings:\n{}", findings.len(), findings.join("\n"));
 }
 
-/// Guards against refusing a popular request whose servers crash while all instances restart.
+/// Guards against what the open seeds found: popular requests refused as crashing servers, crashes
+/// that are recognized late, and requests refused at instances without links.
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_for_open_seeds() {
     let seeds = OPEN_SEEDS.map(|(seed, _)| seed);
