Log and count the pauses that backend servers ask for

Callers saw requests go to servers that had asked for a pause, and no line or metric told whether the instance had been told, when it chose and when it sent. A 503 with Retry-After is now read: a line has the server and the pause, another one each request that is sent during it, with the run and the time since the choice. Metrics count both, and the servers that are paused. Nothing is decided by it yet.

Retry-After is a finite number of seconds that is not negative; anything else is logged and ignored. Only a 503 asks for a pause.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -9,6 +9,7 @@
 use super::{
     BackendRun, Baseline, Candidate, ColdStartBudget, Config, Health, InFlightCount,
     LoadBalancingPolicy, Members, ObjectAffinity, Outcome,
+    pushback::Pushback,
     rate_limit::{self, RateLimit},
     remote_load::RemoteLoad,
     shared_objects::SharedObjectDetector,
@@ -97,6 +98,7 @@
     was_unreachable: bool,
     pub(super) run: BackendRun,
     pub(super) rate_limit: RateLimit,
+    pub(super) pushback: Pushback,
 }
 
 impl BackendState {
@@ -217,6 +219,7 @@
             was_unreachable: false,
             run,
             rate_limit: RateLimit::new(stable_hash(&[instance, &run.0.to_string()])),
+            pushback: Pushback::default(),
             backend: Arc::new(backend),
         };
         let pool = self.pools.entry(state.backend.service.clone()).or_default();
@@ -400,6 +403,25 @@
         }
     }
 
+    /// Records that a server has asked this instance for a pause.
+    pub fn record_pushback(&mut self, handle: BackendHandle, pause_ms: u64, now_ms: u64) {
+        if let Some(state) = self.backend_state_mut(handle) {
+            state.pushback.record(pause_ms, now_ms);
+        }
+    }
+
+    /// Returns the rest of the pause that a server has asked this instance for; `None` if there is
+    /// none.
+    pub fn pause_ms(&self, handle: BackendHandle, now_ms: u64) -> Option<u64> {
+        let state = self.backends().find(|state| state.handle == handle)?;
+        state.pushback.remaining_ms(now_ms)
+    }
+
+    /// Returns the number of servers that have asked this instance for a pause.
+    pub fn paused_servers(&self, now_ms: u64) -> usize {
+        self.backends().filter(|state| state.pushback.remaining_ms(now_ms).is_some()).count()
+    }
+
     /// Completes a request that [`Balancer::choose`] assigned to a server.
     ///
     /// A server that responds after it was unreachable counts as cold, since it may have
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -31,6 +31,7 @@
 mod members;
 mod missing_backends;
 mod policy;
+mod pushback;
 mod quarantine;
 mod rate_limit;
 mod reachability;
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -18,7 +18,7 @@
     in_flight::InFlightRequest,
     metrics,
     pool::Connection,
-    rate_limits, reachability, response,
+    pushback, rate_limits, reachability, response,
     response_body::{ResponseBody, StreamedFrom},
     state::State,
 };
@@ -149,6 +149,7 @@
         };
         let is_reused = connection.is_reused;
         let connection = in_flight.connection.insert(connection);
+        pushback::record_send(state, choice, &outgoing.headers, sent_at);
         match send_on_connection(connection, choice, outgoing, remaining_ms).await {
             Ok(head) => {
                 if !is_reused {
@@ -238,6 +239,7 @@
     let is_misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
     if !is_misdirected {
         rate_limits::record_response(state, choice, &head, in_flight.sent_at_ms());
+        pushback::record_response(state, choice, head.status(), head.headers());
     }
     if is_rejected {
         if is_misdirected {
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -23,6 +23,10 @@
     pub(super) connects: Cell<u64>,
     /// New connections to backend servers that failed.
     pub(super) failed_connects: Cell<u64>,
+    /// Responses in which a backend server asked for a pause.
+    pub(super) pushbacks: Cell<u64>,
+    /// Requests sent to backend servers that had asked for a pause.
+    pub(super) requests_during_pauses: Cell<u64>,
     /// Requests sent to other instances, since no backend server was reachable.
     pub(super) forwarded: Cell<u64>,
     /// Requests that other instances sent on the account of this one's parts of rate limits.
@@ -74,6 +78,8 @@
     pub(super) quarantined_requests: usize,
     /// Backend servers that limit their rate.
     pub(super) limited_servers: usize,
+    /// Backend servers that have asked for a pause.
+    pub(super) paused_servers: usize,
     /// Services of which no backend server is reachable.
     pub(super) unreachable_services: usize,
     /// The version of the current configuration.
@@ -146,6 +152,7 @@
         line(format_args!("azuregate_watching {}", u8::from(gauges.is_watching)));
         line(format_args!("azuregate_quarantined_requests {}", gauges.quarantined_requests));
         line(format_args!("azuregate_limited_backends {}", gauges.limited_servers));
+        line(format_args!("azuregate_paused_backends {}", gauges.paused_servers));
         let unreachable = gauges.unreachable_services;
         line(format_args!("azuregate_unreachable_services {unreachable}"));
         line(format_args!("azuregate_forwarded_requests_total {}", self.forwarded.get()));
@@ -154,6 +161,9 @@
             let labels = format!("result=\"{result}\"");
             line(format_args!("azuregate_backend_connects_total{{{labels}}} {}", count.get()));
         }
+        line(format_args!("azuregate_backend_pushbacks_total {}", self.pushbacks.get()));
+        let during_pauses = self.requests_during_pauses.get();
+        line(format_args!("azuregate_requests_during_pauses_total {during_pauses}"));
         line(format_args!("azuregate_rate_limit_grants_total {}", self.grants.get()));
         if let Some(version) = gauges.config_version {
             line(format_args!("azuregate_config_version {version}"));
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -23,6 +23,7 @@
   `quarantine_rows` keeps the requests that cause them in the store.
 * `rate_limits` reads the limits that backend servers name, and reports them to others;
   `grants` asks others for a request that is refused otherwise.
+* `pushback` reads the pauses that backend servers ask for.
 * `reachability` checks whether backend servers can be reached at all, and `forwarding` sends
   requests through other instances while they cannot.
 * `endpoints` serves readiness, lookups and metrics.
@@ -46,6 +47,7 @@
 mod metrics;
 mod pipeline;
 mod pool;
+mod pushback;
 mod quarantine_rows;
 mod rate_limits;
 mod reachability;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -102,3 +102,11 @@
     let limit_per_s: f64 = text.trim().parse().ok()?;
     (limit_per_s.is_finite() && limit_per_s >= 0.0).then_some(limit_per_s)
 }
+
+/// Parses the value of `Retry-After` in a backend server's 503: the seconds for which it wants no
+/// requests from this instance. Returns them in milliseconds, rounded up, or `None` for anything but
+/// a finite number that is not negative.
+pub fn parse_retry_after(text: &str) -> Option<u64> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+}
