Add failing tests of servers that ask for a pause

Callers got 503 after sends to servers that had asked the instance for a pause. The stand-in of a backend server can push back, reject with any status and add header lines, and records from which address a request came.

--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -11,6 +11,7 @@
 mod cut_off;
 mod links;
 mod lookups;
+mod pauses;
 mod rate_limits;
 mod relay;
 mod reload;
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -1,7 +1,7 @@
 //! A fake backend server.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -34,6 +34,10 @@
     Delay(Duration),
     /// Responds with 503 and `X-Not-Executed`.
     Reject,
+    /// Responds with this status and `X-Not-Executed`.
+    RejectWith(u16),
+    /// Responds with 503 and `X-Not-Executed`, and asks for a pause.
+    PushBack(Duration),
     /// Responds with 421 and the id of another server.
     Misdirect,
     /// Executes requests and responds with 500.
@@ -54,6 +58,18 @@
     Unsigned,
 }
 
+impl Behaviour {
+    fn is_rejection(&self) -> bool {
+        matches!(
+            self,
+            Behaviour::Reject
+                | Behaviour::RejectWith(_)
+                | Behaviour::PushBack(_)
+                | Behaviour::Misdirect
+        )
+    }
+}
+
 /// A request that the fake received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -61,6 +77,8 @@
     pub method_and_path: String,
     /// The value of `X-Request-Id`.
     pub id: String,
+    /// The address of the instance that sent it.
+    pub sender: IpAddr,
     /// The value of `X-Deadline-Ms`, 0 if missing.
     pub deadline_ms: u64,
     /// The value of `X-Target-Instance`.
@@ -77,6 +95,8 @@
     pub crashed_at: Option<Instant>,
     /// When the server responded with its rate limit.
     pub limit_named_at: Option<Instant>,
+    /// When the server responded with 503 and a pause, and how long it is.
+    pub pushed_back: Option<(Instant, Duration)>,
 }
 
 /// A fake backend server on a port of its own, which records the requests that it
@@ -101,6 +121,8 @@
     crash_downtime: Mutex<Duration>,
     /// The value of `Server-Limit` in responses, and since when it is sent.
     rate_limit: Mutex<Option<(String, Instant)>>,
+    /// Further header lines of responses, each with its line end.
+    headers: Mutex<String>,
     behaviour: Mutex<Behaviour>,
     received: Mutex<Vec<ReceivedRequest>>,
 }
@@ -124,6 +146,7 @@
             is_up: watch::Sender::new(true),
             crash_downtime: Mutex::new(CRASH_DOWNTIME),
             rate_limit: Mutex::default(),
+            headers: Mutex::default(),
             behaviour: Mutex::default(),
             received: Mutex::default(),
         });
@@ -153,6 +176,12 @@
         lock(&self.shared.rate_limit).clone()
     }
 
+    /// Adds header lines to all further responses of this run, those to misdirected requests
+    /// included.
+    pub fn set_headers(&self, lines: &[&str]) {
+        *lock(&self.shared.headers) = lines.iter().map(|line| format!("{line}\r\n")).collect();
+    }
+
     /// Ends the server as a crash does: without a response to any request.
     pub fn crash(&self) {
         self.shared.crash();
@@ -201,6 +230,7 @@
     fn crash(&self) {
         self.run.send_if_modified(|run| std::mem::replace(&mut run.is_up, false));
         *lock(&self.rate_limit) = None;
+        lock(&self.headers).clear();
         self.is_up.send_replace(false);
     }
 
@@ -227,27 +257,28 @@
 }
 
 async fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    while let Ok((stream, sender)) = listener.accept().await {
         let shared = Arc::clone(shared);
         tokio::spawn(async move {
             tokio::select! {
-                () = serve(stream, &shared) => {}
+                () = serve(stream, sender.ip(), &shared) => {}
                 () = shared.crashed() => {}
             }
         });
     }
 }
 
-async fn serve(mut stream: TcpStream, shared: &Shared) {
+async fn serve(mut stream: TcpStream, sender: IpAddr, shared: &Shared) {
     let mut bytes = Vec::new();
     let mut last_id = "none".to_owned();
     while let Some(mut received) = read(&mut stream, &mut bytes).await {
+        received.sender = sender;
         let is_for_another = received.target_backend != shared.id();
         let behaviour = match is_for_another {
             true => Behaviour::Misdirect,
             false => lock(&shared.behaviour).clone(),
         };
-        received.is_executed = !matches!(behaviour, Behaviour::Reject | Behaviour::Misdirect);
+        received.is_executed = !behaviour.is_rejection();
         let crashes =
             received.is_executed && received.method_and_path.contains(&format!("/{CRASH_SEGMENT}"));
         let is_late_crash = received.method_and_path.contains(&format!("/{LATE_CRASH_SEGMENT}"));
@@ -282,7 +313,15 @@
                 Behaviour::DropResponse | Behaviour::Misdirect | Behaviour::StaleResponse
             );
         lock(&shared.received)[index].limit_named_at = names_limit.then(Instant::now);
-        if !respond(&mut stream, &behaviour, &id, &last_id, limit.as_deref()).await {
+        if let Behaviour::PushBack(pause) = behaviour {
+            lock(&shared.received)[index].pushed_back = Some((Instant::now(), pause));
+        }
+        let mut headers = lock(&shared.headers).clone();
+        // Another server responds when it misdirects.
+        if let Some(limit) = limit.filter(|_| behaviour != Behaviour::Misdirect) {
+            headers += &format!("Server-Limit: {limit}\r\n");
+        }
+        if !respond(&mut stream, &behaviour, &id, &last_id, &headers).await {
             return;
         }
         last_id = id;
@@ -295,15 +334,17 @@
     behaviour: &Behaviour,
     id: &str,
     last_id: &str,
-    rate_limit: Option<&str>,
+    headers: &str,
 ) -> bool {
     let body = format!("answer to {id}");
     let success_for = |id: &str| success(id, Some(body.len()), &body);
     let text = match behaviour {
         Behaviour::Respond | Behaviour::Delay(_) => success_for(id),
-        Behaviour::Reject => "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\
-                              Content-Length: 0\r\n\r\n"
-            .to_owned(),
+        Behaviour::Reject => rejection(503, ""),
+        Behaviour::RejectWith(status) => rejection(*status, ""),
+        Behaviour::PushBack(pause) => {
+            rejection(503, &format!("Retry-After: {}\r\n", pause.as_secs_f64()))
+        }
         Behaviour::Misdirect => "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: other\r\n\
                                      Content-Length: 0\r\n\r\n"
             .to_owned(),
@@ -321,13 +362,7 @@
             body.len()
         ),
     };
-    let text = match rate_limit {
-        // Another server responds when it misdirects.
-        Some(limit) if *behaviour != Behaviour::Misdirect => {
-            text.replacen("\r\n", &format!("\r\nServer-Limit: {limit}\r\n"), 1)
-        }
-        _ => text,
-    };
+    let text = text.replacen("\r\n", &format!("\r\n{headers}"), 1);
     let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
     if *behaviour == Behaviour::CloseDelimitedReset {
         // Without the delay, the reset would discard bytes that were not yet read.
@@ -351,6 +386,10 @@
     let _ = stream.write_all(text.as_bytes()).await;
 }
 
+fn rejection(status: u16, headers: &str) -> String {
+    format!("HTTP/1.1 {status} Rejected\r\nX-Not-Executed: 1\r\n{headers}Content-Length: 0\r\n\r\n")
+}
+
 fn success(id: &str, length: Option<usize>, body: &str) -> String {
     let length = length.map_or_else(String::new, |length| format!("Content-Length: {length}\r\n"));
     format!(
@@ -383,6 +422,7 @@
     Some(ReceivedRequest {
         method_and_path: line.trim_end_matches(" HTTP/1.1").to_owned(),
         id: field("x-request-id").unwrap_or_default(),
+        sender: IpAddr::from([0, 0, 0, 0]),
         deadline_ms: field("x-deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(0),
         target_backend: field("x-target-instance").unwrap_or_default(),
         is_executed: false,
@@ -391,6 +431,7 @@
         cancelled_at: None,
         crashed_at: None,
         limit_named_at: None,
+        pushed_back: None,
     })
 }
 
