Send nothing to a backend server during the pause that it asked for

Callers got 503 after up to three sends to a server that had asked the instance for a pause, while other servers of the service had room.

Class: a refusal that names its own term was treated as a failure of unknown length.

A pause now excludes the server from every choice of this instance (first try, retry, grant, trial of a rate limit, cold start, forwarded and early started requests), and is looked at again when a connection is there, just before the request is written: what was chosen before the pause is sent to another server. It belongs to the run that asked for it: it lasts over changes, removal and return of the server's row and ends with a new run. It is neither health nor load: the server is no outlier afterwards.

If pauses alone leave no server, the request is refused at once with the time to the end of the first pause, code pushed-back.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -13,6 +13,7 @@
     rate_limit::{self, RateLimit},
     remote_load::RemoteLoad,
     shared_objects::SharedObjectDetector,
+    unregistered::UnregisteredServers,
 };
 use crate::{
     names::{BackendId, InstanceId, RegionName, ServiceName, ZoneName},
@@ -157,6 +158,7 @@
     config: Option<Arc<Config>>,
     evacuated: BTreeSet<ZoneName>,
     pub(super) pools: BTreeMap<ServiceName, ServicePool>,
+    unregistered: UnregisteredServers,
     remote_load: RemoteLoad,
     pub(super) shared_objects: SharedObjectDetector,
     next_handle: u64,
@@ -180,6 +182,7 @@
             config: None,
             evacuated: BTreeSet::new(),
             pools: BTreeMap::new(),
+            unregistered: UnregisteredServers::default(),
             remote_load: RemoteLoad::default(),
             shared_objects: SharedObjectDetector::default(),
             next_handle: 0,
@@ -219,7 +222,7 @@
             was_unreachable: false,
             run,
             rate_limit: RateLimit::new(stable_hash(&[instance, &run.0.to_string()])),
-            pushback: Pushback::default(),
+            pushback: self.unregistered.take(run),
             backend: Arc::new(backend),
         };
         let pool = self.pools.entry(state.backend.service.clone()).or_default();
@@ -231,9 +234,10 @@
     pub fn remove(&mut self, id: &str) -> bool {
         let mut was_known = false;
         for pool in self.pools.values_mut() {
-            let count = pool.backends.len();
-            pool.backends.retain(|state| state.backend.id.as_str() != id);
-            was_known |= pool.backends.len() < count;
+            for state in pool.backends.extract_if(.., |state| state.backend.id.as_str() == id) {
+                self.unregistered.add(state.run, state.pushback);
+                was_known = true;
+            }
         }
         was_known
     }
@@ -319,11 +323,14 @@
         service: &ServiceName,
         count: usize,
         random: u64,
+        now_ms: u64,
     ) -> Vec<(BackendHandle, SocketAddr)> {
         let states = self.pools.get(service).into_iter().flat_map(|pool| &pool.backends);
         let usable = states.filter(|state| !state.backend.is_draining && !state.is_evacuated);
         let mut sample: Vec<&BackendState> = usable.collect();
-        sample.sort_by_key(|state| state.hash(random));
+        // A new connection may take a slot, so paused servers come last.
+        let is_paused = |state: &BackendState| state.pushback.remaining_ms(now_ms).is_some();
+        sample.sort_by_key(|state| (is_paused(state), state.hash(random)));
         sample.iter().take(count).map(|state| (state.handle, state.backend.addr)).collect()
     }
 
@@ -403,7 +410,8 @@
         }
     }
 
-    /// Records that a server has asked this instance for a pause.
+    /// Records that a server has asked this instance for a pause of `pause_ms`. Until its end the
+    /// server is not chosen, and then by one request at first.
     pub fn record_pushback(&mut self, handle: BackendHandle, pause_ms: u64, now_ms: u64) {
         if let Some(state) = self.backend_state_mut(handle) {
             state.pushback.record(pause_ms, now_ms);
@@ -432,6 +440,7 @@
         let Some(state) = backends.find(|state| state.handle == handle) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         state.health.record(outcome, now_ms);
+        state.pushback.record_outcome(outcome);
         if state.health.was_unreachable() {
             state.was_unreachable = true;
         } else if state.was_unreachable {
--- a/crates/azuregate-core/src/balance/choice.rs
+++ b/crates/azuregate-core/src/balance/choice.rs
@@ -13,8 +13,8 @@
     topology::Distance,
 };
 
-/// Number of servers with rate limits that the explanation of a refusal names.
-const MAX_EXPLAINED_LIMITS: usize = 2;
+/// Number of servers with rate limits, and of paused ones, that the explanation of a refusal names.
+const MAX_EXPLAINED_SERVERS: usize = 2;
 
 /// Returns the affinity hash of an object as requested through `route`.
 ///
@@ -78,6 +78,13 @@
     pub limited: Vec<(BackendId, f64)>,
     /// Number of these servers.
     pub limited_servers: usize,
+    /// The servers that are not eligible only because they have asked for a pause, with the time in
+    /// milliseconds until they may get a request; a few of them at most.
+    pub paused: Vec<(BackendId, u64)>,
+    /// Number of these servers.
+    pub paused_servers: usize,
+    /// The shortest of these times.
+    pub pause_ms: Option<u64>,
     /// Age of the oldest load report in use.
     pub oldest_report_age_ms: u64,
 }
@@ -87,6 +94,12 @@
     pub fn is_rate_limited(&self) -> bool {
         self.eligible_servers == 0 && self.limited_servers > 0
     }
+
+    /// Returns the time in milliseconds until a server may get a request, if the request was refused
+    /// because of pauses alone.
+    pub fn refusing_pause_ms(&self) -> Option<u64> {
+        self.pause_ms.filter(|_| self.eligible_servers == 0 && self.limited_servers == 0)
+    }
 }
 
 impl fmt::Display for Explanation {
@@ -101,6 +114,12 @@
         for (id, limit_per_s) in &self.limited {
             write!(f, " {id}:{limit_per_s}/s")?;
         }
+        if self.paused_servers > 0 {
+            write!(f, " paused:{}", self.paused_servers)?;
+        }
+        for (id, pause_ms) in &self.paused {
+            write!(f, " {id}:{pause_ms}ms")?;
+        }
         Ok(())
     }
 }
@@ -125,10 +144,16 @@
         });
         let limited = self
             .limited_states(query, now_ms)
-            .take(MAX_EXPLAINED_LIMITS)
+            .take(MAX_EXPLAINED_SERVERS)
             .filter_map(|state| Some((state.backend.id.clone(), state.rate_limit.limit_per_s()?)));
+        let mut paused: Vec<(&BackendState, u64)> = self.paused_states(query, now_ms).collect();
+        paused.sort_by_key(|(_, pause_ms)| *pause_ms);
+        let paused_ids = paused.iter().map(|(state, ms)| (state.backend.id.clone(), *ms));
         Explanation {
             eligible_servers: decision.eligible_servers,
+            paused: paused_ids.take(MAX_EXPLAINED_SERVERS).collect(),
+            paused_servers: paused.len(),
+            pause_ms: paused.first().map(|(_, pause_ms)| *pause_ms),
             servers: servers.collect(),
             limited: limited.collect(),
             limited_servers: self.limited_states(query, now_ms).count(),
@@ -149,6 +174,19 @@
         })
     }
 
+    /// Returns the servers that only pauses exclude, and the time until they may get a request.
+    fn paused_states(
+        &self,
+        query: &BackendQuery<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&BackendState, u64)> {
+        let states = self.pools.get(query.service).into_iter().flat_map(|pool| &pool.backends);
+        let paused = states.map(move |state| (state, state.pushback.wait_ms(now_ms)));
+        paused.filter(move |(state, wait_ms)| {
+            *wait_ms > 0 && is_usable(&self.settings, state, query, now_ms)
+        })
+    }
+
     /// Returns whether a server may get a request, apart from its rate limit.
     pub(super) fn is_eligible(
         &self,
@@ -180,6 +218,16 @@
     state: &BackendState,
     query: &BackendQuery<'_>,
     now_ms: u64,
+) -> bool {
+    state.pushback.wait_ms(now_ms) == 0 && is_usable(settings, state, query, now_ms)
+}
+
+/// Returns whether a server may get a request, apart from its rate limit and from pauses.
+fn is_usable(
+    settings: &Settings,
+    state: &BackendState,
+    query: &BackendQuery<'_>,
+    now_ms: u64,
 ) -> bool {
     !state.backend.is_draining
         && !state.is_evacuated
@@ -199,6 +247,7 @@
     pub(super) fn start_request(&mut self, now_ms: u64) -> Choice {
         let in_flight = self.total_in_flight();
         self.in_flight += 1;
+        self.pushback.record_sent(now_ms);
         if self.is_cold(now_ms) {
             self.cold_start_budget.record_sent(now_ms);
         }
--- a/crates/azuregate-core/src/balance/health.rs
+++ b/crates/azuregate-core/src/balance/health.rs
@@ -35,6 +35,8 @@
     Failed,
     /// The server rejected the request without running it.
     Rejected,
+    /// The same, and it asked for a pause. That says how much it takes, not how well it works.
+    PushedBack,
     /// No connection could be established.
     Unreachable,
     /// The connection broke after the request was sent and before the response.
@@ -155,7 +157,7 @@
                     self.back_off(now_ms);
                 }
             }
-            Outcome::Cancelled => {}
+            Outcome::PushedBack | Outcome::Cancelled => {}
         }
     }
 
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -19,6 +19,8 @@
 * [`Reachability`] tells an instance that is cut off from backend servers from servers that are
   down; [`Members`] chooses the instance that sends its requests meanwhile.
 * [`Quarantine`] recognizes requests that crash backend servers.
+* A server that asks for a pause gets no requests from this instance until its end; see
+  [`Balancer::record_pushback`].
 * [`RetryReason`] determines the retry delay of refused clients.
 */
 
@@ -41,6 +43,7 @@
 mod retry_budget;
 mod share;
 mod shared_objects;
+mod unregistered;
 mod weighted_round_robin;
 
 pub use backends::{Backend, BackendHandle, Balancer, Settings};
@@ -63,6 +66,6 @@
 pub use reachability::{Reachability, ReachabilityReport};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
-pub use retry_after::RetryReason;
+pub use retry_after::{RetryReason, retry_after_pause_ms};
 pub use retry_budget::{RetryBudgets, RetryLimits};
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/azuregate-core/src/balance/retry_after.rs
+++ b/crates/azuregate-core/src/balance/retry_after.rs
@@ -13,6 +13,13 @@
     RateLimited,
 }
 
+/// Returns the range in milliseconds from which the retry delay of a client is drawn that is refused
+/// since all servers pause, the first of them for another `pause_ms`. It begins at the end of that
+/// pause, and is wide enough that the clients of a long pause do not all return together.
+pub fn retry_after_pause_ms(pause_ms: u64) -> RangeInclusive<u64> {
+    pause_ms..=pause_ms + pause_ms / 4 + 100
+}
+
 impl RetryReason {
     /// Returns the range in milliseconds from which a client's retry delay is drawn. The
     /// delays vary so that refused clients do not retry in lockstep.
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -14,6 +14,7 @@
 mod members;
 mod missing_backends;
 mod overload;
+mod pushbacks;
 mod quarantine;
 mod quarantine_simulation;
 mod rate_limit_ways;
--- a/crates/azuregate-core/tests/balance/reachability.rs
+++ b/crates/azuregate-core/tests/balance/reachability.rs
@@ -14,7 +14,7 @@
 
 fn handles(count: usize) -> Vec<BackendHandle> {
     let balancer = balancer(0, 9, SERVERS);
-    let sample = balancer.sample_servers(&service(), count, 7);
+    let sample = balancer.sample_servers(&service(), count, 7, 0);
     sample.into_iter().map(|(handle, _)| handle).collect()
 }
 
@@ -212,7 +212,7 @@
     let mut balancer = balancer(0, 9, 2);
     let draining = Backend { is_draining: true, ..backend(0) };
     balancer.put(draining, &members(0, 9), 0);
-    assert_eq!(balancer.sample_servers(&service(), 6, 7).len(), 1);
+    assert_eq!(balancer.sample_servers(&service(), 6, 7, 0).len(), 1);
 }
 
 /// Guards against reports that do not fit into a datagram or cannot be read.
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -94,6 +94,10 @@
     ClosedBeforeSend,
     /// The server rejected the request.
     Rejected,
+    /// The same, and it asked for a pause.
+    PushedBack,
+    /// Nothing was sent, since the server had asked for a pause meanwhile.
+    Withheld,
     /// The address now belongs to a different server.
     WrongServer,
 }
@@ -102,8 +106,10 @@
     /// Returns whether the request has reached a server.
     pub(super) fn has_arrived(self) -> bool {
         match self {
-            NotExecuted::Unreachable | NotExecuted::ClosedBeforeSend => false,
-            NotExecuted::Rejected | NotExecuted::WrongServer => true,
+            NotExecuted::Unreachable | NotExecuted::ClosedBeforeSend | NotExecuted::Withheld => {
+                false
+            }
+            NotExecuted::Rejected | NotExecuted::PushedBack | NotExecuted::WrongServer => true,
         }
     }
 
@@ -113,6 +119,8 @@
             NotExecuted::Unreachable => "unreachable",
             NotExecuted::ClosedBeforeSend => "closed",
             NotExecuted::Rejected => "rejected",
+            NotExecuted::PushedBack => "pushed back",
+            NotExecuted::Withheld => "withheld",
             NotExecuted::WrongServer => "another server",
         }
     }
@@ -149,7 +157,10 @@
         };
         let is_reused = connection.is_reused;
         let connection = in_flight.connection.insert(connection);
-        pushback::record_send(state, choice, &outgoing.headers, sent_at);
+        if pushback::is_withheld(state, choice) {
+            in_flight.release_connection();
+            return AttemptResult::NotExecuted(NotExecuted::Withheld);
+        }
         match send_on_connection(connection, choice, outgoing, remaining_ms).await {
             Ok(head) => {
                 if !is_reused {
@@ -237,23 +248,27 @@
         return AttemptResult::Unknown("answer to another request");
     }
     let is_misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
+    let mut has_pushed_back = false;
     if !is_misdirected {
         rate_limits::record_response(state, choice, &head, in_flight.sent_at_ms());
-        pushback::record_response(state, choice, head.status(), head.headers());
+        has_pushed_back = pushback::record_response(state, choice, head.status(), head.headers());
     }
     if is_rejected {
         if is_misdirected {
             crash_detection::record_end(state, choice.handle);
             state.balancer.borrow_mut().set_draining(choice.handle);
         }
-        in_flight.set_outcome(Outcome::Rejected);
+        in_flight.set_outcome(match has_pushed_back {
+            true => Outcome::PushedBack,
+            false => Outcome::Rejected,
+        });
         if head.into_body().collect().await.is_ok() {
             in_flight.release_connection();
         }
-        return AttemptResult::NotExecuted(if is_misdirected {
-            NotExecuted::WrongServer
-        } else {
-            NotExecuted::Rejected
+        return AttemptResult::NotExecuted(match (is_misdirected, has_pushed_back) {
+            (true, _) => NotExecuted::WrongServer,
+            (false, true) => NotExecuted::PushedBack,
+            (false, false) => NotExecuted::Rejected,
         });
     }
     if head.status().is_success() && !is_valid_success(head.headers()) {
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -25,8 +25,8 @@
     pub(super) failed_connects: Cell<u64>,
     /// Responses in which a backend server asked for a pause.
     pub(super) pushbacks: Cell<u64>,
-    /// Requests sent to backend servers that had asked for a pause.
-    pub(super) requests_during_pauses: Cell<u64>,
+    /// Requests that were not sent, since the backend server had asked for a pause after it was chosen.
+    pub(super) withheld: Cell<u64>,
     /// Requests sent to other instances, since no backend server was reachable.
     pub(super) forwarded: Cell<u64>,
     /// Requests that other instances sent on the account of this one's parts of rate limits.
@@ -162,8 +162,7 @@
             line(format_args!("azuregate_backend_connects_total{{{labels}}} {}", count.get()));
         }
         line(format_args!("azuregate_backend_pushbacks_total {}", self.pushbacks.get()));
-        let during_pauses = self.requests_during_pauses.get();
-        line(format_args!("azuregate_requests_during_pauses_total {during_pauses}"));
+        line(format_args!("azuregate_withheld_requests_total {}", self.withheld.get()));
         line(format_args!("azuregate_rate_limit_grants_total {}", self.grants.get()));
         if let Some(version) = gauges.config_version {
             line(format_args!("azuregate_config_version {version}"));
--- a/crates/azuregate/src/serve/pushback.rs
+++ b/crates/azuregate/src/serve/pushback.rs
@@ -1,7 +1,5 @@
 //! Reads the pauses that backend servers ask for.
 
-use std::time::Instant;
-
 use azuregate_core::balance::Choice;
 use azuregate_platform::request;
 use hyper::{
@@ -45,13 +43,10 @@
     pause_ms
 }
 
-/// Records a request that is about to be sent to a server that was chosen at `chosen_at`.
-pub(super) fn record_send(state: &State, choice: &Choice, headers: &HeaderMap, chosen_at: Instant) {
-    let Some(pause_ms) = state.balancer.borrow().pause_ms(choice.handle, state.now_ms()) else {
-        return;
-    };
-    metrics::inc_by(&state.metrics.requests_during_pauses, 1);
-    let id = headers.get(request::REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or_default();
-    let waited_ms = u64::try_from(chosen_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-    log::warn!(id = id, backend:% = choice.backend.id, run:? = choice.backend.start_epoch_ms, pause_ms = pause_ms, waited_ms = waited_ms; "request sent during a pause");
+/// Returns whether a request must not be sent, since the server has asked for a pause after it was
+/// chosen.
+pub(super) fn is_withheld(state: &State, choice: &Choice) -> bool {
+    let pause_ms = state.balancer.borrow().pause_ms(choice.handle, state.now_ms());
+    metrics::inc_by(&state.metrics.withheld, u64::from(pause_ms.is_some()));
+    pause_ms.is_some()
 }
--- a/crates/azuregate/src/serve/reachability.rs
+++ b/crates/azuregate/src/serve/reachability.rs
@@ -54,7 +54,8 @@
     let mut ticks = state.timer.subscribe(RECHECK_INTERVAL_MS);
     let mut count = CHECKED_SERVERS;
     loop {
-        let servers = state.balancer.borrow().sample_servers(&service, count, fastrand::u64(..));
+        let (random, now_ms) = (fastrand::u64(..), state.now_ms());
+        let servers = state.balancer.borrow().sample_servers(&service, count, random, now_ms);
         let is_reachable = servers.is_empty() || any_accepts(&state, &servers).await;
         record_check(&state, &service, is_reachable);
         if is_reachable || ticks.recv().await.is_none() {
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -370,12 +370,13 @@
                 self.log_retry(log_entry);
             }
             attempts.tried.push(choice.handle);
-            attempts.sends += 1;
             attempts.is_in_flight = true;
             // The choice may have taken time.
             let remaining_ms = self.remaining_ms();
             let result = attempt::send(self.state, &choice, &self.outgoing, remaining_ms).await;
             attempts.is_in_flight = false;
+            let is_withheld = matches!(result, AttemptResult::NotExecuted(NotExecuted::Withheld));
+            attempts.sends += u32::from(!is_withheld);
             let limit_per_s = self.state.balancer.borrow().rate_limit(choice.handle);
             log_entry.limit_per_s = limit_per_s.map_or_else(String::new, |limit| limit.to_string());
             match result {
@@ -392,7 +393,7 @@
                 AttemptResult::NotExecuted(cause) => {
                     attempts.possible_arrivals += u32::from(cause.has_arrived());
                     log_entry.record_failure(cause.as_str());
-                    if cause == NotExecuted::Rejected && choice.had_free_slot() {
+                    if may_send_again(cause, &choice) {
                         attempts.tried.pop();
                     }
                 }
@@ -409,7 +410,11 @@
         match failure {
             Some(response) => Ok(self.mask_unsigned_rejection(response)),
             None if attempts.sends == 0 => Err(refusal),
-            None => Err(attempts.attempts_exhausted(RequestError::Rejected)),
+            None => {
+                let is_paused = matches!(refusal, RequestError::PushedBack { .. });
+                let error = if is_paused { refusal } else { RequestError::Rejected };
+                Err(attempts.attempts_exhausted(error))
+            }
         }
     }
 
@@ -547,9 +552,10 @@
             }
             let explanation = balancer.explain(&query, now_ms);
             log_entry.basis = explanation.to_string();
-            match explanation.is_rate_limited() {
-                true => RequestError::RateLimited,
-                false => RequestError::NoCapacity,
+            match explanation.refusing_pause_ms() {
+                Some(pause_ms) => RequestError::PushedBack { pause_ms },
+                None if explanation.is_rate_limited() => RequestError::RateLimited,
+                None => RequestError::NoCapacity,
             }
         };
         self.choose_granted(&query, log_entry).await.ok_or(refusal)
@@ -601,3 +607,15 @@
         response
     }
 }
+
+/// Returns whether the request may be sent to a server again that did not execute it.
+fn may_send_again(cause: NotExecuted, choice: &Choice) -> bool {
+    match cause {
+        NotExecuted::Rejected => choice.had_free_slot(),
+        // When its pause is over.
+        NotExecuted::PushedBack | NotExecuted::Withheld => true,
+        NotExecuted::Unreachable | NotExecuted::ClosedBeforeSend | NotExecuted::WrongServer => {
+            false
+        }
+    }
+}
--- a/crates/azuregate/src/serve/response.rs
+++ b/crates/azuregate/src/serve/response.rs
@@ -1,6 +1,6 @@
 //! Locally generated responses, and filtering of forwarded headers.
 
-use azuregate_core::balance::RetryReason;
+use azuregate_core::balance::{RetryReason, retry_after_pause_ms};
 use azuregate_platform::request;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -31,6 +31,11 @@
     NoCapacity,
     /// The rate limits of all backend servers that may serve it are used up; it was not executed.
     RateLimited,
+    /// All backend servers that may serve it have asked for a pause; it was not executed.
+    PushedBack {
+        /// Time until the first of them may get a request.
+        pause_ms: u64,
+    },
     /// This instance reaches no backend server, and no other instance takes the request; it was
     /// not executed.
     Unreachable,
@@ -60,6 +65,7 @@
             RequestError::BodyIncomplete => "body-broken",
             RequestError::NoCapacity => "no-room",
             RequestError::RateLimited => "rate-limited",
+            RequestError::PushedBack { .. } => "pushed-back",
             RequestError::Unreachable => "unreachable",
             RequestError::Rejected => "rejected",
             RequestError::Quarantined { .. } => "quarantined",
@@ -80,6 +86,9 @@
             RequestError::RateLimited => {
                 Some(fastrand::u64(RetryReason::RateLimited.retry_after_ms()))
             }
+            RequestError::PushedBack { pause_ms } => {
+                Some(fastrand::u64(retry_after_pause_ms(pause_ms)))
+            }
             RequestError::Quarantined { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
@@ -92,6 +101,7 @@
             | RequestError::StoreContactLost
             | RequestError::NoCapacity
             | RequestError::RateLimited
+            | RequestError::PushedBack { .. }
             | RequestError::Unreachable
             | RequestError::Rejected
             | RequestError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
