Weigh ways to keep the pauses that servers ask for

A simulation of 9 instances and 24 servers, of which none, one, half or all reject all requests for eight seconds and ask for pauses of three: requests on time, sent and rejected in each way. It fails if keeping the pauses serves fewer in time than ignoring them while others have room, or if servers get a third or more of the rejected sends.

--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -14,6 +14,7 @@
 mod members;
 mod missing_backends;
 mod overload;
+mod paused_load;
 mod pushbacks;
 mod quarantine;
 mod quarantine_simulation;
--- a/crates/azuregate-core/tests/balance/simulation.rs
+++ b/crates/azuregate-core/tests/balance/simulation.rs
@@ -1,7 +1,7 @@
 //! Discrete-time simulation of balancers and backend servers with caches.
 //!
 //! A server has slots, a queue and an LRU cache of objects; a request for a cached object takes
-//! less time. Refused requests are retried once.
+//! less time. Clients send refused requests again.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -11,7 +11,7 @@
 use azuregate_core::{
     balance::{
         Backend, BackendHandle, BackendQuery, Balancer, Choice, HeartbeatStatus,
-        LoadBalancingPolicy, Members, Outcome, RateLimitObservation,
+        LoadBalancingPolicy, Members, Outcome, RateLimitObservation, retry_after_pause_ms,
     },
     names::StartNumber,
 };
@@ -55,10 +55,13 @@
     pub(crate) cache_insertion: CacheInsertion,
     /// Range of the delay before a refused request is retried.
     pub(crate) retry_after_ms: RangeInclusive<u64>,
+    /// How many times a client sends a refused request again.
+    pub(crate) client_retries: u32,
     /// Probability, by time, that a server rejects a request although it is not full.
     pub(crate) rejection_rate: fn(u64) -> f64,
     /// Number of servers that name a rate limit, and the limit in requests per second.
     pub(crate) limited: (usize, f64),
+    pub(crate) pausing: Option<Pausing>,
     /// Maximum number of servers that a request is sent to before it is refused.
     pub(crate) max_attempts: u32,
     /// Whether a server that rejected a request may get it again.
@@ -73,6 +76,32 @@
     pub(crate) policy: fn() -> Box<dyn LoadBalancingPolicy>,
 }
 
+/// Servers that reject all requests for a time and ask for pauses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pausing {
+    /// Number of these servers.
+    pub(crate) servers: usize,
+    pub(crate) from_ms: u64,
+    pub(crate) to_ms: u64,
+    pub(crate) pause_ms: u64,
+    pub(crate) way: PauseWay,
+}
+
+/// What instances do with the pauses that servers ask for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PauseWay {
+    /// Nothing: a rejection is a failure.
+    Ignored,
+    /// The instance that is asked sends nothing until the end. Clients that are refused are told it.
+    Kept,
+    /// The same, but clients are told to come back soon.
+    KeptWithShortRetryDelay,
+    /// The same as `Kept`, but what one instance is asked binds all.
+    ToldToAll,
+    /// The same as `Kept`, but a request that is refused is sent through another instance.
+    Forwarded,
+}
+
 /// Results of the requests that arrived in one second.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SecondStats {
@@ -81,6 +110,8 @@
     /// Requests that were sent to a server of their instance's region.
     pub(crate) in_region: u32,
     pub(crate) sent: u32,
+    /// Sends of these requests that servers which ask for pauses rejected.
+    pub(crate) rejected: u32,
 }
 
 /// Returns the share of requests that met their latency target.
@@ -112,7 +143,7 @@
     object: u64,
     instance: usize,
     arrived_at_ms: u64,
-    is_retry: bool,
+    retries_left: u32,
 }
 
 #[derive(Clone)]
@@ -294,7 +325,8 @@
         let instance = self.random.usize(..self.scenario.instances);
         let object = self.random.u64(..self.scenario.classes[class].objects);
         let instance = self.nearby_instance(object, instance);
-        Request { class, object, instance, arrived_at_ms: now_ms, is_retry: false }
+        let retries_left = self.scenario.client_retries;
+        Request { class, object, instance, arrived_at_ms: now_ms, retries_left }
     }
 
     fn pick_class(&mut self) -> usize {
@@ -330,7 +362,9 @@
     }
 
     fn send(&mut self, request: Request, now_ms: u64) {
-        let Some(choice) = self.choose(&request, now_ms) else {
+        let choice =
+            self.choose(&request, now_ms).or_else(|| self.choose_elsewhere(request, now_ms));
+        let Some((request, choice)) = choice else {
             return self.schedule_retry(request, now_ms);
         };
         let server = self.servers.get_mut(choice.backend.id.as_str()).unwrap();
@@ -344,7 +378,7 @@
     }
 
     /// Chooses a server that accepts the request, within the scenario's attempts.
-    fn choose(&mut self, request: &Request, now_ms: u64) -> Option<Choice> {
+    fn choose(&mut self, request: &Request, now_ms: u64) -> Option<(Request, Choice)> {
         let service = service();
         let class = &self.scenario.classes[request.class];
         let hash = (self.scenario.hash)(class, request.object);
@@ -356,8 +390,14 @@
                 Some(choice) => choice,
                 None => self.choose_granted(request.instance, &backend_query, now_ms)?,
             };
-            if self.is_accepted(&choice, now_ms) {
-                return Some(choice);
+            let is_pausing = self.is_pausing(&choice, now_ms);
+            self.second_stats(request).rejected += u32::from(is_pausing);
+            if !is_pausing && self.is_accepted(&choice, now_ms) {
+                return Some((*request, choice));
+            }
+            if is_pausing && self.keeps_pauses() {
+                self.push_back(request.instance, &choice, now_ms);
+                continue;
             }
             self.balancers[request.instance].complete(choice.handle, Outcome::Rejected, now_ms);
             if !(self.scenario.may_retry_same_backend)(&choice) {
@@ -374,9 +414,64 @@
             && (rejection_rate == 0.0 || self.random.f64() >= rejection_rate)
     }
 
+    /// Returns whether the server that was chosen rejects all requests and asks for a pause.
+    fn is_pausing(&self, choice: &Choice, now_ms: u64) -> bool {
+        let Some(pausing) = self.scenario.pausing else { return false };
+        let mut servers = self.scenario.servers.iter().take(pausing.servers);
+        (pausing.from_ms..pausing.to_ms).contains(&now_ms)
+            && servers.any(|server| server.id == choice.backend.id)
+    }
+
+    fn keeps_pauses(&self) -> bool {
+        self.scenario.pausing.is_some_and(|pausing| pausing.way != PauseWay::Ignored)
+    }
+
+    /// Lets a server that has rejected a request ask for a pause.
+    fn push_back(&mut self, local: usize, choice: &Choice, now_ms: u64) {
+        let Some(pausing) = self.scenario.pausing else { return };
+        for (number, balancer) in self.balancers.iter_mut().enumerate() {
+            if number == local || pausing.way == PauseWay::ToldToAll {
+                balancer.record_pushback(choice.handle, pausing.pause_ms, now_ms);
+            }
+        }
+        self.balancers[local].complete(choice.handle, Outcome::PushedBack, now_ms);
+    }
+
+    /// Returns the time until a server may get the request, if only pauses keep it from all.
+    fn refusing_pause_ms(&mut self, request: &Request, now_ms: u64) -> Option<u64> {
+        let service = service();
+        let hash = (self.scenario.hash)(&self.scenario.classes[request.class], request.object);
+        let balancer = &mut self.balancers[request.instance];
+        balancer.explain(&query(&service, hash), now_ms).refusing_pause_ms()
+    }
+
+    /// Chooses a server through another instance, if pauses keep the request from all.
+    fn choose_elsewhere(&mut self, request: Request, now_ms: u64) -> Option<(Request, Choice)> {
+        let is_forwarded = self.scenario.pausing.is_some_and(|p| p.way == PauseWay::Forwarded);
+        if !is_forwarded || self.refusing_pause_ms(&request, now_ms).is_none() {
+            return None;
+        }
+        let instance = self.random_instance(request.object);
+        self.choose(&Request { instance, ..request }, now_ms)
+    }
+
     fn schedule_retry(&mut self, request: Request, now_ms: u64) {
-        if !request.is_retry {
-            let request = Request { is_retry: true, ..request };
+        if request.retries_left > 0 {
+            let is_told = self.keeps_pauses()
+                && self
+                    .scenario
+                    .pausing
+                    .is_some_and(|p| p.way != PauseWay::KeptWithShortRetryDelay);
+            let pause_ms = self.refusing_pause_ms(&request, now_ms).filter(|_| is_told);
+            let request = Request { retries_left: request.retries_left - 1, ..request };
+            if let Some(pause_ms) = pause_ms {
+                // Clients wait for a third of the time that they have left at most.
+                let deadline_ms =
+                    request.arrived_at_ms + self.scenario.classes[request.class].deadline_ms;
+                let max_ms = deadline_ms.saturating_sub(now_ms) / 3;
+                let delay_ms = self.random.u64(retry_after_pause_ms(pause_ms)).min(max_ms);
+                return self.pending_retries.push((now_ms + delay_ms, request));
+            }
             let retry_after_ms = &self.scenario.retry_after_ms;
             let retry_after_ms = match retry_after_ms.start() == retry_after_ms.end() {
                 true => *retry_after_ms.start(),
