--- a/crates/azuregate/tests/serve/pauses.rs
+++ b/crates/azuregate/tests/serve/pauses.rs
@@ -1,8 +1,6 @@
 //! Backend servers that ask instances for a pause.
 
 use std::{
-    io,
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -10,13 +8,13 @@
     time::{Duration, Instant},
 };
 
-use async_trait::async_trait;
-use azuregate::serve::{Connector, TcpConnector};
+use azuregate::serve::TcpConnector;
 use azuregate_platform::fakes::{Behaviour, FakeBackend, ReceivedRequest, backend_row};
-use tokio::{net::TcpStream, time};
+use tokio::time;
 
-use crate::cluster::{
-    Client, Instance, SERVICE, TestCluster, eventually, get, get_request, post_request,
+use crate::{
+    cluster::{Client, Instance, SERVICE, TestCluster, eventually, get, get_request, post_request},
+    connectors::{CutConnector, SlowConnector},
 };
 
 const SERVERS: usize = 4;
@@ -120,20 +118,6 @@
     }
 }
 
-/// Opens connections after a delay.
-struct SlowConnector {
-    connector: TcpConnector,
-    delay: Duration,
-}
-
-#[async_trait]
-impl Connector for SlowConnector {
-    async fn connect(&self, addr: SocketAddr) -> io::Result<TcpStream> {
-        time::sleep(self.delay).await;
-        self.connector.connect(addr).await
-    }
-}
-
 /// Guards against requests that wait for a connection and are sent to a server that has asked for a
 /// pause meanwhile.
 #[tokio::test]
@@ -270,23 +254,6 @@
     assert!(statuses.iter().all(|&status| status == 200), "{statuses:?}");
 }
 
-/// Connects to instances only, or to everything.
-#[derive(Clone)]
-struct CutConnector {
-    connector: TcpConnector,
-    is_cut: Arc<AtomicBool>,
-}
-
-#[async_trait]
-impl Connector for CutConnector {
-    async fn connect(&self, addr: SocketAddr) -> io::Result<TcpStream> {
-        match self.is_cut.load(Ordering::Relaxed) {
-            true => Err(io::ErrorKind::ConnectionRefused.into()),
-            false => self.connector.connect(addr).await,
-        }
-    }
-}
-
 /// Guards against sending forwarded requests during the pause of the instance that sends them, and
 /// against taking that instance's 503 for the word of a server.
 #[tokio::test]
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -19,6 +22,8 @@
 /// With this segment, it sends a part of a long response before.
 const LATE_CRASH_SEGMENT: &str = "crash-late";
 const PARTIAL_RESPONSE_BYTES: usize = 100_000;
+/// Longer than what an instance buffers of a response.
+const LONG_RESPONSE_BYTES: usize = 400_000;
 /// Time from a crash to the next start, unless the test sets another one.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 /// Time for which a server executes a request that crashes it.
@@ -54,6 +59,8 @@
     CloseDelimited,
     /// Sends a body without `Content-Length` and resets the connection.
     CloseDelimitedReset,
+    /// Sends a long response, its second half after this delay.
+    Stream(Duration),
     /// Responds with success but without `X-Response-Signature`.
     Unsigned,
 }
@@ -97,6 +104,8 @@
     pub limit_named_at: Option<Instant>,
     /// When the server responded with 503 and a pause, and how long it is.
     pub pushed_back: Option<(Instant, Duration)>,
+    /// When the server responded and said that it is leaving.
+    pub leaving_said_at: Option<Instant>,
 }
 
 /// A fake backend server on a port of its own, which records the requests that it
@@ -123,6 +132,7 @@
     rate_limit: Mutex<Option<(String, Instant)>>,
     /// Further header lines of responses, each with its line end.
     headers: Mutex<String>,
+    connections: AtomicUsize,
     behaviour: Mutex<Behaviour>,
     received: Mutex<Vec<ReceivedRequest>>,
 }
@@ -147,6 +157,7 @@
             crash_downtime: Mutex::new(CRASH_DOWNTIME),
             rate_limit: Mutex::default(),
             headers: Mutex::default(),
+            connections: AtomicUsize::new(0),
             behaviour: Mutex::default(),
             received: Mutex::default(),
         });
@@ -182,6 +193,11 @@
         *lock(&self.shared.headers) = lines.iter().map(|line| format!("{line}\r\n")).collect();
     }
 
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
     /// Ends the server as a crash does: without a response to any request.
     pub fn crash(&self) {
         self.shared.crash();
@@ -260,10 +276,12 @@
     while let Ok((stream, sender)) = listener.accept().await {
         let shared = Arc::clone(shared);
         tokio::spawn(async move {
+            shared.connections.fetch_add(1, Ordering::Relaxed);
             tokio::select! {
                 () = serve(stream, sender.ip(), &shared) => {}
                 () = shared.crashed() => {}
             }
+            shared.connections.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
@@ -321,6 +339,9 @@
         if let Some(limit) = limit.filter(|_| behaviour != Behaviour::Misdirect) {
             headers += &format!("Server-Limit: {limit}\r\n");
         }
+        if headers.contains("Server-Leaving: 1") {
+            lock(&shared.received)[index].leaving_said_at = Some(Instant::now());
+        }
         if !respond(&mut stream, &behaviour, &id, &last_id, &headers).await {
             return;
         }
@@ -336,10 +357,13 @@
     last_id: &str,
     headers: &str,
 ) -> bool {
-    let body = format!("answer to {id}");
+    let body = match behaviour {
+        Behaviour::Stream(_) => "x".repeat(LONG_RESPONSE_BYTES),
+        _ => format!("answer to {id}"),
+    };
     let success_for = |id: &str| success(id, Some(body.len()), &body);
     let text = match behaviour {
-        Behaviour::Respond | Behaviour::Delay(_) => success_for(id),
+        Behaviour::Respond | Behaviour::Delay(_) | Behaviour::Stream(_) => success_for(id),
         Behaviour::Reject => rejection(503, ""),
         Behaviour::RejectWith(status) => rejection(*status, ""),
         Behaviour::PushBack(pause) => {
@@ -363,7 +387,16 @@
         ),
     };
     let text = text.replacen("\r\n", &format!("\r\n{headers}"), 1);
-    let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
+    let mut text = text.as_bytes();
+    if let Behaviour::Stream(delay) = behaviour {
+        let (first, rest) = text.split_at(text.len() / 2);
+        if stream.write_all(first).await.is_err() {
+            return false;
+        }
+        time::sleep(*delay).await;
+        text = rest;
+    }
+    let is_sent = stream.write_all(text).await.is_ok();
     if *behaviour == Behaviour::CloseDelimitedReset {
         // Without the delay, the reset would discard bytes that were not yet read.
         time::sleep(Duration::from_millis(50)).await;
@@ -432,6 +465,7 @@
         crashed_at: None,
         limit_named_at: None,
         pushed_back: None,
+        leaving_said_at: None,
     })
 }
 
