Send nothing new to a backend server that says it is leaving

What callers would see: requests that go to a server which has said in its responses that it is leaving, and that break when it ends; the instance learnt of it from the store alone, seconds late or, without the store, never. Cause: nothing read the header. Class: what a server says of itself counted for less than a later copy of it.

A response of any kind with Server-Leaving: 1, read from its head, excludes the server for this instance until another run of it is registered. Changes, removal and return of its row do not undo that. Requests that wait for a connection are sent elsewhere; idle connections are closed, those in use when their requests end. Its end is no crash. An instance that passes on such a response for a forwarded request is told the run with it, since it must not send to that server itself when its links are back.

Other instances are told, three times by the first that learns of it, and prefer any other server for ten seconds: the store's news may be seconds late, but one wrong response must not take a server, or all of them, away from everybody. At the instance that got it, a wrong response costs the server until its next run.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -9,11 +9,11 @@
 use super::{
     BackendRun, Baseline, Candidate, ColdStartBudget, Config, Health, InFlightCount,
     LoadBalancingPolicy, Members, ObjectAffinity, Outcome,
-    pushback::Pushback,
+    leaving::PendingReports,
     rate_limit::{self, RateLimit},
     remote_load::RemoteLoad,
     shared_objects::SharedObjectDetector,
-    unregistered::UnregisteredServers,
+    unregistered::{Announcements, UnregisteredServers},
 };
 use crate::{
     names::{BackendId, InstanceId, RegionName, ServiceName, ZoneName},
@@ -99,7 +99,7 @@
     was_unreachable: bool,
     pub(super) run: BackendRun,
     pub(super) rate_limit: RateLimit,
-    pub(super) pushback: Pushback,
+    pub(super) announcements: Announcements,
 }
 
 impl BackendState {
@@ -158,7 +158,8 @@
     config: Option<Arc<Config>>,
     evacuated: BTreeSet<ZoneName>,
     pub(super) pools: BTreeMap<ServiceName, ServicePool>,
-    unregistered: UnregisteredServers,
+    pub(super) unregistered: UnregisteredServers,
+    pub(super) leaving_reports: PendingReports,
     remote_load: RemoteLoad,
     pub(super) shared_objects: SharedObjectDetector,
     next_handle: u64,
@@ -183,6 +184,7 @@
             evacuated: BTreeSet::new(),
             pools: BTreeMap::new(),
             unregistered: UnregisteredServers::default(),
+            leaving_reports: PendingReports::default(),
             remote_load: RemoteLoad::default(),
             shared_objects: SharedObjectDetector::default(),
             next_handle: 0,
@@ -222,7 +224,7 @@
             was_unreachable: false,
             run,
             rate_limit: RateLimit::new(stable_hash(&[instance, &run.0.to_string()])),
-            pushback: self.unregistered.take(run),
+            announcements: self.unregistered.take(run),
             backend: Arc::new(backend),
         };
         let pool = self.pools.entry(state.backend.service.clone()).or_default();
@@ -235,7 +237,7 @@
         let mut was_known = false;
         for pool in self.pools.values_mut() {
             for state in pool.backends.extract_if(.., |state| state.backend.id.as_str() == id) {
-                self.unregistered.add(state.run, state.pushback);
+                self.unregistered.add(state.run, state.announcements);
                 was_known = true;
             }
         }
@@ -326,10 +328,14 @@
         now_ms: u64,
     ) -> Vec<(BackendHandle, SocketAddr)> {
         let states = self.pools.get(service).into_iter().flat_map(|pool| &pool.backends);
-        let usable = states.filter(|state| !state.backend.is_draining && !state.is_evacuated);
+        let usable = states.filter(|state| {
+            let is_leaving = state.backend.is_draining || state.announcements.leaving.is_announced;
+            !is_leaving && !state.is_evacuated
+        });
         let mut sample: Vec<&BackendState> = usable.collect();
         // A new connection may take a slot, so paused servers come last.
-        let is_paused = |state: &BackendState| state.pushback.remaining_ms(now_ms).is_some();
+        let is_paused =
+            |state: &BackendState| state.announcements.pushback.remaining_ms(now_ms).is_some();
         sample.sort_by_key(|state| (is_paused(state), state.hash(random)));
         sample.iter().take(count).map(|state| (state.handle, state.backend.addr)).collect()
     }
@@ -414,20 +420,25 @@
     /// server is not chosen, and then by one request at first.
     pub fn record_pushback(&mut self, handle: BackendHandle, pause_ms: u64, now_ms: u64) {
         if let Some(state) = self.backend_state_mut(handle) {
-            state.pushback.record(pause_ms, now_ms);
+            state.announcements.pushback.record(pause_ms, now_ms);
         }
     }
 
-    /// Returns the rest of the pause that a server has asked this instance for; `None` if there is
-    /// none.
-    pub fn pause_ms(&self, handle: BackendHandle, now_ms: u64) -> Option<u64> {
-        let state = self.backends().find(|state| state.handle == handle)?;
-        state.pushback.remaining_ms(now_ms)
+    /// Returns whether a server wants no requests from this instance any more that were assigned to it
+    /// before: it has asked for a pause, or has announced that it is leaving.
+    pub fn is_withheld(&self, handle: BackendHandle, now_ms: u64) -> bool {
+        let state = self.backends().find(|state| state.handle == handle);
+        state.is_some_and(|state| {
+            let Announcements { pushback, leaving } = &state.announcements;
+            leaving.is_announced || pushback.remaining_ms(now_ms).is_some()
+        })
     }
 
     /// Returns the number of servers that have asked this instance for a pause.
     pub fn paused_servers(&self, now_ms: u64) -> usize {
-        self.backends().filter(|state| state.pushback.remaining_ms(now_ms).is_some()).count()
+        self.backends()
+            .filter(|state| state.announcements.pushback.remaining_ms(now_ms).is_some())
+            .count()
     }
 
     /// Completes a request that [`Balancer::choose`] assigned to a server.
@@ -440,7 +451,7 @@
         let Some(state) = backends.find(|state| state.handle == handle) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         state.health.record(outcome, now_ms);
-        state.pushback.record_outcome(outcome);
+        state.announcements.pushback.record_outcome(outcome);
         if state.health.was_unreachable() {
             state.was_unreachable = true;
         } else if state.was_unreachable {
--- a/crates/azuregate-core/src/balance/choice.rs
+++ b/crates/azuregate-core/src/balance/choice.rs
@@ -181,7 +181,7 @@
         now_ms: u64,
     ) -> impl Iterator<Item = (&BackendState, u64)> {
         let states = self.pools.get(query.service).into_iter().flat_map(|pool| &pool.backends);
-        let paused = states.map(move |state| (state, state.pushback.wait_ms(now_ms)));
+        let paused = states.map(move |state| (state, state.announcements.pushback.wait_ms(now_ms)));
         paused.filter(move |(state, wait_ms)| {
             *wait_ms > 0 && is_usable(&self.settings, state, query, now_ms)
         })
@@ -219,7 +219,7 @@
     query: &BackendQuery<'_>,
     now_ms: u64,
 ) -> bool {
-    state.pushback.wait_ms(now_ms) == 0 && is_usable(settings, state, query, now_ms)
+    state.announcements.pushback.wait_ms(now_ms) == 0 && is_usable(settings, state, query, now_ms)
 }
 
 /// Returns whether a server may get a request, apart from its rate limit and from pauses.
@@ -230,6 +230,7 @@
     now_ms: u64,
 ) -> bool {
     !state.backend.is_draining
+        && !state.announcements.leaving.is_announced
         && !state.is_evacuated
         && !query.tried.contains(&state.handle)
         && settings.is_allowed_region(&state.backend.zone, query.home_regions)
@@ -247,7 +248,7 @@
     pub(super) fn start_request(&mut self, now_ms: u64) -> Choice {
         let in_flight = self.total_in_flight();
         self.in_flight += 1;
-        self.pushback.record_sent(now_ms);
+        self.announcements.pushback.record_sent(now_ms);
         if self.is_cold(now_ms) {
             self.cold_start_budget.record_sent(now_ms);
         }
@@ -261,10 +262,14 @@
     prefers_region: bool,
     now_ms: u64,
 ) -> Candidate {
-    let status = match (state.health.is_in_backoff(now_ms), state.is_outlier) {
-        (true, _) => HealthStatus::InBackoff,
-        (false, true) => HealthStatus::Outlier,
-        (false, false) => HealthStatus::Healthy,
+    let status = if state.announcements.leaving.is_reported(now_ms) {
+        HealthStatus::Leaving
+    } else if state.health.is_in_backoff(now_ms) {
+        HealthStatus::InBackoff
+    } else if state.is_outlier {
+        HealthStatus::Outlier
+    } else {
+        HealthStatus::Healthy
     };
     let hash = state.hash(query.object);
     let is_preferred = prefers_region && state.distance != Distance::OtherRegion;
--- a/crates/azuregate-core/src/balance/datagrams.rs
+++ b/crates/azuregate-core/src/balance/datagrams.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{BackendRun, CrashReport, RateLimitReport, ReachabilityReport};
+use super::{BackendRun, CrashReport, LeavingReport, RateLimitReport, ReachabilityReport};
 use crate::names::StartNumber;
 
 /// A datagram from one entry instance to another.
@@ -26,6 +26,8 @@
     Grant(u32, bool),
     /// Services that an instance cannot reach. Instances of older versions ignore it.
     Reachability(ReachabilityReport),
+    /// Backend servers that are leaving. Instances of older versions ignore it.
+    Leaving(LeavingReport),
 }
 
 /// Requests that an instance has in flight at the backend servers.
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -20,7 +20,8 @@
   down; [`Members`] chooses the instance that sends its requests meanwhile.
 * [`Quarantine`] recognizes requests that crash backend servers.
 * A server that asks for a pause gets no requests from this instance until its end; see
-  [`Balancer::record_pushback`].
+  [`Balancer::record_pushback`]. One that announces that it is leaving gets none in this run; see
+  [`Balancer::record_leaving`].
 * [`RetryReason`] determines the retry delay of refused clients.
 */
 
@@ -30,6 +31,7 @@
 mod config;
 mod datagrams;
 mod health;
+mod leaving;
 mod members;
 mod missing_backends;
 mod policy;
@@ -54,6 +56,7 @@
 };
 pub use datagrams::{Datagram, Heartbeat, Load};
 pub use health::{Baseline, Health, Outcome};
+pub use leaving::LeavingReport;
 pub use members::{HeartbeatStatus, Member, Members};
 pub use missing_backends::MissingBackends;
 pub use policy::{Candidate, Decision, HealthStatus, LoadBalancingPolicy, ObjectAffinity};
--- a/crates/azuregate-core/src/balance/policy.rs
+++ b/crates/azuregate-core/src/balance/policy.rs
@@ -14,6 +14,8 @@
     Outlier,
     /// Was unreachable and is in backoff.
     InBackoff,
+    /// Is leaving, as another instance reports.
+    Leaving,
 }
 
 /// A server that is eligible for a request.
--- a/crates/azuregate-core/tests/balance/datagrams.rs
+++ b/crates/azuregate-core/tests/balance/datagrams.rs
@@ -1,7 +1,7 @@
 //! Encoding of datagrams.
 
 use azuregate_core::{
-    balance::{BackendRun, CrashReport, Datagram, Heartbeat, Load, RateLimitReport},
+    balance::{BackendRun, CrashReport, Datagram, Heartbeat, LeavingReport, Load, RateLimitReport},
     names::StartNumber,
 };
 use serde::Deserialize;
@@ -37,6 +37,7 @@
         ])),
         Datagram::GrantRequest(7, BackendRun(2)),
         Datagram::Grant(7, true),
+        Datagram::Leaving(LeavingReport(vec![BackendRun(1), BackendRun(u64::MAX)])),
     ];
     for datagram in cases {
         let read: Datagram = ciborium::from_reader(encoded(&datagram).as_slice()).unwrap();
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -10,6 +10,7 @@
 mod fixtures;
 mod health;
 mod large_bodies;
+mod leaving;
 mod limited_load;
 mod members;
 mod missing_backends;
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -16,7 +16,7 @@
 use super::{
     crash_detection,
     in_flight::InFlightRequest,
-    metrics,
+    leaving, metrics,
     pool::Connection,
     pushback, rate_limits, reachability, response,
     response_body::{ResponseBody, StreamedFrom},
@@ -96,7 +96,7 @@
     Rejected,
     /// The same, and it asked for a pause.
     PushedBack,
-    /// Nothing was sent, since the server had asked for a pause meanwhile.
+    /// Nothing was sent, since the server had asked for a pause or announced its leaving meanwhile.
     Withheld,
     /// The address now belongs to a different server.
     WrongServer,
@@ -157,7 +157,8 @@
         };
         let is_reused = connection.is_reused;
         let connection = in_flight.connection.insert(connection);
-        if pushback::is_withheld(state, choice) {
+        if state.balancer.borrow().is_withheld(choice.handle, state.now_ms()) {
+            metrics::inc_by(&state.metrics.withheld, 1);
             in_flight.release_connection();
             return AttemptResult::NotExecuted(NotExecuted::Withheld);
         }
@@ -250,6 +251,7 @@
     let is_misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
     let mut has_pushed_back = false;
     if !is_misdirected {
+        leaving::record_response(state, choice, head.headers());
         rate_limits::record_response(state, choice, &head, in_flight.sent_at_ms());
         has_pushed_back = pushback::record_response(state, choice, head.status(), head.headers());
     }
--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -91,8 +91,9 @@
 pub(super) fn record_end(state: &State, handle: BackendHandle) {
     let Some(broken) = state.broken_requests.borrow_mut().remove(&handle) else { return };
     let registered = state.balancer.borrow().backend(handle);
-    // A server that drains or has left the store ends on purpose.
-    let is_leaving = registered.is_none_or(|backend| backend.is_draining);
+    // A server that drains, has left the store or has announced its leaving ends on purpose.
+    let is_leaving = registered.is_none_or(|backend| backend.is_draining)
+        || state.balancer.borrow().is_leaving(handle, state.now_ms());
     if is_leaving || broken.first_at_ms + REMEMBERED_MS < state.now_ms() {
         return;
     }
--- a/crates/azuregate/src/serve/endpoints.rs
+++ b/crates/azuregate/src/serve/endpoints.rs
@@ -76,6 +76,7 @@
         quarantined_requests: state.quarantine.borrow().quarantined_requests(),
         unreachable_services: state.reachability.borrow().unreachable_services(),
         limited_servers: state.balancer.borrow().limited_servers(),
+        leaving_servers: state.balancer.borrow().leaving_servers(),
         paused_servers: state.balancer.borrow().paused_servers(state.now_ms()),
         config_version: state.config().map(|config| config.version()),
         age_ms: state.contact.borrow().age_ms(state.now_ms()),
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -24,6 +24,7 @@
 
 use super::{
     attempt::{self, OutgoingRequest},
+    leaving,
     pool::Connection,
     request::{self, AttemptState},
     response::{self, RequestError},
@@ -96,8 +97,9 @@
     addr: SocketAddr,
     connection: Connection,
     outgoing: &OutgoingRequest,
-    head: Response<Incoming>,
+    mut head: Response<Incoming>,
 ) -> ForwardResult {
+    leaving::take_run(state, head.headers_mut());
     if let Some(code) = head.headers().get(ERROR_CODE).cloned() {
         return refusal(head.status(), head.headers(), &code);
     }
@@ -196,7 +198,10 @@
     let mut attempts = AttemptState::forwarded(executions);
     let body = Some(body);
     let result = request::respond(&state, &mut attempts, peer.ip(), parts, body, received_at).await;
-    Ok(result.unwrap_or_else(|error| own_response(error, attempts.possible_executions())))
+    let mut response =
+        result.unwrap_or_else(|error| own_response(error, attempts.possible_executions()));
+    leaving::add_run(response.headers_mut(), attempts.leaving());
+    Ok(response)
 }
 
 fn executions(headers: &HeaderMap) -> Option<u32> {
--- a/crates/azuregate/src/serve/heartbeat.rs
+++ b/crates/azuregate/src/serve/heartbeat.rs
@@ -15,7 +15,7 @@
 use super::{
     crash_detection,
     grants::{PendingGrants, Question},
-    rate_limits, reachability,
+    leaving, rate_limits, reachability,
     state::State,
 };
 
@@ -71,6 +71,7 @@
                 broadcast(&state, &socket, &build_heartbeat(&state, beat == 0)).await;
                 report_crashes(&state, &socket, heartbeat_scope(&state)).await;
                 report_rate_limits(&state, &socket, false).await;
+                report_leaving(&state, &socket, false).await;
                 report_reachability(&state, &socket).await;
             }
             () = state.reachability_changed.notified() => {
@@ -82,6 +83,7 @@
                 }
                 report_crashes(&state, &socket, ReportScope::Unsent).await;
                 report_rate_limits(&state, &socket, true).await;
+                report_leaving(&state, &socket, true).await;
             }
             Some(question) = questions.recv() => {
                 let (datagram, holder) = pending_grants.add(question);
@@ -181,6 +183,13 @@
     }
 }
 
+async fn report_leaving(state: &State, socket: &UdpSocket, only_new: bool) {
+    let report = state.balancer.borrow_mut().next_leaving_report(only_new);
+    if let Some(report) = report {
+        broadcast(state, socket, &Datagram::Leaving(report)).await;
+    }
+}
+
 async fn report_reachability(state: &State, socket: &UdpSocket) {
     if let Some(datagram) = reachability::next_report(state) {
         broadcast(state, socket, &datagram).await;
@@ -213,6 +222,7 @@
         Datagram::Load(load) => handle_load(state, load),
         Datagram::Crashes(report) => crash_detection::record_report(state, &report),
         Datagram::Reachability(report) => reachability::record_report(state, report),
+        Datagram::Leaving(report) => leaving::record_report(state, &report),
         Datagram::RateLimits(report) => rate_limits::record_report(state, &report),
         // The task that owns the socket answers these.
         Datagram::GrantRequest(..) | Datagram::Grant(..) => {}
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -25,7 +25,8 @@
     pub(super) failed_connects: Cell<u64>,
     /// Responses in which a backend server asked for a pause.
     pub(super) pushbacks: Cell<u64>,
-    /// Requests that were not sent, since the backend server had asked for a pause after it was chosen.
+    /// Requests that were not sent, since the backend server had asked for a pause or announced its
+    /// leaving after it was chosen.
     pub(super) withheld: Cell<u64>,
     /// Requests sent to other instances, since no backend server was reachable.
     pub(super) forwarded: Cell<u64>,
@@ -80,6 +81,8 @@
     pub(super) limited_servers: usize,
     /// Backend servers that have asked for a pause.
     pub(super) paused_servers: usize,
+    /// Backend servers that have told this instance that they are leaving.
+    pub(super) leaving_servers: usize,
     /// Services of which no backend server is reachable.
     pub(super) unreachable_services: usize,
     /// The version of the current configuration.
@@ -153,6 +156,7 @@
         line(format_args!("azuregate_quarantined_requests {}", gauges.quarantined_requests));
         line(format_args!("azuregate_limited_backends {}", gauges.limited_servers));
         line(format_args!("azuregate_paused_backends {}", gauges.paused_servers));
+        line(format_args!("azuregate_leaving_backends {}", gauges.leaving_servers));
         let unreachable = gauges.unreachable_services;
         line(format_args!("azuregate_unreachable_services {unreachable}"));
         line(format_args!("azuregate_forwarded_requests_total {}", self.forwarded.get()));
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -23,7 +23,8 @@
   `quarantine_rows` keeps the requests that cause them in the store.
 * `rate_limits` reads the limits that backend servers name, and reports them to others;
   `grants` asks others for a request that is refused otherwise.
-* `pushback` reads the pauses that backend servers ask for.
+* `pushback` reads the pauses that backend servers ask for, and `leaving` which of them are
+  leaving.
 * `reachability` checks whether backend servers can be reached at all, and `forwarding` sends
   requests through other instances while they cannot.
 * `endpoints` serves readiness, lookups and metrics.
@@ -43,6 +44,7 @@
 mod grants;
 mod heartbeat;
 mod in_flight;
+mod leaving;
 mod listen;
 mod metrics;
 mod pipeline;
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     hash::Hash,
     net::SocketAddr,
     rc::Rc,
@@ -57,11 +57,18 @@
     connector: Box<dyn Connector>,
     idle: RefCell<HashMap<K, Vec<Connection>>>,
     open_counts: RefCell<HashMap<K, Rc<Cell<usize>>>>,
+    /// Servers whose connections are not reused.
+    closing: RefCell<HashSet<K>>,
 }
 
 impl<K: Copy + Eq + Hash> ConnectionPool<K> {
     pub(super) fn new(connector: Box<dyn Connector>) -> ConnectionPool<K> {
-        ConnectionPool { connector, idle: RefCell::default(), open_counts: RefCell::default() }
+        ConnectionPool {
+            connector,
+            idle: RefCell::default(),
+            open_counts: RefCell::default(),
+            closing: RefCell::default(),
+        }
     }
 
     /// Takes the most recently used idle connection to a server, if one is usable.
@@ -83,7 +90,7 @@
 
     /// Returns a connection to the pool after its response was read completely.
     pub(super) fn put(&self, key: K, mut connection: Connection, now_ms: u64) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || self.closing.borrow().contains(&key) {
             return;
         }
         connection.idle_since_ms = now_ms;
@@ -95,6 +102,12 @@
         }
     }
 
+    /// Closes the idle connections to a server, and those in use when their requests end.
+    pub(super) fn close(&self, key: K) {
+        self.idle.borrow_mut().remove(&key);
+        self.closing.borrow_mut().insert(key);
+    }
+
     /// Drops connections that the server closed or that exceed the idle limit.
     pub(super) fn evict_idle(&self, now_ms: u64) {
         self.idle.borrow_mut().retain(|_, connections| {
@@ -104,7 +117,9 @@
             });
             !connections.is_empty()
         });
-        self.open_counts.borrow_mut().retain(|_, open_count| open_count.get() > 0);
+        let mut open_counts = self.open_counts.borrow_mut();
+        open_counts.retain(|_, open_count| open_count.get() > 0);
+        self.closing.borrow_mut().retain(|key| open_counts.contains_key(key));
     }
 
     /// Returns whether any connection to a server is open.
--- a/crates/azuregate/src/serve/pushback.rs
+++ b/crates/azuregate/src/serve/pushback.rs
@@ -42,11 +42,3 @@
     }
     pause_ms
 }
-
-/// Returns whether a request must not be sent, since the server has asked for a pause after it was
-/// chosen.
-pub(super) fn is_withheld(state: &State, choice: &Choice) -> bool {
-    let pause_ms = state.balancer.borrow().pause_ms(choice.handle, state.now_ms());
-    metrics::inc_by(&state.metrics.withheld, u64::from(pause_ms.is_some()));
-    pause_ms.is_some()
-}
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -4,8 +4,8 @@
 
 use azuregate_core::{
     balance::{
-        self, Admission, BackendHandle, BackendQuery, Choice, GrantRequest, Member, RequestKind,
-        Route,
+        self, Admission, BackendHandle, BackendQuery, BackendRun, Choice, GrantRequest, Member,
+        RequestKind, Route,
     },
     names::{InstanceId, ServiceName},
 };
@@ -293,6 +293,8 @@
     possible_arrivals: u32,
     /// Whether an attempt is in flight.
     is_in_flight: bool,
+    /// The last server, if it has announced that it is leaving.
+    leaving: Option<BackendRun>,
 }
 
 impl AttemptState {
@@ -311,6 +313,11 @@
         self.possible_executions + u32::from(self.is_in_flight)
     }
 
+    /// Returns the server that the request was sent to last if it is leaving.
+    pub(super) fn leaving(&self) -> Option<BackendRun> {
+        self.leaving
+    }
+
     fn timeout_error(&self) -> RequestError {
         if self.possible_executions > 0 || self.is_in_flight {
             RequestError::TimedOut
@@ -377,6 +384,8 @@
             attempts.is_in_flight = false;
             let is_withheld = matches!(result, AttemptResult::NotExecuted(NotExecuted::Withheld));
             attempts.sends += u32::from(!is_withheld);
+            let is_leaving = self.state.balancer.borrow().has_announced_leaving(choice.handle);
+            attempts.leaving = is_leaving.then(|| BackendRun::of(&choice.backend));
             let limit_per_s = self.state.balancer.borrow().rate_limit(choice.handle);
             log_entry.limit_per_s = limit_per_s.map_or_else(String::new, |limit| limit.to_string());
             match result {
--- a/crates/azuregate/tests/serve/leaving.rs
+++ b/crates/azuregate/tests/serve/leaving.rs
@@ -234,3 +234,81 @@
     let metrics = get(instance.metrics_addr, "/metrics").await.unwrap().body;
     assert!(metrics.contains("azuregate_backend_crashes_total 0"), "{metrics}");
 }
+
+async fn metric(instance: &Instance, name: &str) -> Option<usize> {
+    let metrics = get(instance.metrics_addr, "/metrics").await?.body;
+    metrics.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+}
+
+/// Guards against taking other values, or the word of another server at the address, for an
+/// announcement.
+#[tokio::test]
+async fn only_the_server_itself_announces_its_leaving() {
+    let cases: [(Behaviour, &[&str], usize); 7] = [
+        (Behaviour::Respond, &["server-leaving: 1"], 1),
+        (Behaviour::Respond, &["Server-Leaving: 0", "Server-Leaving: 1"], 1),
+        (Behaviour::Respond, &[], 0),
+        (Behaviour::Respond, &["Server-Leaving: 0"], 0),
+        (Behaviour::Respond, &["Server-Leaving: soon"], 0),
+        (Behaviour::StaleResponse, &[LEAVING], 0),
+        (Behaviour::Misdirect, &[LEAVING], 0),
+    ];
+    for (behaviour, headers, expected) in cases {
+        let cluster = TestCluster::start(1).await;
+        let instance = cluster.start_ready_instance(1).await;
+        let server = &cluster.backends[0];
+        server.set(behaviour.clone());
+        server.set_headers(headers);
+        instance.send(&post_request("/write/x", "w", "an order")).await;
+        let leaving = metric(&instance, "azuregate_leaving_backends ").await;
+        assert_eq!(leaving, Some(expected), "{behaviour:?} {headers:?}");
+    }
+}
+
+/// Guards against idle connections that keep a leaving server from ending, and against cutting a long
+/// response that began before.
+#[tokio::test]
+async fn idle_connections_to_a_leaving_server_are_closed() {
+    let cluster = TestCluster::start(1).await;
+    let instance = cluster.start_ready_instance(1).await;
+    let leaving = &cluster.backends[0];
+    leaving.set(Behaviour::Delay(Duration::from_millis(100)));
+    let sends = (0..3).map(|number| {
+        let instance = &instance;
+        async move { instance.send(&request("warm", number)).await }
+    });
+    futures_util::future::join_all(sends).await;
+    assert!(leaving.connections() > 1);
+    leaving.set(Behaviour::Stream(Duration::from_millis(500)));
+    let streamed = async { instance.send(&get_request("/read/x", "streamed")).await.unwrap() };
+    let announced = async {
+        time::sleep(Duration::from_millis(100)).await;
+        leaving.set(Behaviour::Respond);
+        leaving.set_headers(&[LEAVING]);
+        instance.send(&get_request("/read/x", "announced")).await.unwrap()
+    };
+    let (streamed, announced) = tokio::join!(streamed, announced);
+    assert_eq!((streamed.status, announced.status), (200, 200));
+    assert_eq!(streamed.body.len(), 400_000);
+    eventually("all connections are closed", async || leaving.connections() == 0).await;
+}
+
+/// Guards against instances that go on to send to a leaving server until it tells them or the store's
+/// news arrives.
+#[tokio::test]
+async fn other_instances_are_told_that_a_server_is_leaving() {
+    let cluster = TestCluster::start(SERVERS).await;
+    let told = cluster.start_ready_instance(1).await;
+    let other = cluster.start_ready_instance(2).await;
+    // Wait until instances know each other.
+    time::sleep(Duration::from_secs(1)).await;
+    cluster.store.set_fault(StoreFault::ErrorStatus(503));
+    let leaving = &cluster.backends[0];
+    leaving.set_headers(&[LEAVING]);
+    send_for(&told, "told", Duration::from_millis(500)).await;
+    let statuses = send_for(&other, "other", Duration::from_secs(1)).await;
+    assert!(statuses.iter().all(|&status| status == 200), "{statuses:?}");
+    let received = leaving.received();
+    assert!(!received.iter().any(|request| request.id.starts_with("other")));
+    assert_eq!(metric(&other, "azuregate_leaving_backends ").await, Some(0));
+}
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hyper::header::HeaderName;
+use hyper::{HeaderMap, header::HeaderName};
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
 
@@ -26,6 +26,8 @@
 pub const WARMUP_MS: HeaderName = HeaderName::from_static("x-warmup-ms");
 /// Rate limit of the responding backend server, in the form that [`parse_rate_limit`] parses.
 pub const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Marks the responses of a backend server that is leaving.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Path of the readiness probe.
 pub const READINESS_PATH: &str = "/-/readyz";
@@ -110,3 +112,8 @@
     let seconds: f64 = text.trim().parse().ok()?;
     (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
 }
+
+/// Returns whether the headers of a backend server's response say that it is leaving.
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    headers.get_all(SERVER_LEAVING).iter().any(|value| value.as_bytes() == b"1")
+}
--- a/crates/platform/tests/platform_names.rs
+++ b/crates/platform/tests/platform_names.rs
@@ -6,7 +6,7 @@
 use std::{fs, path::Path};
 
 /// Headers, paths, calls and fields of the platform.
-const NAMES: [&str; 31] = [
+const NAMES: [&str; 32] = [
     "x-affinity-key",
     "x-deadline-ms",
     "x-response-signature",
@@ -16,6 +16,7 @@
     "x-instance-id",
     "x-warmup-ms",
     "server-limit",
+    "server-leaving",
     "/-/readyz",
     "/-/resolve",
     "rows-get",
