Let servers of the soak ask for pauses and announce that they leave

The check counts what reaches a server, from an instance, during a pause that it asked this instance for, or after it told it that it is leaving; none is allowed from half a second on. Proxies connect from the address of the instance, so that servers can tell instances apart.

--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -14,6 +14,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
+mod announcements;
 mod checks;
 mod clients;
 #[allow(dead_code, reason = "shared with the tests of single instances")]
--- a/crates/azuregate/tests/soak/plan.rs
+++ b/crates/azuregate/tests/soak/plan.rs
@@ -6,7 +6,7 @@
 use fastrand::Rng;
 
 use crate::{
-    ZONES,
+    ZONES, announcements,
     cuts::{self, Cut},
     proxy::LinkMode,
 };
@@ -37,6 +37,8 @@
     CrashServer { server: usize },
     CutOff { instances: Vec<usize>, cut: Cut, duration: Duration },
     LimitRate { server: usize, limit: &'static str, duration: Duration },
+    PushBack { server: usize, pause: Duration, duration: Duration },
+    Leave { server: usize },
 }
 
 /// The faults of a run and their times.
@@ -73,6 +75,7 @@
             faults.extend(cuts::generate(seed, instances, ZONES.len()));
         }
         faults.extend(rate_limits(seed, servers));
+        faults.extend(announcements::generate(seed, servers));
         faults.sort_by_key(|(at, _)| *at);
         Plan { is_planned_only, faults }
     }
--- a/crates/azuregate/tests/soak/proxy.rs
+++ b/crates/azuregate/tests/soak/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    io,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -10,7 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
@@ -101,7 +102,7 @@
             continue;
         }
         let mut cuts = cuts.clone();
-        let connection = proxy_connection(caller, target, modes.subscribe());
+        let connection = proxy_connection(caller, addr.ip(), target, modes.subscribe());
         tokio::spawn(async move {
             tokio::select! {
                 () = connection => {}
@@ -111,12 +112,20 @@
     }
 }
 
+/// Connects to `target` from an address, by which servers tell instances apart.
+async fn connect(from: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((from, 0).into())?;
+    socket.connect(target).await
+}
+
 async fn proxy_connection(
     caller: TcpStream,
+    caller_ip: IpAddr,
     target: SocketAddr,
     mut mode: watch::Receiver<LinkMode>,
 ) {
-    let Ok(server) = TcpStream::connect(target).await else { return };
+    let Ok(server) = connect(caller_ip, target).await else { return };
     // With a linger time of zero, dropping a stream resets its connection.
     for stream in [&caller, &server] {
         let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -19,7 +19,7 @@
 use tokio::time;
 
 use crate::{
-    ZONES, checks,
+    ZONES, announcements, checks,
     clients::{RequestRecord, Traffic},
     cluster::{Client, get_request, lookup, readiness_status},
     crashing::CrashingClient,
@@ -63,6 +63,8 @@
     limited_periods: Mutex<Vec<LimitedPeriod>>,
     cuts: Cuts,
     cut_periods: Mutex<Vec<CutPeriod>>,
+    /// Servers whose links had a fault, and when.
+    link_faults: Mutex<Vec<(usize, Instant, Instant)>>,
     store: FakeStore,
     store_proxies: Vec<Proxy>,
     config: Mutex<ConfigDocument>,
@@ -116,6 +118,7 @@
     problems.extend(rate_limits::check(&deployment, &records));
     problems.extend(deployment.check_retries(&records));
     problems.extend(cuts::check(&deployment, &records));
+    problems.extend(announcements::check(&deployment));
     if let Some(client) = &crashing {
         problems.extend(client.check(&deployment, &deployment.received()));
     }
@@ -183,6 +186,7 @@
         limited_periods: Mutex::default(),
         cuts,
         cut_periods: Mutex::default(),
+        link_faults: Mutex::default(),
         store,
         store_proxies,
         config: Mutex::new(config),
@@ -244,7 +248,9 @@
             }
             Fault::DiscardHistory => self.store.discard_history(),
             Fault::ServerLink { server, link, duration } => {
+                let from = Instant::now();
                 inject_link_fault(&self.servers[server].proxy, link, duration).await;
+                self.link_faults.lock().unwrap().push((server, from, Instant::now()));
             }
             Fault::ServerBehaviour { server, behaviour, duration } => {
                 let backend = &self.servers[server].backend;
@@ -261,6 +267,13 @@
             Fault::LimitRate { server, limit, duration } => {
                 self.limit_rate(server, limit, duration).await;
             }
+            Fault::PushBack { server, pause, duration } => {
+                let backend = &self.servers[server].backend;
+                backend.set(Behaviour::PushBack(pause));
+                time::sleep(duration).await;
+                backend.set(NORMAL_BEHAVIOUR);
+            }
+            Fault::Leave { server } => self.leave(server).await,
         }
     }
 
@@ -388,6 +401,22 @@
         self.store.remove("servers", &server.backend.id());
     }
 
+    /// Lets a server say in its responses that it is leaving, and removes its row later without
+    /// marking it as draining.
+    async fn leave(&self, server: usize) {
+        let backend = &self.servers[server].backend;
+        let id = backend.id();
+        backend.set_headers(&["Server-Leaving: 1"]);
+        time::sleep(Duration::from_secs(4)).await;
+        self.store.remove("servers", &id);
+    }
+
+    /// Returns whether the link of a server had a fault at any time from `from` to `to`.
+    pub(crate) fn had_link_fault(&self, server: usize, from: Instant, to: Instant) -> bool {
+        let faults = self.link_faults.lock().unwrap();
+        faults.iter().any(|&(other, begin, end)| other == server && begin <= to && end >= from)
+    }
+
     fn publish_config(&self) {
         let mut config = self.config.lock().unwrap();
         config.version += 1;
