Split the request handler, and untie modules that use each other

The probe of a server and the requests whose connections broke are modules of their own, which unties crash_detection, reachability and state. Nothing is decided otherwise; the tests of instances pass.

--- /dev/null
+++ b/crates/azuregate/src/serve/access_log.rs
@@ -0,0 +1,103 @@
+//! The access log: one line for each request.
+
+use std::net::IpAddr;
+
+use azuregate_core::balance::Choice;
+use azuregate_platform::request;
+use hyper::{StatusCode, header::HeaderValue, http::request::Parts};
+
+/// Longer paths are truncated in the log.
+const MAX_LOGGED_PATH_CHARS: usize = 128;
+
+/// The access log entry of a request.
+pub(super) struct AccessLogEntry {
+    pub(super) id: String,
+    pub(super) origin: &'static str,
+    pub(super) client: IpAddr,
+    /// The start of the path and query.
+    pub(super) path: String,
+    pub(super) object: String,
+    pub(super) route: String,
+    pub(super) service: String,
+    pub(super) version: u64,
+    pub(super) backend: String,
+    pub(super) attempts: usize,
+    pub(super) failures: String,
+    /// The instance that the request was forwarded to last; empty if it was not.
+    pub(super) forwarded_to: String,
+    pub(super) in_flight: u32,
+    /// The rate limit that the last backend server named; empty if it named none.
+    pub(super) limit_per_s: String,
+    pub(super) deadline_ms: u64,
+    /// The state that explains why no backend server was chosen; empty otherwise.
+    pub(super) basis: String,
+    pub(super) code: &'static str,
+}
+
+impl AccessLogEntry {
+    pub(super) fn new(is_forwarded: bool, client: IpAddr, parts: &Parts) -> AccessLogEntry {
+        let text =
+            |name| parts.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let origin = if is_forwarded { "instance" } else { "client" };
+        AccessLogEntry {
+            origin,
+            client,
+            path: path.chars().take(MAX_LOGGED_PATH_CHARS).collect(),
+            id: text(request::REQUEST_ID).unwrap_or_default().to_owned(),
+            object: text(request::AFFINITY_KEY).unwrap_or_default().to_owned(),
+            route: String::new(),
+            service: String::new(),
+            version: 0,
+            backend: String::new(),
+            attempts: 0,
+            failures: String::new(),
+            forwarded_to: String::new(),
+            in_flight: 0,
+            limit_per_s: String::new(),
+            deadline_ms: 0,
+            basis: String::new(),
+            code: "answered",
+        }
+    }
+
+    pub(super) fn record_attempt(&mut self, choice: &Choice) {
+        self.attempts += 1;
+        self.in_flight = choice.in_flight;
+        self.backend = choice.backend.id.as_str().to_owned();
+    }
+
+    pub(super) fn record_failure(&mut self, cause: &str) {
+        if !self.failures.is_empty() {
+            self.failures.push(',');
+        }
+        self.failures.push_str(&self.backend);
+        self.failures.push(':');
+        self.failures.push_str(cause);
+    }
+
+    pub(super) fn log(&self, status: StatusCode, taken_ms: u64) {
+        log::info!(
+            id = self.id.as_str(),
+            origin = self.origin,
+            client:% = self.client,
+            path = self.path.as_str(),
+            code = self.code,
+            status = status.as_u16(),
+            route = self.route.as_str(),
+            service = self.service.as_str(),
+            object = self.object.as_str(),
+            version = self.version,
+            backend = self.backend.as_str(),
+            tries = self.attempts,
+            failed = self.failures.as_str(),
+            forwarded_to = self.forwarded_to.as_str(),
+            in_flight = self.in_flight,
+            limit_per_s = self.limit_per_s.as_str(),
+            basis = self.basis.as_str(),
+            deadline_ms = self.deadline_ms,
+            taken_ms = taken_ms;
+            "request"
+        );
+    }
+}
--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -1,37 +1,25 @@
 //! Detects crashes of backend servers, and reports the requests that were in flight there.
 
-use std::{
-    cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
-};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use azuregate_core::balance::{
-    Backend, BackendHandle, BackendRun, Choice, CrashReport, Fingerprint,
-};
+use azuregate_core::balance::{BackendHandle, BackendRun, Choice, CrashReport, Fingerprint};
 use tokio::{task::spawn_local, time};
 
-use super::{metrics, reachability, state::State};
+use super::{
+    broken_requests::BrokenAt,
+    metrics,
+    probe::{self, Probe},
+    reachability,
+    state::State,
+};
 
 /// Time after a broken connection until the server is examined: the other connections to a
 /// crashed server break meanwhile, and its process ends.
 const SETTLING_MS: u64 = 50;
-/// How long a new connection must stay open to show that the server is alive.
-const MIN_OPEN_MS: u64 = 100;
 /// How long requests are remembered after the server was found alive. Until then it may turn
 /// out that another run has taken its place.
 const REMEMBERED_MS: u64 = 5_000;
 
-/// The requests whose connections broke, by server.
-pub(super) type BrokenRequests = RefCell<HashMap<BackendHandle, BrokenAt>>;
-
-/// The requests whose connections to one server broke.
-pub(super) struct BrokenAt {
-    backend: Arc<Backend>,
-    requests: Vec<Fingerprint>,
-    first_at_ms: u64,
-    /// Whether the server was found alive since.
-    was_alive: bool,
-}
-
 /// Records that the connection broke while `request` was in flight at a server, and examines
 /// the server.
 pub(super) fn record_broken(state: &Rc<State>, choice: &Choice, request: Fingerprint) {
@@ -70,7 +58,7 @@
 
 async fn has_ended(state: &State, handle: BackendHandle, addr: SocketAddr) -> bool {
     !state.pool.has_open(handle)
-        && matches!(probe(state, handle, addr).await, Probe::Refused | Probe::Closed)
+        && matches!(probe::probe(state, handle, addr).await, Probe::Refused | Probe::Closed)
 }
 
 fn is_only_server(state: &State, handle: BackendHandle) -> bool {
@@ -119,27 +107,3 @@
         log::warn!(fingerprint:% = request; "request quarantined");
     }
 }
-
-/// The result of a new connection to a server.
-pub(super) enum Probe {
-    /// It stays open.
-    Open,
-    /// It is accepted and closed at once, as by a proxy in front of a crashed server.
-    Closed,
-    /// It is refused or reset.
-    Refused,
-    /// There is no answer: the network may be cut.
-    TimedOut,
-}
-
-pub(super) async fn probe(state: &State, handle: BackendHandle, addr: SocketAddr) -> Probe {
-    let connection = match state.pool.connect(handle, addr).await {
-        Ok(connection) => connection,
-        Err(e) if e.kind() == io::ErrorKind::TimedOut => return Probe::TimedOut,
-        Err(_) => return Probe::Refused,
-    };
-    time::sleep(Duration::from_millis(MIN_OPEN_MS)).await;
-    let is_open = !connection.sender.is_closed();
-    state.pool.put(handle, connection, state.now_ms());
-    if is_open { Probe::Open } else { Probe::Closed }
-}
--- /dev/null
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -0,0 +1,335 @@
+//! Sends one request to backend servers, or through other instances, until there is a response.
+
+use std::{fmt::Write, rc::Rc};
+
+use azuregate_core::{
+    balance::{self, Admission, BackendQuery, BackendRun, Choice, GrantRequest, Member, Route},
+    names::{InstanceId, ServiceName},
+};
+use azuregate_platform::request;
+use hyper::{Response, StatusCode, header};
+use tokio::time::Instant;
+
+use super::{
+    access_log::AccessLogEntry,
+    attempt::{self, AttemptResult, NotExecuted, OutgoingRequest},
+    attempt_state::AttemptState,
+    forwarding::{self, ForwardResult},
+    grants, metrics,
+    response::RequestError,
+    response_body::ResponseBody,
+    state::State,
+};
+
+/// Larger bodies are sent to a nearby server: transferring them costs more time than
+/// a server with a warm object saves.
+const LARGE_BODY_BYTES: usize = 20_000;
+/// Sends allowed beyond the route's attempts, to make up for rejected ones.
+const EXTRA_SENDS_AFTER_REJECTION: u32 = 1;
+/// Instances that a request is sent through, one after the other.
+const MAX_FORWARDS: usize = 2;
+/// The least time before the deadline at which a retry is still useful.
+const MIN_RETRY_REMAINING_MS: u64 = 20;
+
+/// Sends a request to backend servers until one attempt succeeds.
+pub(super) struct Dispatcher<'a> {
+    pub(super) state: &'a Rc<State>,
+    pub(super) route: &'a Route,
+    pub(super) service: &'a ServiceName,
+    pub(super) outgoing: OutgoingRequest,
+    pub(super) deadline: Instant,
+}
+
+impl Dispatcher<'_> {
+    /// Sends the request, through another instance if this one reaches no server.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response of a backend server.
+    pub(super) async fn send(
+        &self,
+        attempts: &mut AttemptState,
+        log_entry: &mut AccessLogEntry,
+    ) -> Result<Response<ResponseBody>, RequestError> {
+        let mut failure = None;
+        let mut refusal = RequestError::NoCapacity;
+        loop {
+            // Before a retry is taken from the budget.
+            let admission = self.state.admit(|| self.outgoing.fingerprint());
+            if let Admission::Refused { retry_after_ms } = admission {
+                log_entry.basis = format!("fingerprint:{}", self.outgoing.fingerprint());
+                return Err(
+                    attempts.attempts_exhausted(RequestError::Quarantined { retry_after_ms })
+                );
+            }
+            if self.should_forward(attempts) {
+                return self.forward_to_instance(attempts, log_entry).await;
+            }
+            let remaining_ms = self.remaining_ms();
+            let is_retry = attempts.sends > 0;
+            if is_retry && !self.can_retry(attempts, remaining_ms) {
+                break;
+            }
+            let choice = match self.choose(attempts, log_entry).await {
+                Ok(choice) => choice,
+                Err(e) => {
+                    refusal = e;
+                    break;
+                }
+            };
+            log_entry.record_attempt(&choice);
+            if is_retry {
+                self.log_retry(log_entry);
+            }
+            attempts.tried.push(choice.handle);
+            attempts.is_in_flight = true;
+            // The choice may have taken time.
+            let remaining_ms = self.remaining_ms();
+            let result = attempt::send(self.state, &choice, &self.outgoing, remaining_ms).await;
+            attempts.is_in_flight = false;
+            let is_withheld = matches!(result, AttemptResult::NotExecuted(NotExecuted::Withheld));
+            attempts.sends += u32::from(!is_withheld);
+            let is_leaving = self.state.balancer.borrow().has_announced_leaving(choice.handle);
+            attempts.leaving = is_leaving.then(|| BackendRun::of(&choice.backend));
+            let limit_per_s = self.state.balancer.borrow().rate_limit(choice.handle);
+            log_entry.limit_per_s = limit_per_s.map_or_else(String::new, |limit| limit.to_string());
+            match result {
+                AttemptResult::Response(response) => {
+                    attempts.possible_arrivals += 1;
+                    attempts.possible_executions += 1;
+                    let is_failure = response.status().is_server_error();
+                    if !is_failure || !self.outgoing.is_idempotent {
+                        return Ok(self.mask_unsigned_rejection(response));
+                    }
+                    log_entry.record_failure("failure");
+                    failure = Some(response);
+                }
+                AttemptResult::NotExecuted(cause) => {
+                    attempts.possible_arrivals += u32::from(cause.has_arrived());
+                    log_entry.record_failure(cause.as_str());
+                    if may_send_again(cause, &choice) {
+                        attempts.tried.pop();
+                    }
+                }
+                AttemptResult::Unknown(cause) => {
+                    attempts.possible_arrivals += 1;
+                    attempts.possible_executions += 1;
+                    log_entry.record_failure(cause);
+                    if !self.outgoing.is_idempotent {
+                        break;
+                    }
+                }
+            }
+        }
+        match failure {
+            Some(response) => Ok(self.mask_unsigned_rejection(response)),
+            None if attempts.sends == 0 => Err(refusal),
+            None => {
+                let is_paused = matches!(refusal, RequestError::PushedBack { .. });
+                let error = if is_paused { refusal } else { RequestError::Rejected };
+                Err(attempts.attempts_exhausted(error))
+            }
+        }
+    }
+
+    fn remaining_ms(&self) -> u64 {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn can_retry(&self, attempts: &AttemptState, remaining_ms: u64) -> bool {
+        attempts.possible_executions < self.route.attempts
+            && attempts.sends < self.route.attempts + EXTRA_SENDS_AFTER_REJECTION
+            && remaining_ms > MIN_RETRY_REMAINING_MS
+            && self.take_retry(attempts)
+    }
+
+    /// Takes a retry from the budget, which bounds what servers receive: a request that has
+    /// reached none of them needs none.
+    fn take_retry(&self, attempts: &AttemptState) -> bool {
+        attempts.possible_arrivals == 0 || self.state.try_take_retry(self.service)
+    }
+
+    /// Returns whether to send the request through another instance, since this one reaches no
+    /// server of the service.
+    fn should_forward(&self, attempts: &AttemptState) -> bool {
+        !attempts.is_forwarded && self.state.reachability.borrow().is_unreachable(self.service)
+    }
+
+    fn forwarding_target(&self, excluded: &[InstanceId]) -> Option<Member> {
+        let members = self.state.members.borrow();
+        let random = fastrand::u64(..);
+        let regions = &self.route.home_regions;
+        let now_ms = self.state.now_ms();
+        members.forwarding_target(self.service, regions, excluded, random, now_ms).cloned()
+    }
+
+    /// Forwards the request to other instances until one of them returns a response.
+    async fn forward_to_instance(
+        &self,
+        attempts: &mut AttemptState,
+        log_entry: &mut AccessLogEntry,
+    ) -> Result<Response<ResponseBody>, RequestError> {
+        let mut excluded = Vec::new();
+        let mut refusal = None;
+        while excluded.len() < MAX_FORWARDS
+            && attempts.possible_executions < self.route.attempts
+            && self.remaining_ms() > MIN_RETRY_REMAINING_MS
+        {
+            let Some(target) = self.forwarding_target(&excluded) else { break };
+            if !self.take_retry(attempts) {
+                break;
+            }
+            log_entry.forwarded_to = target.instance.as_str().to_owned();
+            metrics::inc_by(&self.state.metrics.forwarded, 1);
+            attempts.is_in_flight = true;
+            let executions = attempts.possible_executions;
+            let result = forwarding::send(
+                self.state,
+                &target,
+                &self.outgoing,
+                executions,
+                self.remaining_ms(),
+            );
+            let result = result.await;
+            attempts.is_in_flight = false;
+            match result {
+                ForwardResult::Response(response) => {
+                    return Ok(self.mask_unsigned_rejection(response));
+                }
+                ForwardResult::Refused { response, is_retriable } => {
+                    refusal = Some(response);
+                    if !is_retriable {
+                        break;
+                    }
+                }
+                ForwardResult::NotSent => {}
+                ForwardResult::Unknown { executions } => {
+                    attempts.possible_arrivals += 1;
+                    attempts.possible_executions = executions.unwrap_or(self.route.attempts).max(1);
+                    if !self.outgoing.is_idempotent {
+                        break;
+                    }
+                }
+            }
+            excluded.push(target.instance);
+        }
+        match refusal {
+            Some(response) if attempts.possible_executions == 0 => {
+                log_entry.code = "refused-elsewhere";
+                Ok(response)
+            }
+            _ => Err(attempts.attempts_exhausted(RequestError::Unreachable)),
+        }
+    }
+
+    /// Logs a retry and what it has left of its budget.
+    fn log_retry(&self, log_entry: &AccessLogEntry) {
+        log::info!(
+            id = log_entry.id.as_str(),
+            service:% = self.service,
+            backend = log_entry.backend.as_str(),
+            failed = log_entry.failures.as_str(),
+            available = self.state.available_retries(self.service),
+            up_ms = self.state.now_ms();
+            "request retried"
+        );
+    }
+
+    /// Chooses a server, or returns why there is none.
+    async fn choose(
+        &self,
+        attempts: &AttemptState,
+        log_entry: &mut AccessLogEntry,
+    ) -> Result<Choice, RequestError> {
+        let headers = &self.outgoing.headers;
+        let object_hash =
+            headers.get(request::AFFINITY_KEY).filter(|_| self.route.has_session_affinity);
+        let object_hash =
+            object_hash.map(|key| balance::object_hash(&self.route.name, key.as_bytes()));
+        let object = object_hash.unwrap_or_else(|| fastrand::u64(..));
+        let query = BackendQuery {
+            service: self.service,
+            object,
+            has_large_body: self.outgoing.body.len() > LARGE_BODY_BYTES,
+            tried: &attempts.tried,
+            home_regions: &self.route.home_regions,
+        };
+        let refusal = {
+            let now_ms = self.state.now_ms();
+            let mut balancer = self.state.balancer.borrow_mut();
+            if let Some(object) = object_hash {
+                balancer.record_request(object, now_ms);
+            }
+            if let Some(choice) = balancer.choose(&query, now_ms) {
+                return Ok(choice);
+            }
+            let explanation = balancer.explain(&query, now_ms);
+            log_entry.basis = explanation.to_string();
+            match explanation.refusing_pause_ms() {
+                Some(pause_ms) => RequestError::PushedBack { pause_ms },
+                None if explanation.is_rate_limited() => RequestError::RateLimited,
+                None => RequestError::NoCapacity,
+            }
+        };
+        self.choose_granted(&query, log_entry).await.ok_or(refusal)
+    }
+
+    /// Asks another instance for a request on the account of its part of a rate limit.
+    async fn choose_granted(
+        &self,
+        query: &BackendQuery<'_>,
+        log_entry: &mut AccessLogEntry,
+    ) -> Option<Choice> {
+        // Otherwise the request would be held until its deadline.
+        if self.remaining_ms() <= grants::GRANT_TIMEOUT_MS {
+            return None;
+        }
+        let state = self.state;
+        let request = {
+            let members = state.members.borrow();
+            let balancer = state.balancer.borrow();
+            balancer.grant_request(query, &members, fastrand::u64(..), state.now_ms())?
+        };
+        let GrantRequest { handle, backend, holder, .. } = &request;
+        let _ = write!(log_entry.basis, " asked:{}:{backend}", holder.instance);
+        if !grants::ask(state, &request).await {
+            return None;
+        }
+        state.balancer.borrow_mut().choose_granted(query, *handle, state.now_ms())
+    }
+
+    /// Replaces an unsigned 503, 429 or 408 response to a non-idempotent request by a 502.
+    ///
+    /// Clients take these statuses to mean that the request was not executed and retry
+    /// it. Without the server's signature this is not certain.
+    fn mask_unsigned_rejection(
+        &self,
+        mut response: Response<ResponseBody>,
+    ) -> Response<ResponseBody> {
+        let implies_not_executed = matches!(
+            response.status(),
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::REQUEST_TIMEOUT
+        );
+        let is_signed = response.headers().contains_key(request::RESPONSE_SIGNATURE);
+        if implies_not_executed && !is_signed && !self.outgoing.is_idempotent {
+            *response.status_mut() = StatusCode::BAD_GATEWAY;
+            response.headers_mut().remove(header::RETRY_AFTER);
+        }
+        response
+    }
+}
+
+/// Returns whether the request may be sent to a server again that did not execute it.
+fn may_send_again(cause: NotExecuted, choice: &Choice) -> bool {
+    match cause {
+        NotExecuted::Rejected => choice.had_free_slot(),
+        // When its pause is over.
+        NotExecuted::PushedBack | NotExecuted::Withheld => true,
+        NotExecuted::Unreachable | NotExecuted::ClosedBeforeSend | NotExecuted::WrongServer => {
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuregate/src/serve/forwarded.rs
@@ -0,0 +1,83 @@
+//! Takes requests that other instances forward.
+//!
+//! A forwarded request is handled as if a client had sent it, but never forwarded again, so there are
+//! no loops.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc};
+
+use hyper::{
+    Request, Response, body::Incoming, header::HeaderValue, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::Instant,
+};
+
+use super::{
+    attempt_state::AttemptState, forwarding, leaving, request, response::RequestError,
+    response_body::ResponseBody, state::State,
+};
+use crate::accept;
+
+/// Takes forwarded requests until the process ends.
+pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
+    loop {
+        let (stream, peer) = accept::next(&listener).await;
+        spawn_local(serve_connection(Rc::clone(&state), stream, peer));
+    }
+}
+
+async fn serve_connection(state: Rc<State>, stream: TcpStream, peer: SocketAddr) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| handle(Rc::clone(&state), peer, request));
+    // An error means that the other instance disconnected.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Counts a forwarded request that is in progress until dropped.
+struct InProgress(Rc<State>);
+
+impl InProgress {
+    fn new(state: &Rc<State>) -> InProgress {
+        state.forwarded_in_progress.set(state.forwarded_in_progress.get() + 1);
+        InProgress(Rc::clone(state))
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.forwarded_in_progress.set(self.0.forwarded_in_progress.get() - 1);
+    }
+}
+
+async fn handle(
+    state: Rc<State>,
+    peer: SocketAddr,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    let _in_progress = InProgress::new(&state);
+    let received_at = Instant::now();
+    let (mut parts, body) = request.into_parts();
+    let Some(executions) = forwarding::executions(&parts.headers) else {
+        return Ok(own_response(RequestError::BadRequest, 0));
+    };
+    parts.headers.remove(forwarding::EXECUTIONS);
+    let mut attempts = AttemptState::forwarded(executions);
+    let body = Some(body);
+    let result = request::respond(&state, &mut attempts, peer.ip(), parts, body, received_at).await;
+    let mut response =
+        result.unwrap_or_else(|error| own_response(error, attempts.possible_executions()));
+    leaving::add_run(response.headers_mut(), attempts.leaving);
+    Ok(response)
+}
+
+/// Returns the response for an error of this instance, marked as its own.
+fn own_response(error: RequestError, executions: u32) -> Response<ResponseBody> {
+    let mut response = error.into_response();
+    response.headers_mut().insert(forwarding::ERROR_CODE, HeaderValue::from_static(error.code()));
+    response.headers_mut().insert(forwarding::EXECUTIONS, HeaderValue::from(executions));
+    response
+}
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -1,42 +1,30 @@
-//! Forwards requests to another instance while this one reaches no backend server, and takes
-//! requests that other instances forward.
+//! Forwards requests to another instance while this one reaches no backend server.
 //!
-//! The receiving instance handles a request as if a client had sent it, but never forwards it, so
-//! there are no loops. Both ends are ours: headers of this module say what the other one needs.
+//! Both ends are ours: headers of this module say what the other one needs.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc};
 
 use azuregate_core::balance::Member;
 use azuregate_platform::request::REQUEST_ID;
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
+    HeaderMap, Response, StatusCode,
     body::Incoming,
     header::{self, HeaderName, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::TokioIo;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    task::spawn_local,
-    time::Instant,
 };
 
 use super::{
     attempt::{self, OutgoingRequest},
     leaving,
     pool::Connection,
-    request::{self, AttemptState},
     response::{self, RequestError},
     response_body::{ResponseBody, StreamedFrom},
     state::State,
 };
-use crate::accept;
 
 /// How many times the request may have been executed before it was forwarded.
-const EXECUTIONS: HeaderName = HeaderName::from_static("azuregate-executions");
+pub(super) const EXECUTIONS: HeaderName = HeaderName::from_static("azuregate-executions");
 /// The code of the error for which the receiving instance responds itself.
-const ERROR_CODE: HeaderName = HeaderName::from_static("azuregate-error");
+pub(super) const ERROR_CODE: HeaderName = HeaderName::from_static("azuregate-error");
 
 /// The result of forwarding a request.
 pub(super) enum ForwardResult {
@@ -152,66 +140,7 @@
     }
 }
 
-/// Takes forwarded requests until the process ends.
-pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
-    loop {
-        let (stream, peer) = accept::next(&listener).await;
-        spawn_local(serve_connection(Rc::clone(&state), stream, peer));
-    }
-}
-
-async fn serve_connection(state: Rc<State>, stream: TcpStream, peer: SocketAddr) {
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| handle(Rc::clone(&state), peer, request));
-    // An error means that the other instance disconnected.
-    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-}
-
-/// Counts a forwarded request that is in progress until dropped.
-struct InProgress(Rc<State>);
-
-impl InProgress {
-    fn new(state: &Rc<State>) -> InProgress {
-        state.forwarded_in_progress.set(state.forwarded_in_progress.get() + 1);
-        InProgress(Rc::clone(state))
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.forwarded_in_progress.set(self.0.forwarded_in_progress.get() - 1);
-    }
-}
-
-async fn handle(
-    state: Rc<State>,
-    peer: SocketAddr,
-    request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
-    let _in_progress = InProgress::new(&state);
-    let received_at = Instant::now();
-    let (mut parts, body) = request.into_parts();
-    let Some(executions) = executions(&parts.headers) else {
-        return Ok(own_response(RequestError::BadRequest, 0));
-    };
-    parts.headers.remove(EXECUTIONS);
-    let mut attempts = AttemptState::forwarded(executions);
-    let body = Some(body);
-    let result = request::respond(&state, &mut attempts, peer.ip(), parts, body, received_at).await;
-    let mut response =
-        result.unwrap_or_else(|error| own_response(error, attempts.possible_executions()));
-    leaving::add_run(response.headers_mut(), attempts.leaving());
-    Ok(response)
-}
-
-fn executions(headers: &HeaderMap) -> Option<u32> {
+/// Returns how many times a request may have been executed, as one end tells the other.
+pub(super) fn executions(headers: &HeaderMap) -> Option<u32> {
     headers.get(EXECUTIONS)?.to_str().ok()?.parse().ok()
 }
-
-/// Returns the response for an error of this instance, marked as its own.
-fn own_response(error: RequestError, executions: u32) -> Response<ResponseBody> {
-    let mut response = error.into_response();
-    response.headers_mut().insert(ERROR_CODE, HeaderValue::from_static(error.code()));
-    response.headers_mut().insert(EXECUTIONS, HeaderValue::from(executions));
-    response
-}
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -17,29 +17,35 @@
 * `listen` accepts connections, `connection` serves one connection, and
   `client_stream` detects that its client has disconnected.
 * `pipeline` starts pipelined requests before the previous responses are sent.
-* `request` handles one client request, `attempt` sends it to one backend server, and
-  `pool` holds idle connections to backend servers, which `connector` opens.
-* `crash_detection` tells crashes of backend servers from other broken connections, and
+* `request` handles one client request and `access_log` logs it. `dispatch` sends it to backend
+  servers, by an `attempt` each; `attempt_state` is what has become of it so far.
+* `pool` holds idle connections to backend servers, which `connector` opens.
+* `crash_detection` tells crashes of backend servers from other `broken_requests` by a `probe`, and
   `quarantine_rows` keeps the requests that cause them in the store.
 * `rate_limits` reads the limits that backend servers name, and reports them to others;
   `grants` asks others for a request that is refused otherwise.
 * `pushback` reads the pauses that backend servers ask for, and `leaving` which of them are
   leaving.
-* `reachability` checks whether backend servers can be reached at all, and `forwarding` sends
-  requests through other instances while they cannot.
+* `reachability` checks whether backend servers can be reached at all. `forwarding` sends requests
+  through other instances while they cannot, which `forwarded` takes there.
 * `endpoints` serves readiness, lookups and metrics.
 * `shutdown` implements the graceful shutdown.
 */
 
+mod access_log;
 mod apply;
 mod attempt;
+mod attempt_state;
+mod broken_requests;
 mod client_stream;
 mod connection;
 mod connector;
 mod crash_detection;
+mod dispatch;
 mod encoding;
 mod endpoints;
 mod follower;
+mod forwarded;
 mod forwarding;
 mod grants;
 mod heartbeat;
@@ -49,6 +55,7 @@
 mod metrics;
 mod pipeline;
 mod pool;
+mod probe;
 mod pushback;
 mod quarantine_rows;
 mod rate_limits;
@@ -154,7 +161,7 @@
     spawn_local(relay::serve(Rc::clone(&state), listeners.followers));
     spawn_local(follower::serve(Rc::clone(&state)));
     if let Some(forwarded) = listeners.forwarded {
-        spawn_local(forwarding::serve(Rc::clone(&state), forwarded));
+        spawn_local(forwarded::serve(Rc::clone(&state), forwarded));
     }
     spawn_local(quarantine_rows::serve(Rc::clone(&state)));
     spawn_local(evict_idle_connections(Rc::clone(&state)));
--- a/crates/azuregate/src/serve/reachability.rs
+++ b/crates/azuregate/src/serve/reachability.rs
@@ -10,7 +10,7 @@
 use tokio::task::spawn_local;
 
 use super::{
-    crash_detection::{self, Probe},
+    probe::{self, Probe},
     state::State,
 };
 
@@ -67,7 +67,7 @@
 
 /// Returns whether any of the servers accepts a connection and keeps it open.
 async fn any_accepts(state: &State, servers: &[(BackendHandle, SocketAddr)]) -> bool {
-    let probes = servers.iter().map(|&(handle, addr)| crash_detection::probe(state, handle, addr));
+    let probes = servers.iter().map(|&(handle, addr)| probe::probe(state, handle, addr));
     let mut probes: FuturesUnordered<_> = probes.collect();
     while let Some(probe) = probes.next().await {
         if matches!(probe, Probe::Open) {
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -20,8 +20,8 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
+    broken_requests::BrokenRequests,
     connector::{Connector, TcpConnector},
-    crash_detection::BrokenRequests,
     encoding::EncodedChangesCache,
     grants::Questions,
     metrics::Metrics,
