Keep what a server says while its row is missing

A server that answered a request while its row had expired in an outage of the store was not known any more, so its pause or its leaving was lost, and the row that came back made it available. Both are now recorded for the run, registered or not. Found by reading the code, not by a run; asked_while_removed and forwarded_announcement_precedes_the_row in the core guard against it, the first with a pause, the second with a leaving server. Whether a forwarded request's server is leaving is looked up for such requests only.

--- a/crates/azuregate-core/src/balance/backends.rs
+++ b/crates/azuregate-core/src/balance/backends.rs
@@ -416,12 +416,16 @@
         }
     }
 
-    /// Records that a server has asked this instance for a pause of `pause_ms`. Until its end the
-    /// server is not chosen, and then by one request at first.
-    pub fn record_pushback(&mut self, handle: BackendHandle, pause_ms: u64, now_ms: u64) {
-        if let Some(state) = self.backend_state_mut(handle) {
-            state.announcements.pushback.record(pause_ms, now_ms);
+    /// Records that a run of a server has asked this instance for a pause of `pause_ms`. Until its end
+    /// the server is not chosen, and then by one request at first.
+    pub fn record_pushback(&mut self, run: BackendRun, pause_ms: u64, now_ms: u64) {
+        let record = |announcements: &mut Announcements| {
+            announcements.pushback.record(pause_ms, now_ms);
+        };
+        if let Some(state) = self.backends_mut().find(|state| state.run == run) {
+            return record(&mut state.announcements);
         }
+        self.unregistered.update(run, record);
     }
 
     /// Returns whether a server wants no requests from this instance any more that were assigned to it
--- a/crates/azuregate-core/src/balance/leaving.rs
+++ b/crates/azuregate-core/src/balance/leaving.rs
@@ -48,25 +48,14 @@
 pub(super) struct PendingReports(Vec<(BackendRun, u32)>);
 
 impl Balancer {
-    /// Records that a server has told this instance that it is leaving; returns its name if that is
-    /// news.
-    pub fn record_leaving(&mut self, handle: BackendHandle, now_ms: u64) -> Option<BackendId> {
-        let state = self.backend_state_mut(handle)?;
-        let run = state.run;
-        self.announce(run, now_ms)
-    }
-
-    /// Records that a run has said that it is leaving, in a response that this instance passes on for
-    /// another one; returns the server's name if that is news.
-    pub fn record_run_leaving(&mut self, run: BackendRun, now_ms: u64) -> Option<BackendId> {
-        if !self.backends().any(|state| state.run == run) {
-            self.unregistered.set_leaving(run);
-        }
-        self.announce(run, now_ms)
-    }
-
-    fn announce(&mut self, run: BackendRun, now_ms: u64) -> Option<BackendId> {
-        let state = self.backends_mut().find(|state| state.run == run)?;
+    /// Records that a run of a server has said that it is leaving, in a response that this instance
+    /// passes on; returns the server's name if that is news.
+    pub fn record_leaving(&mut self, run: BackendRun, now_ms: u64) -> Option<BackendId> {
+        let Some(state) = self.backends_mut().find(|state| state.run == run) else {
+            self.unregistered
+                .update(run, |announcements| announcements.leaving.is_announced = true);
+            return None;
+        };
         let leaving = &mut state.announcements.leaving;
         if mem::replace(&mut leaving.is_announced, true) {
             return None;
--- a/crates/azuregate-core/src/balance/unregistered.rs
+++ b/crates/azuregate-core/src/balance/unregistered.rs
@@ -32,10 +32,10 @@
         self.0.push_back((run, announcements));
     }
 
-    /// Remembers that a server is leaving that is not registered yet, or not any more.
-    pub(super) fn set_leaving(&mut self, run: BackendRun) {
+    /// Changes what is remembered of a server that is not registered yet, or not any more.
+    pub(super) fn update(&mut self, run: BackendRun, change: impl FnOnce(&mut Announcements)) {
         let mut announcements = self.take(run);
-        announcements.leaving.is_announced = true;
+        change(&mut announcements);
         self.add(run, announcements);
     }
 
--- a/crates/azuregate-core/tests/balance/leaving.rs
+++ b/crates/azuregate-core/tests/balance/leaving.rs
@@ -63,9 +63,8 @@
     ];
     for (name, change, is_leaving) in cases {
         let mut balancer = balancer(0, 1, 3);
-        let handle = handle_of(&balancer, "server-0");
-        assert!(balancer.record_leaving(handle, NOW_MS).is_some());
-        assert!(balancer.record_leaving(handle, NOW_MS).is_none(), "told once");
+        assert!(balancer.record_leaving(run(0), NOW_MS).is_some());
+        assert!(balancer.record_leaving(run(0), NOW_MS).is_none(), "told once");
         change(&mut balancer);
         let handle = handle_of(&balancer, "server-0");
         let now_ms = NOW_MS + 24 * 60 * 60 * 1_000;
@@ -74,12 +73,12 @@
     }
 }
 
-/// Guards against forgetting a server that was known to leave before its row came.
+/// Guards against forgetting a server that is known to leave before its row comes.
 #[test]
 fn forwarded_announcement_precedes_the_row() {
     let mut balancer = balancer(0, 1, 2);
-    assert!(balancer.record_run_leaving(run(2), NOW_MS).is_none());
-    balancer.record_run_leaving(run(2), NOW_MS);
+    assert!(balancer.record_leaving(run(2), NOW_MS).is_none());
+    balancer.record_leaving(run(2), NOW_MS);
     balancer.put(backend(2), &members(0, 1), NOW_MS);
     let late = handle_of(&balancer, "server-2");
     assert!(!chosen(&mut balancer, NOW_MS).contains(&late));
@@ -95,7 +94,7 @@
     let observation =
         RateLimitObservation { limit_per_s: Some(0.0), sent_at_ms: NOW_MS, received_at_ms: NOW_MS };
     balancer.record_rate_limit(handle, observation, &members, NOW_MS);
-    balancer.record_leaving(handle, NOW_MS);
+    balancer.record_leaving(run(0), NOW_MS);
     assert!(balancer.choose_granted(&query, handle, NOW_MS).is_none());
     assert!(balancer.choose(&query, NOW_MS + 60_000).is_none());
     assert!(balancer.is_withheld(handle, NOW_MS));
@@ -123,11 +122,10 @@
 #[test]
 fn server_is_reported_three_times_by_the_first_that_it_tells() {
     let mut balancer = balancer(0, 2, 2);
-    let [first, second] = ["server-0", "server-1"].map(|id| handle_of(&balancer, id));
     assert_eq!(balancer.next_leaving_report(false), None);
-    balancer.record_leaving(first, NOW_MS);
+    balancer.record_leaving(run(0), NOW_MS);
     balancer.record_leaving_report(&LeavingReport(vec![run(1)]), NOW_MS);
-    balancer.record_leaving(second, NOW_MS);
+    balancer.record_leaving(run(1), NOW_MS);
     let report = Some(LeavingReport(vec![run(0)]));
     assert_eq!(balancer.next_leaving_report(true), report);
     assert_eq!(balancer.next_leaving_report(true), None);
@@ -140,8 +138,8 @@
 #[test]
 fn reports_of_many_servers_are_divided() {
     let mut balancer = balancer(0, 2, 200);
-    for handle in balancer.handles().collect::<Vec<_>>() {
-        balancer.record_leaving(handle, NOW_MS);
+    for number in 0..200 {
+        balancer.record_leaving(run(number), NOW_MS);
     }
     let mut reported = Vec::new();
     while let Some(report) = balancer.next_leaving_report(true) {
--- a/crates/azuregate-core/tests/balance/pushbacks.rs
+++ b/crates/azuregate-core/tests/balance/pushbacks.rs
@@ -2,8 +2,8 @@
 
 use azuregate_core::{
     balance::{
-        Backend, BackendHandle, BackendQuery, Balancer, Choice, HeartbeatStatus, Members, Outcome,
-        RateLimitObservation, retry_after_pause_ms,
+        Backend, BackendHandle, BackendQuery, BackendRun, Balancer, Choice, HeartbeatStatus,
+        Members, Outcome, RateLimitObservation, retry_after_pause_ms,
     },
     names::{RegionName, StartNumber},
 };
@@ -15,6 +15,11 @@
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 const SUCCEEDED: Outcome = Outcome::Succeeded { taken_ms: 10 };
 
+fn push_back(balancer: &mut Balancer, handle: BackendHandle, pause_ms: u64, now_ms: u64) {
+    let run = BackendRun::of(&balancer.backend(handle).unwrap());
+    balancer.record_pushback(run, pause_ms, now_ms);
+}
+
 fn choose(balancer: &mut Balancer, object: u64, now_ms: u64) -> Option<Choice> {
     let service = service();
     balancer.choose(&query(&service, object), now_ms)
@@ -31,7 +36,7 @@
 fn all_paused(servers: usize) -> Balancer {
     let mut balancer = balancer(0, 1, servers);
     for (number, handle) in balancer.handles().collect::<Vec<_>>().into_iter().enumerate() {
-        balancer.record_pushback(handle, PAUSE_MS + 100 * number as u64, NOW_MS);
+        push_back(&mut balancer, handle, PAUSE_MS + 100 * number as u64, NOW_MS);
     }
     balancer
 }
@@ -52,7 +57,7 @@
         handles.contains(&paused)
     };
     assert!(is_chosen(&mut balancer, NOW_MS));
-    balancer.record_pushback(paused, PAUSE_MS, NOW_MS);
+    push_back(&mut balancer, paused, PAUSE_MS, NOW_MS);
     assert!(!is_chosen(&mut balancer, NOW_MS));
     assert!(!is_chosen(&mut balancer, NOW_MS + PAUSE_MS));
     assert!(is_chosen(&mut balancer, NOW_MS + PAUSE_MS + 1));
@@ -73,7 +78,7 @@
     for (pushbacks, end_ms) in cases {
         let (mut balancer, handle) = one_server();
         for &(at_ms, pause_ms) in pushbacks {
-            balancer.record_pushback(handle, pause_ms, NOW_MS + at_ms);
+            push_back(&mut balancer, handle, pause_ms, NOW_MS + at_ms);
         }
         if end_ms > 0 {
             let last_ms = NOW_MS + end_ms - 1;
@@ -103,16 +108,16 @@
     };
     for (outcome, expected) in cases {
         let (mut balancer, handle) = one_server();
-        balancer.record_pushback(handle, PAUSE_MS, NOW_MS);
+        push_back(&mut balancer, handle, PAUSE_MS, NOW_MS);
         assert_eq!(chosen(&mut balancer, after_ms), 1, "{outcome:?}");
         if outcome == Outcome::PushedBack {
-            balancer.record_pushback(handle, PAUSE_MS, after_ms);
+            push_back(&mut balancer, handle, PAUSE_MS, after_ms);
         }
         balancer.complete(handle, outcome, after_ms);
         assert_eq!(chosen(&mut balancer, after_ms), expected, "{outcome:?}");
     }
     let (mut balancer, handle) = one_server();
-    balancer.record_pushback(handle, PAUSE_MS, NOW_MS);
+    push_back(&mut balancer, handle, PAUSE_MS, NOW_MS);
     assert_eq!(chosen(&mut balancer, after_ms), 1);
     assert_eq!(chosen(&mut balancer, after_ms + 249), 0);
     assert_eq!(chosen(&mut balancer, after_ms + 250), 5);
@@ -131,7 +136,7 @@
         now_ms += 10;
     }
     for _ in 0..20 {
-        balancer.record_pushback(paused, 1, now_ms);
+        push_back(&mut balancer, paused, 1, now_ms);
         balancer.complete(paused, Outcome::PushedBack, now_ms);
     }
     now_ms += 1_000;
@@ -193,6 +198,11 @@
         balancer.remove("server-0");
         balancer.put(backend(0), &members, NOW_MS);
     };
+    let asked_while_removed = |balancer: &mut Balancer| {
+        balancer.remove("server-0");
+        balancer.record_pushback(BackendRun::of(&backend(0)), 2 * PAUSE_MS, NOW_MS);
+        balancer.put(backend(0), &members, NOW_MS);
+    };
     let restarted = |balancer: &mut Balancer| {
         let row = Backend { start_epoch_ms: 2, ..backend(0) };
         balancer.put(row, &members, NOW_MS);
@@ -202,7 +212,8 @@
         let addr = backend(0).addr;
         balancer.put(Backend { addr, ..backend(1) }, &members, NOW_MS);
     };
-    let cases: [(&str, Change<'_>, bool); 4] = [
+    let cases: [(&str, Change<'_>, bool); 5] = [
+        ("asked while removed", &asked_while_removed, true),
         ("row updated", &updated, true),
         ("row removed and back", &removed_and_back, true),
         ("server restarted", &restarted, false),
@@ -210,7 +221,7 @@
     ];
     for (name, change, is_paused) in cases {
         let (mut balancer, handle) = one_server();
-        balancer.record_pushback(handle, PAUSE_MS, NOW_MS);
+        push_back(&mut balancer, handle, PAUSE_MS, NOW_MS);
         change(&mut balancer);
         assert_eq!(choose(&mut balancer, 1, NOW_MS + 1).is_none(), is_paused, "{name}");
     }
@@ -247,7 +258,7 @@
     let query = query(&service, 1);
     let (mut balancer, members, handle) = limited(2.0);
     assert!(balancer.grant_request(&query, &members, 0, NOW_MS).is_some());
-    balancer.record_pushback(handle, PAUSE_MS, NOW_MS);
+    push_back(&mut balancer, handle, PAUSE_MS, NOW_MS);
     assert!(balancer.grant_request(&query, &members, 0, NOW_MS).is_none());
     assert!(balancer.choose_granted(&query, handle, NOW_MS).is_none());
     assert!(balancer.choose_granted(&query, handle, NOW_MS + PAUSE_MS + 1).is_some());
@@ -259,13 +270,13 @@
 fn paused_server_gets_no_trial_and_no_cold_requests() {
     let (mut balancer, _, handle) = limited(0.0);
     let trial_ms = NOW_MS + 30_000;
-    balancer.record_pushback(handle, PAUSE_MS, trial_ms);
+    push_back(&mut balancer, handle, PAUSE_MS, trial_ms);
     assert!(choose(&mut balancer, 1, trial_ms).is_none());
     assert!(choose(&mut balancer, 1, trial_ms + PAUSE_MS + 1).is_some());
     let (mut balancer, handle) = one_server();
     balancer.update_shares(&members(0, 1), NOW_MS);
     balancer.set_cold(handle, 2 * PAUSE_MS, NOW_MS);
-    balancer.record_pushback(handle, PAUSE_MS, NOW_MS);
+    push_back(&mut balancer, handle, PAUSE_MS, NOW_MS);
     assert!(choose(&mut balancer, 1, NOW_MS).is_none());
     assert!(choose(&mut balancer, 1, NOW_MS + PAUSE_MS + 1).is_some());
 }
@@ -275,7 +286,7 @@
 fn paused_servers_are_checked_last() {
     let mut balancer = balancer(0, 1, 4);
     let paused = balancer.handles().next().unwrap();
-    balancer.record_pushback(paused, PAUSE_MS, NOW_MS);
+    push_back(&mut balancer, paused, PAUSE_MS, NOW_MS);
     for random in 0..20 {
         let sample = balancer.sample_servers(&service(), 4, random, NOW_MS);
         assert_eq!(sample.last().map(|(handle, _)| *handle), Some(paused));
--- a/crates/azuregate-core/tests/balance/simulation.rs
+++ b/crates/azuregate-core/tests/balance/simulation.rs
@@ -10,7 +10,7 @@
 
 use azuregate_core::{
     balance::{
-        Backend, BackendHandle, BackendQuery, Balancer, Choice, HeartbeatStatus,
+        Backend, BackendHandle, BackendQuery, BackendRun, Balancer, Choice, HeartbeatStatus,
         LoadBalancingPolicy, Members, Outcome, RateLimitObservation, retry_after_pause_ms,
     },
     names::StartNumber,
@@ -429,9 +429,10 @@
     /// Lets a server that has rejected a request ask for a pause.
     fn push_back(&mut self, local: usize, choice: &Choice, now_ms: u64) {
         let Some(pausing) = self.scenario.pausing else { return };
+        let run = BackendRun::of(&choice.backend);
         for (number, balancer) in self.balancers.iter_mut().enumerate() {
             if number == local || pausing.way == PauseWay::ToldToAll {
-                balancer.record_pushback(choice.handle, pausing.pause_ms, now_ms);
+                balancer.record_pushback(run, pausing.pause_ms, now_ms);
             }
         }
         self.balancers[local].complete(choice.handle, Outcome::PushedBack, now_ms);
--- a/crates/azuregate/src/serve/attempt_state.rs
+++ b/crates/azuregate/src/serve/attempt_state.rs
@@ -19,7 +19,7 @@
     pub(super) possible_arrivals: u32,
     /// Whether an attempt is in flight.
     pub(super) is_in_flight: bool,
-    /// The last server, if it has announced that it is leaving.
+    /// The last server that a forwarded request was sent to, if it has announced that it is leaving.
     pub(super) leaving: Option<BackendRun>,
 }
 
--- a/crates/azuregate/src/serve/dispatch.rs
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -89,8 +89,9 @@
             attempts.is_in_flight = false;
             let is_withheld = matches!(result, AttemptResult::NotExecuted(NotExecuted::Withheld));
             attempts.sends += u32::from(!is_withheld);
-            let is_leaving = self.state.balancer.borrow().has_announced_leaving(choice.handle);
-            attempts.leaving = is_leaving.then(|| BackendRun::of(&choice.backend));
+            if attempts.is_forwarded {
+                attempts.leaving = self.leaving_run(&choice);
+            }
             let limit_per_s = self.state.balancer.borrow().rate_limit(choice.handle);
             log_entry.limit_per_s = limit_per_s.map_or_else(String::new, |limit| limit.to_string());
             match result {
@@ -223,6 +224,13 @@
         }
     }
 
+    /// Returns the run of the server that was chosen if it has announced that it is leaving.
+    fn leaving_run(&self, choice: &Choice) -> Option<BackendRun> {
+        let balancer = self.state.balancer.borrow();
+        let is_leaving = balancer.has_announced_leaving(choice.handle);
+        is_leaving.then(|| BackendRun::of(&choice.backend))
+    }
+
     /// Logs a retry and what it has left of its budget.
     fn log_retry(&self, log_entry: &AccessLogEntry) {
         log::info!(
--- a/crates/azuregate/src/serve/leaving.rs
+++ b/crates/azuregate/src/serve/leaving.rs
@@ -20,7 +20,8 @@
     if !request::is_leaving(headers) {
         return;
     }
-    if let Some(id) = state.balancer.borrow_mut().record_leaving(choice.handle, state.now_ms()) {
+    let run = BackendRun::of(&choice.backend);
+    if let Some(id) = state.balancer.borrow_mut().record_leaving(run, state.now_ms()) {
         log_leaving(&id, "response");
     }
     // Idle connections keep a server from ending.
@@ -44,8 +45,7 @@
 pub(super) fn take_run(state: &State, headers: &mut HeaderMap) {
     let Some(value) = headers.remove(LEAVING_RUN) else { return };
     let run = value.to_str().ok().and_then(|text| text.parse().ok()).map(BackendRun);
-    let id =
-        run.and_then(|run| state.balancer.borrow_mut().record_run_leaving(run, state.now_ms()));
+    let id = run.and_then(|run| state.balancer.borrow_mut().record_leaving(run, state.now_ms()));
     id.iter().for_each(|id| log_leaving(id, "forwarded"));
 }
 
--- a/crates/azuregate/src/serve/pushback.rs
+++ b/crates/azuregate/src/serve/pushback.rs
@@ -1,6 +1,6 @@
 //! Reads the pauses that backend servers ask for.
 
-use azuregate_core::balance::Choice;
+use azuregate_core::balance::{BackendRun, Choice};
 use azuregate_platform::request;
 use hyper::{
     HeaderMap, StatusCode,
@@ -30,7 +30,8 @@
         return false;
     }
     metrics::inc_by(&state.metrics.pushbacks, 1);
-    state.balancer.borrow_mut().record_pushback(choice.handle, pause_ms, state.now_ms());
+    let run = BackendRun::of(&choice.backend);
+    state.balancer.borrow_mut().record_pushback(run, pause_ms, state.now_ms());
     log::info!(backend:% = choice.backend.id, pause_ms = pause_ms; "backend server pushed back");
     true
 }
