--- a/crates/azuregate/tests/serve/cut_off.rs
+++ b/crates/azuregate/tests/serve/cut_off.rs
@@ -318,3 +318,33 @@
     let response = instances[1].send(&get_request("/read/popular", "p-last")).await;
     assert_eq!(response.map(|response| response.status), Some(200));
 }
+
+/// Guards against servers that are taken for crashed since a second cut began after the links had been
+/// found up, and before the server was probed again.
+#[tokio::test]
+async fn second_cut_is_not_reported_as_crashes() {
+    let (cluster, instances, switches) = start(&["zone-a", "zone-a"]).await;
+    let slow = Behaviour::Delay(Duration::from_millis(400));
+    cluster.backends.iter().for_each(|server| server.set(slow.clone()));
+    let sends = (0..12).map(|number| {
+        let request = get_request("/read/popular", &format!("p{number}"));
+        let object = format!("X-Affinity-Key: k{number}");
+        let instance = &instances[0];
+        async move { instance.send(&request.replace("X-Affinity-Key: 17", &object)).await }
+    });
+    let cuts = async {
+        time::sleep(Duration::from_millis(200)).await;
+        switches[0].set(Links::Reset).await;
+        time::sleep(CONTACT / 2).await;
+        let unreachable = "azuregate_unreachable_services";
+        assert_eq!(metric(&instances[0], unreachable).await, 1.0);
+        switches[0].set(Links::Up).await;
+        while metric(&instances[0], unreachable).await > 0.0 {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+        switches[0].set(Links::RefuseNew).await;
+    };
+    tokio::join!(futures_util::future::join_all(sends), cuts);
+    time::sleep(CONTACT).await;
+    assert_eq!(metric(&instances[0], "azuregate_backend_crashes_total").await, 0.0);
+}
