Prefer a server that is reported to leave to one that cannot be reached

A server that another instance reports as leaving ranked behind one in backoff, which does not serve at all. It now ranks before it. A server's response can no longer carry the header by which instances tell each other of a leaving server. Found by reading the code; reported_server_is_used_only_if_no_other_has_room covers the first.

--- a/crates/azuregate-core/src/balance/choice.rs
+++ b/crates/azuregate-core/src/balance/choice.rs
@@ -262,10 +262,10 @@
     prefers_region: bool,
     now_ms: u64,
 ) -> Candidate {
-    let status = if state.announcements.leaving.is_reported(now_ms) {
-        HealthStatus::Leaving
-    } else if state.health.is_in_backoff(now_ms) {
+    let status = if state.health.is_in_backoff(now_ms) {
         HealthStatus::InBackoff
+    } else if state.announcements.leaving.is_reported(now_ms) {
+        HealthStatus::Leaving
     } else if state.is_outlier {
         HealthStatus::Outlier
     } else {
--- a/crates/azuregate-core/src/balance/policy.rs
+++ b/crates/azuregate-core/src/balance/policy.rs
@@ -12,10 +12,10 @@
     Healthy,
     /// Performs much worse than the others.
     Outlier,
-    /// Was unreachable and is in backoff.
-    InBackoff,
     /// Is leaving, as another instance reports.
     Leaving,
+    /// Was unreachable and is in backoff.
+    InBackoff,
 }
 
 /// A server that is eligible for a request.
--- a/crates/azuregate-core/tests/balance/leaving.rs
+++ b/crates/azuregate-core/tests/balance/leaving.rs
@@ -112,8 +112,12 @@
     assert!(balancer.record_leaving_report(&report(0..1), NOW_MS).is_empty(), "no news");
     assert!(!chosen(&mut balancer, NOW_MS).contains(&reported));
     assert!(balancer.is_leaving(reported, NOW_MS) && !balancer.has_announced_leaving(reported));
+    let unreachable = handle_of(&balancer, "server-1");
+    balancer.complete(unreachable, Outcome::Unreachable, NOW_MS);
     balancer.record_leaving_report(&report(0..3), NOW_MS);
-    assert_eq!(chosen(&mut balancer, NOW_MS).len(), 100, "all are reported");
+    let chosen_now = chosen(&mut balancer, NOW_MS);
+    assert_eq!(chosen_now.len(), 100, "all are reported");
+    assert!(!chosen_now.contains(&unreachable), "preferred to those that can be reached");
     assert!(chosen(&mut balancer, NOW_MS + REPORT_TTL_MS).contains(&reported), "not repeated");
 }
 
--- a/crates/azuregate/src/serve/leaving.rs
+++ b/crates/azuregate/src/serve/leaving.rs
@@ -36,6 +36,8 @@
 
 /// Adds to the response to a forwarded request that the server which it was sent to is leaving.
 pub(super) fn add_run(headers: &mut HeaderMap, run: Option<BackendRun>) {
+    // A server must not name another one.
+    headers.remove(LEAVING_RUN);
     if let Some(BackendRun(run)) = run {
         headers.insert(LEAVING_RUN, HeaderValue::from(run));
     }
