Share the traffic of two test files of instances

The tests of pauses and of leaving servers had the same requests and the same start of an instance through a connector.

--- a/crates/azuregate/tests/serve/connectors.rs
+++ b/crates/azuregate/tests/serve/connectors.rs
@@ -14,6 +14,8 @@
 use azuregate::serve::{Connector, TcpConnector};
 use tokio::{net::TcpStream, time};
 
+use crate::cluster::{Instance, TestCluster, eventually};
+
 /// Opens connections after a delay.
 pub(crate) struct SlowConnector {
     pub(crate) connector: TcpConnector,
@@ -44,3 +46,18 @@
         }
     }
 }
+
+/// Starts an instance that reaches backend servers through a connector made from the usual one, and
+/// waits until it is ready.
+pub(crate) async fn start_with(
+    cluster: &TestCluster,
+    number: u8,
+    connector: impl FnOnce(TcpConnector) -> Box<dyn Connector>,
+) -> Instance {
+    let ip = format!("{}.{number}", cluster.network).parse().unwrap();
+    let text = cluster.settings_text(number);
+    let connector = connector(TcpConnector { ip });
+    let instance = cluster.start_instance_with_connector(number, &text, connector);
+    eventually("the instance is ready", async || instance.readiness().await == 200).await;
+    instance
+}
--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -20,3 +20,4 @@
 mod responses;
 mod shutdown;
 mod slow_links;
+mod traffic;
