--- a/crates/azuregate/tests/serve/pauses.rs
+++ b/crates/azuregate/tests/serve/pauses.rs
@@ -240,9 +240,11 @@
     time::sleep(Duration::from_secs(1)).await;
     let pause = Duration::from_secs(600);
     cluster.backends.iter().for_each(|server| server.set(Behaviour::PushBack(pause)));
-    while paused_servers(&other).await != Some(SERVERS) {
+    eventually("all servers have asked for a pause", async || {
         send_pipelined(&other, "tell", 12).await;
-    }
+        paused_servers(&other).await == Some(SERVERS)
+    })
+    .await;
     cluster.backends.iter().for_each(|server| server.set(Behaviour::Respond));
     let before: usize = cluster.backends.iter().map(|server| server.received().len()).sum();
     let statuses = send_for(&cut_off, "forwarded", Duration::from_secs(1)).await;
