--- a/crates/azuregate/src/serve/crash_detection.rs
+++ b/crates/azuregate/src/serve/crash_detection.rs
@@ -9,7 +9,7 @@
     broken_requests::BrokenAt,
     metrics,
     probe::{self, Probe},
-    reachability::{self, Links},
+    reachability,
     state::State,
 };
 
@@ -42,24 +42,16 @@
 }
 
 /// Records a crash if the server does not serve any more.
-///
-/// While no server can be reached, the links may have broken and not the server. They may also break
-/// after they were found up and before the server is probed, so it must fail between two looks at the
-/// links that find them up.
 async fn examine(state: Rc<State>, handle: BackendHandle, addr: SocketAddr) {
     time::sleep(Duration::from_millis(SETTLING_MS)).await;
-    let mut were_links_up = false;
-    while has_ended(&state, handle, addr).await {
-        if is_only_server(&state, handle) {
-            return record_end(&state, handle);
-        }
-        match look_at_links(&state, handle).await {
-            Some(Links::Up) if were_links_up => return record_end(&state, handle),
-            Some(Links::Up | Links::Restored) => were_links_up = true,
-            None => break,
-        }
-    }
-    if let Some(broken) = state.broken_requests.borrow_mut().get_mut(&handle) {
+    let has_ended = has_ended(&state, handle, addr).await;
+    // While no server can be reached, the links may have broken and not the server.
+    let has_ended = has_ended
+        && (is_only_server(&state, handle)
+            || links_are_up(&state, handle).await && self::has_ended(&state, handle, addr).await);
+    if has_ended {
+        record_end(&state, handle);
+    } else if let Some(broken) = state.broken_requests.borrow_mut().get_mut(&handle) {
         broken.was_alive = true;
     }
 }
@@ -74,12 +66,12 @@
     balancer.backend(handle).is_none_or(|backend| balancer.servers(&backend.service) < 2)
 }
 
-/// Waits until another server of the service can be reached. Returns `None` if that does not happen
-/// while the requests are remembered, or if the server is not registered any more.
-async fn look_at_links(state: &Rc<State>, handle: BackendHandle) -> Option<Links> {
-    let backend = state.balancer.borrow().backend(handle)?;
-    let links = reachability::wait_until_reachable(state, &backend.service);
-    time::timeout(Duration::from_millis(REMEMBERED_MS), links).await.ok()
+/// Waits until another server of the service can be reached, and returns whether that happened
+/// while the requests are remembered.
+async fn links_are_up(state: &Rc<State>, handle: BackendHandle) -> bool {
+    let Some(backend) = state.balancer.borrow().backend(handle) else { return true };
+    let links_are_up = reachability::wait_until_reachable(state, &backend.service);
+    time::timeout(Duration::from_millis(REMEMBERED_MS), links_are_up).await.is_ok()
 }
 
 /// Records a crash if requests broke at a server lately. To be called when the run of the server
--- a/crates/azuregate/src/serve/reachability.rs
+++ b/crates/azuregate/src/serve/reachability.rs
@@ -40,28 +40,13 @@
     state.reachability.borrow_mut().record_connection(&choice.backend.service);
 }
 
-/// What a check found of the links to a service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Links {
-    /// A server was reached at the first attempt.
-    Up,
-    /// No server was reached at first.
-    Restored,
-}
-
 /// Checks a service, and waits until it is reachable.
-pub(super) async fn wait_until_reachable(state: &Rc<State>, service: &ServiceName) -> Links {
+pub(super) async fn wait_until_reachable(state: &Rc<State>, service: &ServiceName) {
     if state.reachability.borrow_mut().start_check(service) {
         spawn_local(check(Rc::clone(state), service.clone()));
     }
-    let mut links = Links::Up;
     let mut ticks = state.timer.subscribe(WAIT_INTERVAL_MS);
-    while state.reachability.borrow().is_checking(service) && ticks.recv().await.is_some() {
-        if state.reachability.borrow().is_unreachable(service) {
-            links = Links::Restored;
-        }
-    }
-    links
+    while state.reachability.borrow().is_checking(service) && ticks.recv().await.is_some() {}
 }
 
 /// Checks a service until it is reachable.
