--- a/review/standins/lab.rs
+++ b/review/standins/lab.rs
@@ -7,8 +7,8 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -157,7 +157,11 @@
     }
 
     /// Starts an entry instance in each of `zones` and waits until all are ready.
-    pub fn start_instances(&self, zones: &[&str], store: &Store) -> Result<Vec<Arc<Instance>>, String> {
+    pub fn start_instances(
+        &self,
+        zones: &[&str],
+        store: &Store,
+    ) -> Result<Vec<Arc<Instance>>, String> {
         let ips: Vec<String> = (0..zones.len()).map(|number| self.ip(10 + number)).collect();
         let port = self.free_ports(&ips).ok_or("no free ports")?;
         let mut instances = Vec::new();
--- a/review/standins/pipelined.rs
+++ b/review/standins/pipelined.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     http::Connection,
-    lab::{BROKEN, HELD, HOST, Lab, Rule, SIGTERM, put_manifest},
+    lab::{put_manifest, Lab, Rule, BROKEN, HELD, HOST, SIGTERM},
     store::Store,
     upstream::{Plan, Upstream},
 };
@@ -145,5 +145,9 @@
         "LOST: {} had been passed on to an upstream when their connection ended (0 allowed)",
         lost.len()
     ));
-    if lost.is_empty() { HELD } else { BROKEN }
+    if lost.is_empty() {
+        HELD
+    } else {
+        BROKEN
+    }
 }
--- a/review/standins/refused.rs
+++ b/review/standins/refused.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     http::Connection,
-    lab::{BROKEN, HELD, HOST, Lab, Rule, put_manifest},
+    lab::{put_manifest, Lab, Rule, BROKEN, HELD, HOST},
     store::Store,
     upstream::{Faults, Plan, Run, Upstream},
 };
@@ -107,7 +107,9 @@
             continue;
         }
         last = (shed, extra_late);
-        lab.log(&format!("all upstreams shed {shed}, {garbled} repeat {extra_late} of their answers"));
+        lab.log(&format!(
+            "all upstreams shed {shed}, {garbled} repeat {extra_late} of their answers"
+        ));
         for (number, upstream) in upstreams.iter().enumerate() {
             let extra_late = if number < garbled { extra_late } else { 0.0 };
             upstream.set_faults(Faults { shed, extra_late });
@@ -221,5 +223,9 @@
     lab.say(&format!("TWICE: {twice} requests ran more than once (0 allowed)"));
     lab.say(&format!("REFUSED: {refused} requests were answered as not run and ran (0 allowed)"));
     lab.say(&format!("{} orders ran more than once, retries included", doubled.len()));
-    if twice > 0 || refused > 0 { BROKEN } else { HELD }
+    if twice > 0 || refused > 0 {
+        BROKEN
+    } else {
+        HELD
+    }
 }
--- a/review/standins/stalled.rs
+++ b/review/standins/stalled.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     http::{Connection, NoResponse},
-    lab::{BROKEN, HELD, HOST, Lab, Rule, put_manifest},
+    lab::{put_manifest, Lab, Rule, BROKEN, HELD, HOST},
     store::Store,
     upstream::{Plan, Upstream},
 };
@@ -21,8 +21,7 @@
     "sofia-b", "sofia-b", "sofia-b", "sofia-b",
 ];
 const LOST_ZONE: &str = "sofia-a";
-const PLAN: Plan =
-    Plan { work: Duration::from_millis(480), pieces: 40, piece_bytes: 8 << 10 };
+const PLAN: Plan = Plan { work: Duration::from_millis(480), pieces: 40, piece_bytes: 8 << 10 };
 const CLIENTS: usize = 36;
 /// No request is sent later. The run ends before the power would be back after the 5.5 s of
 /// `zone_loss` on days of the site.
@@ -140,7 +139,10 @@
     let late: Vec<_> =
         unanswered.iter().filter(|(.., taken)| *taken > ROUTE_TIMEOUT + SLACK).collect();
     for (id, answer, taken) in &late {
-        lab.log(&format!("CONFIG: {id} had no answer in time: {answer} ({} ms)", taken.as_millis()));
+        lab.log(&format!(
+            "CONFIG: {id} had no answer in time: {answer} ({} ms)",
+            taken.as_millis()
+        ));
     }
     let never = late.iter().filter(|(_, answer, _)| answer.starts_with("never")).count();
     let served = ends.iter().filter(|(_, answer, _)| answer == "200").count();
@@ -152,5 +154,9 @@
         late.len()
     ));
     let is_broken = late.len() >= MIN_UNANSWERED && late.len() * 4 > unanswered.len();
-    if is_broken { BROKEN } else { HELD }
+    if is_broken {
+        BROKEN
+    } else {
+        HELD
+    }
 }
--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -6,8 +6,8 @@
     io::Write,
     net::{SocketAddr, TcpStream},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -15,7 +15,7 @@
 
 use crate::{
     http::{Connection, NoResponse},
-    lab::{BROKEN, HELD, HOST, Instance, Lab, Rule, put_manifest},
+    lab::{put_manifest, Instance, Lab, Rule, BROKEN, HELD, HOST},
     store::Store,
     upstream::{Plan, Upstream},
 };
@@ -232,5 +232,9 @@
         "LOST: {} reads were passed on to an upstream and cut; broken from {MIN_LOST}",
         lost.len()
     ));
-    if lost.len() >= MIN_LOST { BROKEN } else { HELD }
+    if lost.len() >= MIN_LOST {
+        BROKEN
+    } else {
+        HELD
+    }
 }
--- a/review/standins/upstream.rs
+++ b/review/standins/upstream.rs
@@ -6,8 +6,8 @@
     net::{SocketAddr, TcpListener, TcpStream},
     os::fd::AsRawFd,
     sync::{
-        Arc, Condvar, Mutex,
         atomic::{AtomicBool, Ordering},
+        Arc, Condvar, Mutex,
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -207,7 +207,10 @@
         let id = request.header("x-request-id").to_owned();
         let target = request.header("x-target-instance");
         if request.path == "/healthz" {
-            let text = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
             connection.stream.write_all(text.as_bytes()).ok()?;
             return Some(text);
         }
