--- a/review/standins/lab.rs
+++ b/review/standins/lab.rs
@@ -7,7 +7,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -34,6 +34,7 @@
     instances: Mutex<Vec<Arc<Instance>>>,
     dir: PathBuf,
     random: AtomicU64,
+    is_finishing: AtomicBool,
 }
 
 /// One run of a case.
@@ -72,6 +73,7 @@
             instances: Mutex::default(),
             dir,
             random: AtomicU64::new(now.as_nanos() as u64 | 1),
+            is_finishing: AtomicBool::new(false),
         });
         let lab = Lab { shared, net: format!("127.{}.{}", 20 + pid % 200, pid / 200 % 250) };
         let guard = lab.clone();
@@ -118,6 +120,7 @@
 
     /// Ends all processes that were started, and this one.
     pub fn finish(&self, code: i32) -> ! {
+        self.shared.is_finishing.store(true, Ordering::SeqCst);
         if let Ok(instances) = self.shared.instances.lock() {
             instances.iter().for_each(|instance| instance.kill());
         }
@@ -213,10 +216,16 @@
         instance.kill();
         self.log(&format!("{} killed", instance.name));
         thread::sleep(downtime);
+        // Held, so that the end of the run either prevents the start or finds the process.
+        let mut child = instance.child.lock().unwrap();
+        if self.shared.is_finishing.load(Ordering::SeqCst) {
+            return;
+        }
         match self.spawn(&instance.name, &instance.settings) {
-            Ok(child) => *instance.child.lock().unwrap() = child,
+            Ok(started) => *child = started,
             Err(e) => self.log(&format!("{} cannot restart: {e}", instance.name)),
         }
+        drop(child);
         self.log(&format!("{} started again", instance.name));
     }
 
