Log the connection of each try

Hypotheses that it could not tell apart: the late copy of the rejection came on the connection of the second send; it came on another connection to that server; the server had rejected a request and executed it all the same.

The line of a request now names the connection of each try and the number of the request on it. No decision changes.

--- a/crates/azuregate/src/serve/access_log.rs
+++ b/crates/azuregate/src/serve/access_log.rs
@@ -1,11 +1,13 @@
 //! The access log: one line for each request.
 
-use std::net::IpAddr;
+use std::{fmt::Write, net::IpAddr};
 
 use azuregate_core::balance::Choice;
 use azuregate_platform::request;
 use hyper::{StatusCode, header::HeaderValue, http::request::Parts};
 
+use super::pool::Connection;
+
 /// Longer paths are truncated in the log.
 const MAX_LOGGED_PATH_CHARS: usize = 128;
 
@@ -23,6 +25,8 @@
     pub(super) backend: String,
     pub(super) attempts: usize,
     pub(super) failures: String,
+    /// The connections that it was sent on, each with the number of the request on it.
+    pub(super) connections: String,
     /// The instance that the request was forwarded to last; empty if it was not.
     pub(super) forwarded_to: String,
     pub(super) in_flight: u32,
@@ -52,6 +56,7 @@
             backend: String::new(),
             attempts: 0,
             failures: String::new(),
+            connections: String::new(),
             forwarded_to: String::new(),
             in_flight: 0,
             limit_per_s: String::new(),
@@ -76,6 +81,13 @@
         self.failures.push_str(cause);
     }
 
+    pub(super) fn record_connection(&mut self, connection: &Connection) {
+        if !self.connections.is_empty() {
+            self.connections.push(',');
+        }
+        let _ = write!(self.connections, "{}/{}", connection.number, connection.sends);
+    }
+
     pub(super) fn log(&self, status: StatusCode, taken_ms: u64) {
         log::info!(
             id = self.id.as_str(),
@@ -91,6 +103,7 @@
             backend = self.backend.as_str(),
             tries = self.attempts,
             failed = self.failures.as_str(),
+            connections = self.connections.as_str(),
             forwarded_to = self.forwarded_to.as_str(),
             in_flight = self.in_flight,
             limit_per_s = self.limit_per_s.as_str(),
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -14,6 +14,7 @@
 };
 
 use super::{
+    access_log::AccessLogEntry,
     crash_detection,
     in_flight::InFlightRequest,
     leaving, metrics,
@@ -134,6 +135,7 @@
     choice: &Choice,
     outgoing: &OutgoingRequest,
     remaining_ms: u64,
+    log_entry: &mut AccessLogEntry,
 ) -> AttemptResult {
     let mut in_flight = InFlightRequest::new(state, choice, remaining_ms);
     let sent_at = Instant::now();
@@ -162,6 +164,8 @@
             in_flight.release_connection();
             return AttemptResult::NotExecuted(NotExecuted::Withheld);
         }
+        connection.sends += 1;
+        log_entry.record_connection(connection);
         match send_on_connection(connection, choice, outgoing, remaining_ms).await {
             Ok(head) => {
                 if !is_reused {
--- a/crates/azuregate/src/serve/dispatch.rs
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -85,7 +85,8 @@
             attempts.is_in_flight = true;
             // The choice may have taken time.
             let remaining_ms = self.remaining_ms();
-            let result = attempt::send(self.state, &choice, &self.outgoing, remaining_ms).await;
+            let result =
+                attempt::send(self.state, &choice, &self.outgoing, remaining_ms, log_entry).await;
             attempts.is_in_flight = false;
             let is_withheld = matches!(result, AttemptResult::NotExecuted(NotExecuted::Withheld));
             attempts.sends += u32::from(!is_withheld);
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -37,6 +37,10 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has already served a request.
     pub(super) is_reused: bool,
+    /// Identifies the connection in the log.
+    pub(super) number: u64,
+    /// The number of requests that were sent on it.
+    pub(super) sends: u32,
     task: AbortHandle,
     idle_since_ms: u64,
     /// The number of open connections to the server, idle or in use.
@@ -56,6 +60,7 @@
 pub(super) struct ConnectionPool<K> {
     connector: Box<dyn Connector>,
     idle: RefCell<HashMap<K, Vec<Connection>>>,
+    last_number: Cell<u64>,
     open_counts: RefCell<HashMap<K, Rc<Cell<usize>>>>,
     /// Servers whose connections are not reused.
     closing: RefCell<HashSet<K>>,
@@ -66,6 +71,7 @@
         ConnectionPool {
             connector,
             idle: RefCell::default(),
+            last_number: Cell::new(0),
             open_counts: RefCell::default(),
             closing: RefCell::default(),
         }
@@ -147,9 +153,12 @@
         });
         let open_count = Rc::clone(self.open_counts.borrow_mut().entry(key).or_default());
         open_count.set(open_count.get() + 1);
+        self.last_number.set(self.last_number.get() + 1);
         Ok(Connection {
             sender,
             is_reused: false,
+            number: self.last_number.get(),
+            sends: 0,
             task: task.abort_handle(),
             idle_since_ms: 0,
             open_count,
