Move OutgoingRequest into a module of its own

The pool chooses a connection by the request that it is to carry, and `attempt` uses the pool: with the request's type in `attempt`, the two modules used each other. No change of behaviour.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -1,16 +1,15 @@
 //! One attempt to send a request to one backend server.
 
-use std::{cell::OnceCell, rc::Rc, time::Instant};
+use std::{rc::Rc, time::Instant};
 
-use azuregate_core::balance::{Choice, Fingerprint, Outcome};
+use azuregate_core::balance::{Choice, Outcome};
 use azuregate_platform::request;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+    HeaderMap, Method, Request, Response, StatusCode, Version,
     body::{Body, Incoming},
-    header::{self, HeaderName, HeaderValue},
-    http::request::Parts,
+    header::{self, HeaderValue},
 };
 
 use super::{
@@ -18,6 +17,7 @@
     crash_detection,
     in_flight::InFlightRequest,
     leaving, metrics,
+    outgoing_request::OutgoingRequest,
     pool::Connection,
     pushback, rate_limits, reachability, response,
     response_body::{ResponseBody, StreamedFrom},
@@ -27,60 +27,6 @@
 /// Responses up to this size are buffered completely before they are forwarded, so
 /// that a truncated response can still be retried.
 const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
-/// Headers that distinguish requests with the same path and body: the host and the caller's
-/// credentials. The client's address is not part of it, since a caller may come from several.
-const FINGERPRINT_HEADERS: [HeaderName; 3] = [header::HOST, header::AUTHORIZATION, header::COOKIE];
-
-/// A client request prepared for forwarding to any backend server.
-pub(super) struct OutgoingRequest {
-    pub(super) method: Method,
-    pub(super) uri: Uri,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    pub(super) is_idempotent: bool,
-    fingerprint: OnceCell<Fingerprint>,
-}
-
-impl OutgoingRequest {
-    pub(super) fn new(parts: Parts, body: Bytes, is_idempotent: bool) -> OutgoingRequest {
-        OutgoingRequest {
-            method: parts.method,
-            uri: parts.uri,
-            headers: parts.headers,
-            body,
-            is_idempotent,
-            fingerprint: OnceCell::new(),
-        }
-    }
-
-    /// Returns the request ID; empty if there is none.
-    pub(super) fn id(&self) -> &[u8] {
-        self.headers.get(request::REQUEST_ID).map(HeaderValue::as_bytes).unwrap_or_default()
-    }
-
-    /// Returns the request to send to a server that may take `remaining_ms` for it.
-    pub(super) fn to_request(&self, remaining_ms: u64) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.version_mut() = Version::HTTP_11;
-        *request.headers_mut() = self.headers.clone();
-        request.headers_mut().insert(request::DEADLINE_MS, HeaderValue::from(remaining_ms));
-        request
-    }
-
-    /// Returns the fingerprint, which is computed when it is first needed.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
-            let headers = FINGERPRINT_HEADERS
-                .map(|name| self.headers.get(name).map(HeaderValue::as_bytes).unwrap_or_default());
-            let line = [self.method.as_str().as_bytes(), path.as_bytes(), &self.body];
-            Fingerprint::new(line.into_iter().chain(headers))
-        })
-    }
-}
-
 /// The result of one attempt.
 pub(super) enum AttemptResult {
     /// The backend server's response, buffered or streaming.
--- a/crates/azuregate/src/serve/dispatch.rs
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -12,10 +12,11 @@
 
 use super::{
     access_log::AccessLogEntry,
-    attempt::{self, AttemptResult, NotExecuted, OutgoingRequest},
+    attempt::{self, AttemptResult, NotExecuted},
     attempt_state::AttemptState,
     forwarding::{self, ForwardResult},
     grants, metrics,
+    outgoing_request::OutgoingRequest,
     response::RequestError,
     response_body::ResponseBody,
     state::State,
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -13,8 +13,8 @@
 };
 
 use super::{
-    attempt::{self, OutgoingRequest},
-    leaving,
+    attempt, leaving,
+    outgoing_request::OutgoingRequest,
     pool::Connection,
     response::{self, RequestError},
     response_body::{ResponseBody, StreamedFrom},
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -53,6 +53,7 @@
 mod leaving;
 mod listen;
 mod metrics;
+mod outgoing_request;
 mod pipeline;
 mod pool;
 mod probe;
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -19,7 +19,7 @@
     time,
 };
 
-use super::{attempt::OutgoingRequest, connector::Connector};
+use super::{connector::Connector, outgoing_request::OutgoingRequest};
 
 /// Several times the longest round-trip time between regions.
 const CONNECT_TIMEOUT_MS: u64 = 200;
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -16,9 +16,9 @@
 
 use super::{
     access_log::AccessLogEntry,
-    attempt::OutgoingRequest,
     attempt_state::AttemptState,
     dispatch::Dispatcher,
+    outgoing_request::OutgoingRequest,
     response::{self, RequestError},
     response_body::ResponseBody,
     state::State,
