Believe a response only if it names the request

Callers could see a 503 ("not executed") for a write that a server executed, if the late copy of a rejection had no request ID: late_copy_of_rejection_is_not_reported_as_not_executed failed with "RejectWithoutId1: 503 and executed" before this change.

Cause: only a response with another ID was taken for a foreign one. One without an ID counted as the answer to whatever was sent last, and with `X-Not-Executed` or status 421 it fed "not executed", the pause, the leaving, the rate limit and the end of a server's run.

Only a response with exactly one ID, that of the request, is an answer now; after any other the request may have been executed, the connection is closed, and nothing is concluded but that the attempt failed. A status below 200 is no answer either.

A request without an ID, or with several, is refused with 400: servers reject it, and no response to it could be told. It was sent to servers before and ended with 503 or 502.

--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -41,6 +41,7 @@
 mod reachability;
 mod remote_load;
 mod replication_source;
+mod response;
 mod retry_after;
 mod retry_budget;
 mod sent_ids;
@@ -70,6 +71,7 @@
 pub use reachability::{Reachability, ReachabilityReport};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
+pub use response::{ResponseHead, ResponseKind};
 pub use retry_after::{RetryReason, retry_after_pause_ms};
 pub use retry_budget::{RetryBudgets, RetryLimits};
 pub use sent_ids::SentIds;
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, time::Instant};
 
-use azuregate_core::balance::{Choice, Outcome};
+use azuregate_core::balance::{Choice, Outcome, ResponseHead, ResponseKind};
 use azuregate_platform::request;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Version,
+    HeaderMap, Method, Request, Response, Version,
     body::{Body, Incoming},
     header::{self, HeaderValue},
 };
@@ -192,44 +192,28 @@
     head: Response<Incoming>,
     taken_ms: u64,
 ) -> AttemptResult {
-    let echoed_id = head.headers().get(request::REQUEST_ID);
-    let sent_id = outgoing.headers.get(request::REQUEST_ID);
-    let is_rejected = head.headers().contains_key(request::NOT_EXECUTED)
-        || head.status() == StatusCode::MISDIRECTED_REQUEST;
-    // A duplicate response to an earlier request on this connection. The connection
-    // is out of sync, so the response to this request cannot be identified either.
-    if echoed_id.is_some() && echoed_id != sent_id {
+    let kind = response_kind(&head, outgoing);
+    let unusable = match kind {
+        ResponseKind::Foreign => Some("answer to another request"),
+        ResponseKind::Unnamed => Some("answer without an ID"),
+        ResponseKind::Invalid => Some("malformed answer"),
+        ResponseKind::Misdirected | ResponseKind::Rejected | ResponseKind::Answer => None,
+    };
+    if let Some(cause) = unusable {
         in_flight.set_outcome(Outcome::Failed);
-        return AttemptResult::Unknown("answer to another request");
-    }
-    let is_misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
-    let mut has_pushed_back = false;
-    if !is_misdirected {
-        leaving::record_response(state, choice, head.headers());
-        rate_limits::record_response(state, choice, &head, in_flight.sent_at_ms());
-        has_pushed_back = pushback::record_response(state, choice, head.status(), head.headers());
+        return AttemptResult::Unknown(cause);
     }
-    if is_rejected {
-        if is_misdirected {
-            crash_detection::record_end(state, choice.handle);
-            state.balancer.borrow_mut().set_draining(choice.handle);
-        }
-        in_flight.set_outcome(match has_pushed_back {
-            true => Outcome::PushedBack,
-            false => Outcome::Rejected,
-        });
-        if head.into_body().collect().await.is_ok() {
-            in_flight.release_connection();
-        }
-        return AttemptResult::NotExecuted(match (is_misdirected, has_pushed_back) {
-            (true, _) => NotExecuted::WrongServer,
-            (false, true) => NotExecuted::PushedBack,
-            (false, false) => NotExecuted::Rejected,
-        });
+    if kind == ResponseKind::Misdirected {
+        crash_detection::record_end(state, choice.handle);
+        state.balancer.borrow_mut().set_draining(choice.handle);
+        return reject(in_flight, head, NotExecuted::WrongServer).await;
     }
-    if head.status().is_success() && !is_valid_success(head.headers()) {
-        in_flight.set_outcome(Outcome::Failed);
-        return AttemptResult::Unknown("malformed answer");
+    leaving::record_response(state, choice, head.headers());
+    rate_limits::record_response(state, choice, &head, in_flight.sent_at_ms());
+    let has_pushed_back = pushback::record_response(state, choice, head.status(), head.headers());
+    if kind == ResponseKind::Rejected {
+        let cause = if has_pushed_back { NotExecuted::PushedBack } else { NotExecuted::Rejected };
+        return reject(in_flight, head, cause).await;
     }
     let (mut parts, mut incoming) = head.into_parts();
     let is_failure = parts.status.is_server_error();
@@ -262,6 +246,40 @@
     AttemptResult::Response(Response::from_parts(parts, ResponseBody::buffered(buffered)))
 }
 
+/// Returns what a response is to a request.
+pub(super) fn response_kind<T>(head: &Response<T>, outgoing: &OutgoingRequest) -> ResponseKind {
+    let headers = head.headers();
+    let mut ids = headers.get_all(request::REQUEST_ID).iter();
+    let request_id = match (ids.next(), ids.next()) {
+        (Some(id), None) => Some(id.as_bytes()),
+        (None, _) | (Some(_), Some(_)) => None,
+    };
+    let head = ResponseHead {
+        status: head.status().as_u16(),
+        request_id,
+        is_marked_not_executed: headers.contains_key(request::NOT_EXECUTED),
+        is_signed: headers.contains_key(request::RESPONSE_SIGNATURE),
+        is_encoded: headers.contains_key(header::CONTENT_ENCODING),
+    };
+    head.kind(outgoing.id())
+}
+
+/// Ends an attempt that the server did not execute.
+async fn reject(
+    mut in_flight: InFlightRequest,
+    head: Response<Incoming>,
+    cause: NotExecuted,
+) -> AttemptResult {
+    in_flight.set_outcome(match cause {
+        NotExecuted::PushedBack => Outcome::PushedBack,
+        _ => Outcome::Rejected,
+    });
+    if head.into_body().collect().await.is_ok() {
+        in_flight.release_connection();
+    }
+    AttemptResult::NotExecuted(cause)
+}
+
 /// Reads a body, or the start of a long one.
 ///
 /// # Errors
@@ -282,11 +300,3 @@
 pub(super) fn is_complete(incoming: &Incoming, buffered: &Bytes) -> bool {
     incoming.is_end_stream() || buffered.len() <= RESPONSE_BUFFER_BYTES
 }
-
-/// Returns whether clients accept this successful response: it must carry the
-/// server's signature and the request ID, and must not be content-encoded.
-pub(super) fn is_valid_success(headers: &HeaderMap) -> bool {
-    headers.contains_key(request::RESPONSE_SIGNATURE)
-        && headers.contains_key(request::REQUEST_ID)
-        && !headers.contains_key(header::CONTENT_ENCODING)
-}
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -4,8 +4,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use azuregate_core::balance::Member;
-use azuregate_platform::request::REQUEST_ID;
+use azuregate_core::balance::{Member, ResponseKind};
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Incoming,
@@ -91,8 +90,7 @@
     if let Some(code) = head.headers().get(ERROR_CODE).cloned() {
         return refusal(head.status(), head.headers(), &code);
     }
-    let is_other = head.headers().get(REQUEST_ID) != outgoing.headers.get(REQUEST_ID);
-    if is_other || head.status().is_success() && !attempt::is_valid_success(head.headers()) {
+    if attempt::response_kind(&head, outgoing) != ResponseKind::Answer {
         return ForwardResult::Unknown { executions: None };
     }
     let (mut parts, mut incoming) = head.into_parts();
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -90,6 +90,10 @@
     log_entry.version = config.version();
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let Some(host) = host else { return Err(RequestError::BadRequest) };
+    // Without an ID, no response could be told to be the answer.
+    if parts.headers.get_all(request::REQUEST_ID).iter().count() != 1 {
+        return Err(RequestError::BadRequest);
+    }
     let Some(route) = config.route(host, parts.uri.path()) else {
         // Clients do not retry a 404, and without contact the route may be missing only
         // because the configuration is outdated.
--- a/crates/azuregate/tests/serve/at_most_once.rs
+++ b/crates/azuregate/tests/serve/at_most_once.rs
@@ -70,3 +70,17 @@
     let response = instance.send(&post_request("/write/x", "w1", "body")).await.unwrap();
     assert_eq!(response.status, 503);
 }
+
+/// Guards against a request that no response can be tied to, since it has no ID or several.
+#[tokio::test]
+async fn request_without_one_id_is_not_sent() {
+    let cluster = TestCluster::start(1).await;
+    let instance = cluster.start_ready_instance(1).await;
+    let request = post_request("/write/x", "w1", "body");
+    let id = "X-Request-Id: w1\r\n";
+    for ids in [String::new(), id.repeat(2)] {
+        let response = instance.send(&request.replace(id, &ids)).await.unwrap();
+        assert_eq!(response.status, 400, "{ids:?}");
+    }
+    assert_eq!(cluster.backends[0].received().len(), 0);
+}
--- a/crates/azuregate/tests/serve/late_copies.rs
+++ b/crates/azuregate/tests/serve/late_copies.rs
@@ -33,7 +33,7 @@
 async fn late_copy_of_rejection_does_not_execute_write_twice() {
     let cluster = TestCluster::start(1).await;
     let instance = cluster.start_ready_instance(1).await;
-    for rejection in [Behaviour::Reject, Behaviour::RejectWith(429)] {
+    for rejection in [Behaviour::Reject, Behaviour::RejectWith(429), Behaviour::RejectWithoutId] {
         cluster.backends[0].set(late_copy(rejection.clone()));
         for number in 0..4 {
             let id = format!("{rejection:?}{number}");
@@ -52,7 +52,7 @@
     // A rejected request is sent once more.
     cluster.update_config(|config| config.attempts = 1);
     let instance = cluster.start_ready_instance(1).await;
-    for rejection in [Behaviour::Reject, Behaviour::RejectWith(429)] {
+    for rejection in [Behaviour::Reject, Behaviour::RejectWith(429), Behaviour::RejectWithoutId] {
         cluster.backends[0].set(late_copy(rejection.clone()));
         for number in 0..4 {
             let id = format!("{rejection:?}{number}");
@@ -152,6 +152,7 @@
     let firsts = [
         Behaviour::Reject,
         Behaviour::RejectWith(429),
+        Behaviour::RejectWithoutId,
         Behaviour::PushBack(Duration::from_millis(5)),
         Behaviour::Misdirect,
         Behaviour::ServerError,
