Learn of a cold server only from its answers

Callers could be refused with 503 although their server was warm: a response to another request changed the server's remaining warm-up time, since that header was read before it was known whose response it was. A late copy sent by a server that had been cold made it cold again, and its budget for cold servers then bounded what it got. late_copies_say_nothing_of_their_server failed before this change: "X-Warmup-Ms: 60000, request 5: 503". The leaving, the rate limit and the pause were read behind that check already and are cases of the same test, which passes now.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -139,7 +139,6 @@
         }
     };
     let taken_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-    apply_warmup_header(state, choice, head.headers());
     read_response(state, choice, outgoing, in_flight, head, taken_ms).await
 }
 
@@ -176,7 +175,7 @@
     request
 }
 
-fn apply_warmup_header(state: &State, choice: &Choice, headers: &HeaderMap) {
+fn record_warmup(state: &State, choice: &Choice, headers: &HeaderMap) {
     let now_ms = state.now_ms();
     let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
     if let Some(remaining_ms) = text(request::WARMUP_MS).and_then(|text| text.parse().ok()) {
@@ -208,6 +207,7 @@
         state.balancer.borrow_mut().set_draining(choice.handle);
         return reject(in_flight, head, NotExecuted::WrongServer).await;
     }
+    record_warmup(state, choice, head.headers());
     leaving::record_response(state, choice, head.headers());
     rate_limits::record_response(state, choice, &head, in_flight.sent_at_ms());
     let has_pushed_back = pushback::record_response(state, choice, head.status(), head.headers());
--- a/crates/azuregate/tests/serve/late_copies.rs
+++ b/crates/azuregate/tests/serve/late_copies.rs
@@ -181,3 +181,27 @@
         assert!(problems.is_empty(), "{first:?}: {problems:#?}");
     }
 }
+
+/// Guards against a pause, a rate limit, a leaving or a cold server that only the late copy of a
+/// response names, and that ended before.
+#[tokio::test]
+async fn late_copies_say_nothing_of_their_server() {
+    let lines = ["Server-Leaving: 1", "Server-Limit: 0", "X-Warmup-Ms: 60000", "Retry-After: 60"];
+    for line in lines {
+        let cluster = TestCluster::start(1).await;
+        let instance = cluster.start_ready_instance(1).await;
+        cluster.backends[0].set(Behaviour::StaleResponse);
+        cluster.backends[0].set_headers(&[line]);
+        for number in 0..3 {
+            let request = post_request("/write/x", &format!("w{number}"), "body");
+            assert_eq!(instance.send(&request).await.unwrap().status, 502, "{line}");
+        }
+        cluster.backends[0].set_headers(&[]);
+        cluster.backends[0].set(Behaviour::Respond);
+        // More than a cold server may get in that time.
+        for number in 0..40 {
+            let response = instance.send(&get_request("/read/x", &format!("r{number}"))).await;
+            assert_eq!(response.unwrap().status, 200, "{line}, request {number}");
+        }
+    }
+}
