Do not let servers forge the errors of an instance

A write that a server had executed could be answered 503 ("not executed"), if the request was forwarded because its instance reached no server. The two instances tell each other by a header that a response is the other one's own error, and of what kind. The instance that reaches servers passed such a header of a server on, and the first one took the response for a refusal, for example a 500 with `azuregate-error` for "refused, try elsewhere". server_cannot_forge_the_error_of_an_instance failed before this change ("ServerError: 503"). The receiving instance now removes both headers from what servers say, as it did with the one that names leaving servers. Only its own errors carry them.

Between instances a response needs no other tie: both ends send one response to each request in order, a request that is given up closes its connection, and responses of servers still have to name the request.

--- a/crates/azuregate/src/serve/forwarded.rs
+++ b/crates/azuregate/src/serve/forwarded.rs
@@ -68,8 +68,13 @@
     let mut attempts = AttemptState::forwarded(executions);
     let body = Some(body);
     let result = request::respond(&state, &mut attempts, peer.ip(), parts, body, received_at).await;
-    let mut response =
-        result.unwrap_or_else(|error| own_response(error, attempts.possible_executions()));
+    let mut response = match result {
+        Ok(mut response) => {
+            forwarding::remove_error_headers(response.headers_mut());
+            response
+        }
+        Err(error) => own_response(error, attempts.possible_executions()),
+    };
     leaving::add_run(response.headers_mut(), attempts.leaving);
     Ok(response)
 }
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -138,6 +138,12 @@
     }
 }
 
+/// Removes what marks an error of an instance from the response of a backend server.
+pub(super) fn remove_error_headers(headers: &mut HeaderMap) {
+    headers.remove(ERROR_CODE);
+    headers.remove(EXECUTIONS);
+}
+
 /// Returns how many times a request may have been executed, as one end tells the other.
 pub(super) fn executions(headers: &HeaderMap) -> Option<u32> {
     headers.get(EXECUTIONS)?.to_str().ok()?.parse().ok()
--- a/crates/azuregate/tests/serve/late_copies.rs
+++ b/crates/azuregate/tests/serve/late_copies.rs
@@ -205,3 +205,20 @@
         }
     }
 }
+
+/// Guards against an error of another instance that a backend server forges, by which a write that
+/// was executed is answered as not executed.
+#[tokio::test]
+async fn server_cannot_forge_the_error_of_an_instance() {
+    let cluster = TestCluster::start(1).await;
+    let instances = Instances::start(&cluster).await;
+    cluster.backends[0].set_headers(&["azuregate-error: no-room", "azuregate-executions: 0"]);
+    for behaviour in [Behaviour::ServerError, Behaviour::Respond] {
+        cluster.backends[0].set(behaviour.clone());
+        let id = format!("{behaviour:?}");
+        let request = post_request("/write/x", &id, "body");
+        let response = instances.cut_off.send(&request).await.unwrap();
+        assert_eq!(executions(&cluster, &id), 1);
+        assert!(!NOT_EXECUTED.contains(&response.status), "{id}: {}", response.status);
+    }
+}
