Match early starts to requests by their place

A client that pipelined a request with a body and a read behind it under the same ID and URI got the response to the read for both, and the first one never reached a server: early_start_does_not_answer_the_request_before_it failed before this change (servers received ["GET /read/x", "GET /read/x", "GET /read/x"], the POST is missing).

Cause: responses of requests that were started early were matched by URI and ID alone, the same cause as that of the late copies: an ID ties two things together only as long as it is used once. A client may repeat a request under its ID.

The scanner now reports every request, and a started one answers only the request at its place on the connection; ID and URI are still compared. A read is no longer started while a request that is not a read is before it in the pipeline, as that one may change what it reads (RFC 9112, section 9.3.2, allows parallel execution of safe methods only).

--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -90,8 +90,8 @@
     let mut scanner = RequestScanner::default();
     let mut read_ahead = pin!(read_ahead.run(|bytes| {
         scanner.feed(bytes);
-        while let Some(parts) = scanner.next_get() {
-            connection_state.pipeline.push(&state, client, parts);
+        while let Some(request) = scanner.next_request() {
+            connection_state.pipeline.push(&state, client, request);
         }
         connection_state.set_partial_head(scanner.has_partial_head(), state.now_ms());
     }));
--- a/crates/azuregate/src/serve/pipeline.rs
+++ b/crates/azuregate/src/serve/pipeline.rs
@@ -8,7 +8,12 @@
 //! [`Pipeline`] starts those requests. When hyper reads a request that was already
 //! started, it gets the response of the started one.
 
-use std::{cell::RefCell, collections::VecDeque, net::IpAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::IpAddr,
+    rc::Rc,
+};
 
 use azuregate_platform::request;
 use bytes::{Buf, BytesMut};
@@ -31,7 +36,21 @@
 /// A longer request head disables the scanner for its connection.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
-/// Finds GET requests without a body in the bytes of a connection.
+/// A request whose head has been received.
+#[derive(Debug)]
+pub(super) struct ScannedRequest {
+    pub(super) parts: Parts,
+    pub(super) has_body: bool,
+}
+
+impl ScannedRequest {
+    /// Returns whether it may be executed in parallel with others of this kind.
+    fn is_read(&self) -> bool {
+        self.parts.method == Method::GET && !self.has_body
+    }
+}
+
+/// Finds request heads in the bytes of a connection.
 #[derive(Debug, Default)]
 pub(super) struct RequestScanner {
     bytes: BytesMut,
@@ -54,36 +73,29 @@
         !self.is_disabled && self.body_remaining_bytes == 0 && !self.bytes.is_empty()
     }
 
-    /// Returns the next complete head of a GET request without a body. Other requests
-    /// are skipped with their bodies.
-    pub(super) fn next_get(&mut self) -> Option<Parts> {
-        loop {
-            let skipped = self.body_remaining_bytes.min(self.bytes.len());
-            self.bytes.advance(skipped);
-            self.body_remaining_bytes -= skipped;
-            if self.is_disabled || self.body_remaining_bytes > 0 || self.bytes.is_empty() {
-                return None;
-            }
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            let mut head = httparse::Request::new(&mut headers);
-            let length = match head.parse(&self.bytes) {
-                Ok(httparse::Status::Complete(length)) => length,
-                Ok(httparse::Status::Partial) if self.bytes.len() < MAX_HEAD_BYTES => {
-                    return None;
-                }
-                Ok(httparse::Status::Partial) | Err(_) => return self.disable(),
-            };
-            let Some(parts) = request_parts(&head) else { return self.disable() };
-            let Some(body_length) = body_length(&parts.headers) else { return self.disable() };
-            self.bytes.advance(length);
-            self.body_remaining_bytes = body_length;
-            if body_length == 0 && parts.method == Method::GET {
-                return Some(parts);
-            }
+    /// Returns the next request of which the whole head has been received. Bodies are skipped.
+    pub(super) fn next_request(&mut self) -> Option<ScannedRequest> {
+        let skipped = self.body_remaining_bytes.min(self.bytes.len());
+        self.bytes.advance(skipped);
+        self.body_remaining_bytes -= skipped;
+        if self.is_disabled || self.body_remaining_bytes > 0 || self.bytes.is_empty() {
+            return None;
         }
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Request::new(&mut headers);
+        let length = match head.parse(&self.bytes) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if self.bytes.len() < MAX_HEAD_BYTES => return None,
+            Ok(httparse::Status::Partial) | Err(_) => return self.disable(),
+        };
+        let Some(parts) = request_parts(&head) else { return self.disable() };
+        let Some(body_length) = body_length(&parts.headers) else { return self.disable() };
+        self.bytes.advance(length);
+        self.body_remaining_bytes = body_length;
+        Some(ScannedRequest { parts, has_body: body_length > 0 })
     }
 
-    fn disable(&mut self) -> Option<Parts> {
+    fn disable(&mut self) -> Option<ScannedRequest> {
         self.is_disabled = true;
         self.bytes = BytesMut::new();
         None
@@ -117,6 +129,8 @@
 
 /// A request that was started before the previous responses were sent.
 struct StartedRequest {
+    /// Its place among the requests of the connection.
+    number: u64,
     uri: Uri,
     id: Option<HeaderValue>,
     task: JoinHandle<Response<ResponseBody>>,
@@ -133,17 +147,30 @@
 #[derive(Default)]
 pub(super) struct Pipeline {
     started: RefCell<VecDeque<StartedRequest>>,
-    /// The number of scanned requests without a response, including the current one.
-    unanswered: RefCell<usize>,
+    /// The number of requests whose heads were scanned.
+    scanned: Cell<u64>,
+    /// The number of requests that hyper has read.
+    begun: Cell<u64>,
+    /// The number of requests that have a response.
+    finished: Cell<u64>,
+    /// The number of requests up to the last one that is not a read.
+    reads_from: Cell<u64>,
 }
 
 impl Pipeline {
     /// Adds a received request, and starts it if it is pipelined behind another one.
-    pub(super) fn push(&self, state: &Rc<State>, client: IpAddr, parts: Parts) {
-        let mut unanswered = self.unanswered.borrow_mut();
-        *unanswered += 1;
+    pub(super) fn push(&self, state: &Rc<State>, client: IpAddr, request: ScannedRequest) {
+        let number = self.scanned.replace(self.scanned.get() + 1);
+        if !request.is_read() {
+            self.reads_from.set(number + 1);
+            return;
+        }
+        let finished = self.finished.get();
+        // A read behind a write has to see its effect.
+        let is_behind_reads = finished < number && finished >= self.reads_from.get();
+        let parts = request.parts;
         let mut started = self.started.borrow_mut();
-        if *unanswered < 2
+        if !is_behind_reads
             || started.len() >= MAX_STARTED_REQUESTS
             || !handler::can_start_early(state, &parts)
         {
@@ -153,10 +180,10 @@
         let id = parts.headers.get(request::REQUEST_ID).cloned();
         let task =
             spawn_local(handler::handle(Rc::clone(state), client, parts, None, Instant::now()));
-        started.push_back(StartedRequest { uri, id, task });
+        started.push_back(StartedRequest { number, uri, id, task });
     }
 
-    /// Returns the response of the current request if that request was started early.
+    /// Returns the response of the next request that hyper has read, if it was started early.
     pub(super) async fn take_response(&self, parts: &Parts) -> Option<Response<ResponseBody>> {
         let mut started = self.take(parts)?;
         (&mut started.task).await.ok()
@@ -164,20 +191,24 @@
 
     /// Marks the current request as responded to.
     pub(super) fn finish_current(&self) {
-        let mut unanswered = self.unanswered.borrow_mut();
-        *unanswered = unanswered.saturating_sub(1);
+        self.finished.set(self.finished.get() + 1);
     }
 
-    /// Removes and returns the started request with the same URI and request ID, so that
-    /// a response is never used for a different request. Started requests before it were
-    /// handled without their early start and are cancelled.
+    /// Removes and returns the started request at the place of the next one that hyper has read.
+    /// Started requests before it were handled without their early start and are cancelled.
+    ///
+    /// An ID and a URI may occur again. They are compared all the same, in case the scanner and
+    /// hyper delimit requests in different ways.
     fn take(&self, parts: &Parts) -> Option<StartedRequest> {
+        let number = self.begun.replace(self.begun.get() + 1);
         let id = parts.headers.get(request::REQUEST_ID);
         let mut started = self.started.borrow_mut();
-        let is_same_request =
-            |started: &StartedRequest| started.uri == parts.uri && started.id.as_ref() == id;
-        let position = started.iter().position(is_same_request)?;
-        started.drain(..position);
-        started.pop_front()
+        let is_past = |started: &StartedRequest| started.number < number;
+        while started.front().is_some_and(is_past) {
+            started.pop_front();
+        }
+        started.pop_front_if(|started| started.number == number).filter(|started| {
+            parts.method == Method::GET && started.uri == parts.uri && started.id.as_ref() == id
+        })
     }
 }
--- a/crates/azuregate/tests/serve/clients.rs
+++ b/crates/azuregate/tests/serve/clients.rs
@@ -131,3 +131,24 @@
     idle.send(&get_request("/read/x", "r3")).await;
     assert_eq!(idle.response().await.unwrap().status, 200);
 }
+
+/// Guards against answering a request with the response to another one that is pipelined behind it
+/// under the same ID and URI, so that it never reaches a server, and against executing that one first.
+#[tokio::test]
+async fn early_start_does_not_answer_the_request_before_it() {
+    let cluster = TestCluster::start(1).await;
+    let instance = cluster.start_ready_instance(1).await;
+    let mut client = Client::connect(instance.traffic_addr).await;
+    let requests = [
+        get_request("/read/x", "r0"),
+        post_request("/read/x", "r1", "body"),
+        get_request("/read/x", "r1"),
+    ];
+    client.send(&requests.concat()).await;
+    for _ in &requests {
+        assert_eq!(client.response().await.unwrap().status, 200);
+    }
+    let received = cluster.backends[0].received();
+    let received: Vec<_> = received.iter().map(|r| r.method_and_path.as_str()).collect();
+    assert_eq!(received, ["GET /read/x", "POST /read/x", "GET /read/x"]);
+}
