Bound the bytes before a response head

All requests at an instance stood still for up to 53 s, long past their deadlines, after a server had answered four requests with informational responses without end: the HTTP library skips them in a loop that never returns to the runtime, so not even the time-outs ran.

Besides, a head that was too long or no head at all was taken for a broken connection, which feeds the detection of crashes and the check whether servers can be reached, and a server that sends bytes before any request looked to the probe like one that had just ended.

A connection to a server now has a meter that fails a read once 64 KiB have been read without a head, whatever they are. In time, heads were bounded by the request's deadline, which holds again. The meter also knows whether the server or the network ended the connection. Only that counts as broken; if this instance stopped reading, the attempt has failed, and nothing else is concluded. Weighed: a bound on the head alone does not see informational responses; a bound in time alone cannot interrupt the loop.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -18,7 +18,7 @@
     in_flight::InFlightRequest,
     leaving, metrics,
     outgoing_request::OutgoingRequest,
-    pool::Connection,
+    pool::SendError,
     pushback, rate_limits, reachability, response,
     response_body::{ResponseBody, StreamedFrom},
     state::State,
@@ -114,9 +114,10 @@
             in_flight.release_connection();
             return AttemptResult::NotExecuted(NotExecuted::Withheld);
         }
-        connection.sent_ids.insert(outgoing.id());
+        let request = build_request(choice, outgoing, remaining_ms);
+        let sent = connection.send(outgoing.id(), request).await;
         log_entry.record_connection(connection);
-        match send_on_connection(connection, choice, outgoing, remaining_ms).await {
+        match sent {
             Ok(head) => {
                 if !is_reused {
                     reachability::record_connection(state, choice);
@@ -125,6 +126,11 @@
             }
             // The server closed an idle connection and nothing was sent: open a new one.
             Err(SendError::NotSent) if is_reused => in_flight.connection = None,
+            // A server that sends bytes before any request is there.
+            Err(SendError::NotSent) if !connection.meter.has_broken() => {
+                in_flight.set_outcome(Outcome::Failed);
+                return AttemptResult::NotExecuted(NotExecuted::ClosedBeforeSend);
+            }
             Err(SendError::NotSent) => {
                 in_flight.set_outcome(Outcome::Unreachable);
                 reachability::record_failure(state, choice);
@@ -136,33 +142,16 @@
                 crash_detection::record_broken(state, choice, outgoing.fingerprint());
                 return AttemptResult::Unknown("connection broke");
             }
+            Err(SendError::Malformed) => {
+                in_flight.set_outcome(Outcome::Failed);
+                return AttemptResult::Unknown("malformed answer");
+            }
         }
     };
     let taken_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     read_response(state, choice, outgoing, in_flight, head, taken_ms).await
 }
 
-enum SendError {
-    NotSent,
-    ConnectionBroken,
-}
-
-async fn send_on_connection(
-    connection: &mut Connection,
-    choice: &Choice,
-    outgoing: &OutgoingRequest,
-    remaining_ms: u64,
-) -> Result<Response<Incoming>, SendError> {
-    let request = build_request(choice, outgoing, remaining_ms);
-    match connection.sender.try_send_request(request).await {
-        Ok(head) => Ok(head),
-        Err(mut e) => match e.take_message() {
-            Some(_) => Err(SendError::NotSent),
-            None => Err(SendError::ConnectionBroken),
-        },
-    }
-}
-
 fn build_request(
     choice: &Choice,
     outgoing: &OutgoingRequest,
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -14,7 +14,7 @@
 use super::{
     attempt, leaving,
     outgoing_request::OutgoingRequest,
-    pool::Connection,
+    pool::{Connection, SendError},
     response::{self, RequestError},
     response_body::{ResponseBody, StreamedFrom},
     state::State,
@@ -67,14 +67,14 @@
         };
         let mut request = outgoing.to_request(remaining_ms);
         request.headers_mut().insert(EXECUTIONS, HeaderValue::from(executions));
-        connection.sent_ids.insert(outgoing.id());
-        let result = connection.sender.try_send_request(request).await;
-        match result.map_err(|mut e| e.take_message().is_some()) {
+        match connection.send(outgoing.id(), request).await {
             Ok(head) => return read_response(state, addr, connection, outgoing, head).await,
             // The other instance closed an idle connection.
-            Err(true) if connection.is_reused => {}
-            Err(true) => return ForwardResult::NotSent,
-            Err(false) => return ForwardResult::Unknown { executions: None },
+            Err(SendError::NotSent) if connection.is_reused => {}
+            Err(SendError::NotSent) => return ForwardResult::NotSent,
+            Err(SendError::ConnectionBroken | SendError::Malformed) => {
+                return ForwardResult::Unknown { executions: None };
+            }
         }
     }
 }
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -52,6 +52,7 @@
 mod in_flight;
 mod leaving;
 mod listen;
+mod metered_stream;
 mod metrics;
 mod outgoing_request;
 mod pipeline;
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -12,14 +12,22 @@
 use azuregate_core::balance::SentIds;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{
     task::{AbortHandle, spawn_local},
     time,
 };
 
-use super::{connector::Connector, outgoing_request::OutgoingRequest};
+use super::{
+    connector::Connector,
+    metered_stream::{MeteredStream, ReadMeter},
+    outgoing_request::OutgoingRequest,
+};
 
 /// Several times the longest round-trip time between regions.
 const CONNECT_TIMEOUT_MS: u64 = 200;
@@ -31,6 +39,8 @@
 /// connection turns out to be dead.
 const MAX_IDLE_NON_IDEMPOTENT_MS: u64 = 1_000;
 const MAX_IDLE_PER_SERVER: usize = 6;
+/// Bounds the head of a response together with the informational responses before it.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 pub(super) const EVICTION_INTERVAL_MS: u64 = 1_000;
 
 /// A connection to a server, used for one request at a time.
@@ -42,12 +52,39 @@
     pub(super) number: u64,
     /// The requests that were sent on it.
     pub(super) sent_ids: SentIds,
+    /// Bounds what is read.
+    pub(super) meter: Rc<ReadMeter>,
     task: AbortHandle,
     idle_since_ms: u64,
     /// The number of open connections to the server, idle or in use.
     open_count: Rc<Cell<usize>>,
 }
 
+impl Connection {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the request if there is no such head.
+    pub(super) async fn send(
+        &mut self,
+        id: &[u8],
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.sent_ids.insert(id);
+        self.meter.set_remaining(MAX_HEAD_BYTES as u64);
+        let mut error = match self.sender.try_send_request(request).await {
+            Ok(head) => return Ok(head),
+            Err(error) => error,
+        };
+        match error.take_message() {
+            Some(_) => Err(SendError::NotSent),
+            None if self.meter.has_broken() => Err(SendError::ConnectionBroken),
+            None => Err(SendError::Malformed),
+        }
+    }
+}
+
 impl Drop for Connection {
     /// Closes the connection even if a request is in flight, so that the backend server
     /// cancels the request.
@@ -57,6 +94,17 @@
     }
 }
 
+/// Why a request got no response head.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum SendError {
+    /// No byte of it was sent.
+    NotSent,
+    /// The connection broke after bytes of it may have been sent.
+    ConnectionBroken,
+    /// The server sent bytes that are no response head, or too many of them.
+    Malformed,
+}
+
 /// Connections to servers that keys of the type `K` identify.
 pub(super) struct ConnectionPool<K> {
     connector: Box<dyn Connector>,
@@ -150,7 +198,12 @@
     pub(super) async fn connect(&self, key: K, addr: SocketAddr) -> std::io::Result<Connection> {
         let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let stream = time::timeout(connect_timeout, self.connector.connect(addr)).await??;
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        let meter = Rc::<ReadMeter>::default();
+        meter.set_remaining(MAX_HEAD_BYTES as u64);
+        let stream = MeteredStream::new(stream, Rc::clone(&meter));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let task = spawn_local(async move {
@@ -165,6 +218,7 @@
             is_reused: false,
             number: self.last_number.get(),
             sent_ids: SentIds::default(),
+            meter,
             task: task.abort_handle(),
             idle_since_ms: 0,
             open_count,
--- a/crates/azuregate/src/serve/probe.rs
+++ b/crates/azuregate/src/serve/probe.rs
@@ -29,7 +29,8 @@
         Err(_) => return Probe::Refused,
     };
     time::sleep(Duration::from_millis(MIN_OPEN_MS)).await;
-    let is_open = !connection.sender.is_closed();
+    // A server that sends bytes without a request is there as well.
+    let is_open = !connection.meter.has_broken();
     state.pool.put(handle, connection, state.now_ms());
     if is_open { Probe::Open } else { Probe::Closed }
 }
--- a/crates/azuregate/tests/serve/cluster.rs
+++ b/crates/azuregate/tests/serve/cluster.rs
@@ -30,7 +30,7 @@
 /// The last number of the backend servers' IP address.
 const BACKEND_HOST: u8 = 250;
 /// The metrics port declared in `deploy/system.toml`.
-const METRICS_PORT: u16 = 9_464;
+pub(crate) const METRICS_PORT: u16 = 9_464;
 /// The timeout of every wait.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
--- /dev/null
+++ b/crates/azuregate/tests/serve/process.rs
@@ -0,0 +1,66 @@
+//! An entry instance that runs as a process, so that its memory can be measured.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+};
+
+use azuregate_platform::settings::Settings;
+
+use crate::cluster::{METRICS_PORT, TestCluster, eventually, get, readiness_status};
+
+/// A process that ends when this is dropped.
+pub(crate) struct Process {
+    pub(crate) traffic_addr: SocketAddr,
+    metrics_addr: SocketAddr,
+    child: Child,
+}
+
+impl Process {
+    /// Starts an instance and waits until it is ready.
+    pub(crate) async fn start(cluster: &TestCluster, number: u8) -> Process {
+        let text = cluster.settings_text(number);
+        let settings = Settings::parse(&text).unwrap();
+        let file = cluster.settings_file(number);
+        fs::write(&file, &text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_azuregate"))
+            .arg("serve")
+            .env("AZUREGATE_SETTINGS", file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let readiness_addr = settings.readiness_addr;
+        eventually("the process is ready", async || readiness_status(readiness_addr).await == 200)
+            .await;
+        Process {
+            traffic_addr: settings.traffic_addr,
+            metrics_addr: SocketAddr::new(settings.ip, METRICS_PORT),
+            child,
+        }
+    }
+
+    /// Returns the value of a metric without labels.
+    pub(crate) async fn metric(&self, name: &str) -> u64 {
+        let text = get(self.metrics_addr, "/metrics").await.unwrap().body;
+        let mut values = text.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        values.next().and_then(|value| value.parse().ok()).expect("the metric exists")
+    }
+
+    /// Returns the largest memory that the process has had, in bytes.
+    pub(crate) fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let kib: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kib * 1_024
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -4,7 +4,7 @@
     net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -16,7 +16,7 @@
     time,
 };
 
-use super::endless::{Endless, EndlessPart};
+use super::endless::{Endless, EndlessCounts, EndlessPart};
 
 /// A server crashes when it executes a request whose path has a segment that begins with
 /// this.
@@ -151,8 +151,7 @@
     /// Further header lines of responses, each with its line end.
     headers: Mutex<String>,
     connections: AtomicUsize,
-    /// Bytes sent by [`Behaviour::Endless`].
-    endless_bytes: AtomicU64,
+    endless: EndlessCounts,
     behaviour: Mutex<Behaviour>,
     received: Mutex<Vec<ReceivedRequest>>,
 }
@@ -178,7 +177,7 @@
             rate_limit: Mutex::default(),
             headers: Mutex::default(),
             connections: AtomicUsize::new(0),
-            endless_bytes: AtomicU64::new(0),
+            endless: EndlessCounts::default(),
             behaviour: Mutex::default(),
             received: Mutex::default(),
         });
@@ -221,7 +220,12 @@
 
     /// Returns how many bytes [`Behaviour::Endless`] has sent.
     pub fn endless_bytes(&self) -> u64 {
-        self.shared.endless_bytes.load(Ordering::Relaxed)
+        self.shared.endless.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns on how many connections [`Behaviour::Endless`] is sending.
+    pub fn endless_connections(&self) -> usize {
+        self.shared.endless.connections.load(Ordering::Relaxed)
     }
 
     /// Ends the server as a crash does: without a response to any request.
@@ -319,7 +323,7 @@
     let behaviour = lock(&shared.behaviour).clone();
     if let Behaviour::Endless(endless @ Endless { part: EndlessPart::Unsolicited, .. }) = behaviour
     {
-        return endless.send(&mut stream, "", &shared.endless_bytes).await;
+        return endless.send(&mut stream, "", &shared.endless).await;
     }
     while let Some(mut received) = read(&mut stream, &mut bytes).await {
         received.sender = sender;
@@ -381,7 +385,7 @@
             lock(&shared.received)[index].leaving_said_at = Some(Instant::now());
         }
         if let Behaviour::Endless(endless) = behaviour {
-            return endless.send(&mut stream, &id, &shared.endless_bytes).await;
+            return endless.send(&mut stream, &id, &shared.endless).await;
         }
         if let LateCopy::Pending(copy) = &late_copy {
             if stream.write_all(copy.as_bytes()).await.is_err() {
--- a/crates/platform/src/fakes/endless.rs
+++ b/crates/platform/src/fakes/endless.rs
@@ -1,7 +1,7 @@
 //! Responses that do not end until the connection is closed.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     time::Duration,
 };
 
@@ -87,17 +87,28 @@
     }
 }
 
+/// What a fake backend server has sent without end.
+#[derive(Debug, Default)]
+pub(super) struct EndlessCounts {
+    /// Connections on which it is being sent.
+    pub(super) connections: AtomicUsize,
+    /// Bytes that were sent.
+    pub(super) sent_bytes: AtomicU64,
+}
+
 impl Endless {
-    /// Sends until the connection is closed, and counts the bytes.
-    pub(super) async fn send(self, stream: &mut TcpStream, id: &str, sent_bytes: &AtomicU64) {
+    /// Sends until the connection is closed.
+    pub(super) async fn send(self, stream: &mut TcpStream, id: &str, counts: &EndlessCounts) {
+        counts.connections.fetch_add(1, Ordering::Relaxed);
         let (head, piece) = self.part.text(id);
         let mut next = head.as_bytes();
         while stream.write_all(next).await.is_ok() {
-            sent_bytes.fetch_add(next.len() as u64, Ordering::Relaxed);
+            counts.sent_bytes.fetch_add(next.len() as u64, Ordering::Relaxed);
             next = piece.as_bytes();
             if !self.interval.is_zero() {
                 time::sleep(self.interval).await;
             }
         }
+        counts.connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
