Bound the body of a rejection

A server that rejected requests and then sent the body without end took a process to 130 MB more memory in a second, with four requests, and these ended with 504 at their deadlines although the server had said that they were not executed: rejection_without_end_is_cut failed before this change ("status: 504", " bytes sent", " bytes of memory taken"; debug build).

Cause: the body of a rejection was collected in memory, without a bound, so that its connection could be used again, and the retry waited for it. It is now discarded as it comes, at most 16 KiB and 50 ms of it; if it is not over by then, the connection is closed. The head alone says that the request was not executed. Weighed: closing the connection after each rejection with a body costs a new connection each, as long as servers are full.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt to send a request to one backend server.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use azuregate_core::balance::{Choice, Outcome, ResponseHead, ResponseKind};
 use azuregate_platform::request;
@@ -11,6 +14,7 @@
     body::{Body, Incoming},
     header::{self, HeaderValue},
 };
+use tokio::time;
 
 use super::{
     access_log::AccessLogEntry,
@@ -27,6 +31,11 @@
 /// Responses up to this size are buffered completely before they are forwarded, so
 /// that a truncated response can still be retried.
 const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
+/// Bounds the body of a rejection, which is read so that its connection can be reused.
+const MAX_REJECTION_BYTES: u64 = 16 << 10;
+/// The retry of a rejected request waits for that body at most this long.
+const REJECTION_TIMEOUT_MS: u64 = 50;
+
 /// The result of one attempt.
 pub(super) enum AttemptResult {
     /// The backend server's response, buffered or streaming.
@@ -263,12 +272,22 @@
         NotExecuted::PushedBack => Outcome::PushedBack,
         _ => Outcome::Rejected,
     });
-    if head.into_body().collect().await.is_ok() {
+    in_flight.set_remaining(MAX_REJECTION_BYTES);
+    let drained = drain(head.into_body());
+    let timeout = Duration::from_millis(REJECTION_TIMEOUT_MS);
+    if let Ok(Ok(())) = time::timeout(timeout, drained).await {
         in_flight.release_connection();
     }
     AttemptResult::NotExecuted(cause)
 }
 
+async fn drain(mut incoming: Incoming) -> hyper::Result<()> {
+    while let Some(frame) = incoming.frame().await {
+        frame?;
+    }
+    Ok(())
+}
+
 /// Reads a body, or the start of a long one.
 ///
 /// # Errors
--- a/crates/azuregate/src/serve/in_flight.rs
+++ b/crates/azuregate/src/serve/in_flight.rs
@@ -43,6 +43,13 @@
         self.sent_at_ms
     }
 
+    /// Sets how many further bytes of the response may be read.
+    pub(super) fn set_remaining(&self, bytes: u64) {
+        if let Some(connection) = &self.connection {
+            connection.meter.set_remaining(bytes);
+        }
+    }
+
     /// Returns the connection to the pool for reuse.
     pub(super) fn release_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/azuregate/tests/serve/endless_responses.rs
+++ b/crates/azuregate/tests/serve/endless_responses.rs
@@ -178,3 +178,15 @@
     }
     assert_no_problems(&cases, true).await;
 }
+
+/// Guards against holding the body of a rejection in memory, and against a retry that waits for it.
+#[tokio::test]
+async fn rejection_without_end_is_cut() {
+    let cases = [FAST, SLOW].map(|interval| Case {
+        part: EndlessPart::RejectionBody,
+        interval,
+        write: &[503],
+        max_sent_bytes: 8 << 20,
+    });
+    assert_no_problems(&cases, true).await;
+}
