End responses by their deadline and at a bound

A client that did not read held a connection to the server as well.

Cause: the time limit covered a request until 64 KiB were buffered; the rest streamed without any.

A streamed response now ends at the request's deadline, which the route's timeout bounds, and at 256 MiB; a longer length that is named is refused with 502 before anything is forwarded. The client sees the connection end early, never a complete body. At the deadline a task takes the connection to the server from the body, so that it holds for clients that do not read. A body whose end this instance caused is no sign of a crash, also while it is still buffered. Weighed: a timer in the body alone is not polled for such a client; an idle limit does not bound a server that sends slowly. The deadline is now part of the outgoing request, whose remaining time was passed along beside it.

In the log: `response cut`; new metric: azuregate_responses_cut_total.

A test of leaving servers streamed a response for 1 s, the timeout of its routes, and lost its end now; it streams for 0.7 s, and what it checks is the same.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -31,6 +31,8 @@
 /// Responses up to this size are buffered completely before they are forwarded, so
 /// that a truncated response can still be retried.
 const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
+/// Bounds the body of a response, which is forwarded while it arrives.
+pub(super) const MAX_RESPONSE_BYTES: u64 = 256 << 20;
 /// Bounds the body of a rejection, which is read so that its connection can be reused.
 const MAX_REJECTION_BYTES: u64 = 16 << 10;
 /// The retry of a rejected request waits for that body at most this long.
@@ -94,10 +96,9 @@
     state: &Rc<State>,
     choice: &Choice,
     outgoing: &OutgoingRequest,
-    remaining_ms: u64,
     log_entry: &mut AccessLogEntry,
 ) -> AttemptResult {
-    let mut in_flight = InFlightRequest::new(state, choice, remaining_ms);
+    let mut in_flight = InFlightRequest::new(state, choice, outgoing.remaining_ms());
     let sent_at = Instant::now();
     let mut pooled = state.pool.take(choice.handle, outgoing, state.now_ms());
     let head = loop {
@@ -123,7 +124,7 @@
             in_flight.release_connection();
             return AttemptResult::NotExecuted(NotExecuted::Withheld);
         }
-        let request = build_request(choice, outgoing, remaining_ms);
+        let request = build_request(choice, outgoing);
         let sent = connection.send(outgoing.id(), request).await;
         log_entry.record_connection(connection);
         match sent {
@@ -161,12 +162,8 @@
     read_response(state, choice, outgoing, in_flight, head, taken_ms).await
 }
 
-fn build_request(
-    choice: &Choice,
-    outgoing: &OutgoingRequest,
-    remaining_ms: u64,
-) -> Request<Full<Bytes>> {
-    let mut request = outgoing.to_request(remaining_ms);
+fn build_request(choice: &Choice, outgoing: &OutgoingRequest) -> Request<Full<Bytes>> {
+    let mut request = outgoing.to_request();
     if let Ok(id) = HeaderValue::from_str(choice.backend.id.as_str()) {
         request.headers_mut().insert(request::TARGET_BACKEND, id);
     }
@@ -215,8 +212,12 @@
     }
     let (mut parts, mut incoming) = head.into_parts();
     let is_failure = parts.status.is_server_error();
-    let Ok(buffered) = buffer_body(&mut incoming).await else {
+    in_flight.set_remaining(MAX_RESPONSE_BYTES);
+    let Some(buffered) = buffer_body(&mut incoming).await else {
         in_flight.set_outcome(Outcome::Failed);
+        if !in_flight.has_broken() {
+            return AttemptResult::Unknown("malformed answer");
+        }
         crash_detection::record_broken(state, choice, outgoing.fingerprint());
         return AttemptResult::Unknown("answer ended early");
     };
@@ -231,7 +232,7 @@
     if !is_complete(&incoming, &buffered) {
         let (request, choice) = (outgoing.fingerprint(), choice.clone());
         let from = StreamedFrom::Backend { in_flight, choice, request };
-        let body = ResponseBody::streaming(buffered, incoming, from);
+        let body = ResponseBody::streaming(buffered, incoming, from, outgoing.deadline);
         return AttemptResult::Response(Response::from_parts(parts, body));
     }
     state.record_response(outgoing.fingerprint());
@@ -288,20 +289,19 @@
     Ok(())
 }
 
-/// Reads a body, or the start of a long one.
-///
-/// # Errors
-///
-/// Returns an error if the connection breaks first.
-pub(super) async fn buffer_body(incoming: &mut Incoming) -> hyper::Result<Bytes> {
+/// Reads a body, or the start of a long one. Returns `None` if it ends early or is too long.
+pub(super) async fn buffer_body(incoming: &mut Incoming) -> Option<Bytes> {
+    if incoming.size_hint().lower() > MAX_RESPONSE_BYTES {
+        return None;
+    }
     let mut buffered = BytesMut::new();
     while buffered.len() <= RESPONSE_BUFFER_BYTES {
         let Some(frame) = incoming.frame().await else { break };
-        if let Ok(data) = frame?.into_data() {
+        if let Ok(data) = frame.ok()?.into_data() {
             buffered.extend_from_slice(&data);
         }
     }
-    Ok(buffered.freeze())
+    Some(buffered.freeze())
 }
 
 /// Returns whether [`buffer_body`] has read the whole body.
--- a/crates/azuregate/src/serve/dispatch.rs
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -8,7 +8,6 @@
 };
 use azuregate_platform::request;
 use hyper::{Response, StatusCode, header};
-use tokio::time::Instant;
 
 use super::{
     access_log::AccessLogEntry,
@@ -38,7 +37,6 @@
     pub(super) route: &'a Route,
     pub(super) service: &'a ServiceName,
     pub(super) outgoing: OutgoingRequest,
-    pub(super) deadline: Instant,
 }
 
 impl Dispatcher<'_> {
@@ -66,7 +64,7 @@
             if self.should_forward(attempts) {
                 return self.forward_to_instance(attempts, log_entry).await;
             }
-            let remaining_ms = self.remaining_ms();
+            let remaining_ms = self.outgoing.remaining_ms();
             let is_retry = attempts.sends > 0;
             if is_retry && !self.can_retry(attempts, remaining_ms) {
                 break;
@@ -84,10 +82,7 @@
             }
             attempts.tried.push(choice.handle);
             attempts.is_in_flight = true;
-            // The choice may have taken time.
-            let remaining_ms = self.remaining_ms();
-            let result =
-                attempt::send(self.state, &choice, &self.outgoing, remaining_ms, log_entry).await;
+            let result = attempt::send(self.state, &choice, &self.outgoing, log_entry).await;
             attempts.is_in_flight = false;
             let is_withheld = matches!(result, AttemptResult::NotExecuted(NotExecuted::Withheld));
             attempts.sends += u32::from(!is_withheld);
@@ -135,11 +130,6 @@
         }
     }
 
-    fn remaining_ms(&self) -> u64 {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
-    }
-
     fn can_retry(&self, attempts: &AttemptState, remaining_ms: u64) -> bool {
         attempts.possible_executions < self.route.attempts
             && attempts.sends < self.route.attempts + EXTRA_SENDS_AFTER_REJECTION
@@ -177,7 +167,7 @@
         let mut refusal = None;
         while excluded.len() < MAX_FORWARDS
             && attempts.possible_executions < self.route.attempts
-            && self.remaining_ms() > MIN_RETRY_REMAINING_MS
+            && self.outgoing.remaining_ms() > MIN_RETRY_REMAINING_MS
         {
             let Some(target) = self.forwarding_target(&excluded) else { break };
             if !self.take_retry(attempts) {
@@ -187,14 +177,7 @@
             metrics::inc_by(&self.state.metrics.forwarded, 1);
             attempts.is_in_flight = true;
             let executions = attempts.possible_executions;
-            let result = forwarding::send(
-                self.state,
-                &target,
-                &self.outgoing,
-                executions,
-                self.remaining_ms(),
-            );
-            let result = result.await;
+            let result = forwarding::send(self.state, &target, &self.outgoing, executions).await;
             attempts.is_in_flight = false;
             match result {
                 ForwardResult::Response(response) => {
@@ -292,7 +275,7 @@
         log_entry: &mut AccessLogEntry,
     ) -> Option<Choice> {
         // Otherwise the request would be held until its deadline.
-        if self.remaining_ms() <= grants::GRANT_TIMEOUT_MS {
+        if self.outgoing.remaining_ms() <= grants::GRANT_TIMEOUT_MS {
             return None;
         }
         let state = self.state;
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -53,7 +53,6 @@
     target: &Member,
     outgoing: &OutgoingRequest,
     executions: u32,
-    remaining_ms: u64,
 ) -> ForwardResult {
     let Some(addr) = target.forwarding_addr() else { return ForwardResult::NotSent };
     let mut pooled = state.instance_pool.take(addr, outgoing, state.now_ms());
@@ -65,7 +64,7 @@
                 Err(_) => return ForwardResult::NotSent,
             },
         };
-        let mut request = outgoing.to_request(remaining_ms);
+        let mut request = outgoing.to_request();
         request.headers_mut().insert(EXECUTIONS, HeaderValue::from(executions));
         match connection.send(outgoing.id(), request).await {
             Ok(head) => return read_response(state, addr, connection, outgoing, head).await,
@@ -94,7 +93,8 @@
         return ForwardResult::Unknown { executions: None };
     }
     let (mut parts, mut incoming) = head.into_parts();
-    let Ok(buffered) = attempt::buffer_body(&mut incoming).await else {
+    connection.meter.set_remaining(attempt::MAX_RESPONSE_BYTES);
+    let Some(buffered) = attempt::buffer_body(&mut incoming).await else {
         return ForwardResult::Unknown { executions: None };
     };
     response::remove_hop_by_hop_headers(&mut parts.headers);
@@ -106,8 +106,8 @@
         }
         false => {
             let state = Rc::clone(state);
-            let from = StreamedFrom::Instance { addr, connection: Some(connection), state };
-            ResponseBody::streaming(buffered, incoming, from)
+            let from = StreamedFrom::Instance { addr, connection, state };
+            ResponseBody::streaming(buffered, incoming, from, outgoing.deadline)
         }
     };
     ForwardResult::Response(Response::from_parts(parts, body))
--- a/crates/azuregate/src/serve/in_flight.rs
+++ b/crates/azuregate/src/serve/in_flight.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Returns whether the server or the network has ended the connection.
+    pub(super) fn has_broken(&self) -> bool {
+        self.connection.as_ref().is_some_and(|connection| connection.meter.has_broken())
+    }
+
     /// Returns the connection to the pool for reuse.
     pub(super) fn release_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -28,6 +28,8 @@
     /// Requests that were not sent, since the backend server had asked for a pause or announced its
     /// leaving after it was chosen.
     pub(super) withheld: Cell<u64>,
+    /// Responses that this instance did not read to the end, after a part had been forwarded.
+    pub(super) responses_cut: Cell<u64>,
     /// Requests sent to other instances, since no backend server was reachable.
     pub(super) forwarded: Cell<u64>,
     /// Requests that other instances sent on the account of this one's parts of rate limits.
@@ -167,6 +169,7 @@
         }
         line(format_args!("azuregate_backend_pushbacks_total {}", self.pushbacks.get()));
         line(format_args!("azuregate_withheld_requests_total {}", self.withheld.get()));
+        line(format_args!("azuregate_responses_cut_total {}", self.responses_cut.get()));
         line(format_args!("azuregate_rate_limit_grants_total {}", self.grants.get()));
         if let Some(version) = gauges.config_version {
             line(format_args!("azuregate_config_version {version}"));
--- a/crates/azuregate/src/serve/outgoing_request.rs
+++ b/crates/azuregate/src/serve/outgoing_request.rs
@@ -11,6 +11,7 @@
     header::{self, HeaderName, HeaderValue},
     http::request::Parts,
 };
+use tokio::time::Instant;
 
 /// Headers that distinguish requests with the same path and body: the host and the caller's
 /// credentials. The client's address is not part of it, since a caller may come from several.
@@ -23,17 +24,25 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) is_idempotent: bool,
+    /// When the response must be complete.
+    pub(super) deadline: Instant,
     fingerprint: OnceCell<Fingerprint>,
 }
 
 impl OutgoingRequest {
-    pub(super) fn new(parts: Parts, body: Bytes, is_idempotent: bool) -> OutgoingRequest {
+    pub(super) fn new(
+        parts: Parts,
+        body: Bytes,
+        is_idempotent: bool,
+        deadline: Instant,
+    ) -> OutgoingRequest {
         OutgoingRequest {
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
             body,
             is_idempotent,
+            deadline,
             fingerprint: OnceCell::new(),
         }
     }
@@ -43,14 +52,20 @@
         self.headers.get(request::REQUEST_ID).map(HeaderValue::as_bytes).unwrap_or_default()
     }
 
-    /// Returns the request to send to a server that may take `remaining_ms` for it.
-    pub(super) fn to_request(&self, remaining_ms: u64) -> Request<Full<Bytes>> {
+    /// Returns the time until the deadline.
+    pub(super) fn remaining_ms(&self) -> u64 {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the request to send to a server, with the time that is left for it.
+    pub(super) fn to_request(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.version_mut() = Version::HTTP_11;
         *request.headers_mut() = self.headers.clone();
-        request.headers_mut().insert(request::DEADLINE_MS, HeaderValue::from(remaining_ms));
+        request.headers_mut().insert(request::DEADLINE_MS, HeaderValue::from(self.remaining_ms()));
         request
     }
 
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -122,8 +122,12 @@
     drop(config);
 
     let work = async {
-        let outgoing = read_request(parts, body, &route, body_limit).await?;
-        Dispatcher { state, route: &route, service: &service, outgoing, deadline }
+        let body = match body {
+            Some(body) => read_body(body, body_limit).await?,
+            None => Bytes::new(),
+        };
+        let outgoing = outgoing_request(parts, body, &route, deadline);
+        Dispatcher { state, route: &route, service: &service, outgoing }
             .send(attempts, log_entry)
             .await
     };
@@ -138,25 +142,21 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_DEADLINE_MS)
 }
 
-/// Reads the complete body, so that a slow client does not occupy a backend server and
-/// a rejected request can be sent to another one.
-async fn read_request(
+fn outgoing_request(
     mut parts: Parts,
-    body: Option<Incoming>,
+    body: Bytes,
     route: &Route,
-    body_limit: usize,
-) -> Result<OutgoingRequest, RequestError> {
-    let body = match body {
-        Some(body) => read_body(body, body_limit).await?,
-        None => Bytes::new(),
-    };
+    deadline: Instant,
+) -> OutgoingRequest {
     response::remove_hop_by_hop_headers(&mut parts.headers);
     response::remove_internal_headers(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
     parts.headers.remove(header::CONTENT_LENGTH);
-    Ok(OutgoingRequest::new(parts, body, route.kind == RequestKind::Idempotent))
+    OutgoingRequest::new(parts, body, route.kind == RequestKind::Idempotent, deadline)
 }
 
+/// Reads the complete body, so that a slow client does not occupy a backend server and
+/// a rejected request can be sent to another one.
 async fn read_body(mut incoming: Incoming, limit: usize) -> Result<Bytes, RequestError> {
     if incoming.size_hint().lower() > limit as u64 {
         return Err(RequestError::BodyTooLarge);
--- a/crates/azuregate/src/serve/response_body.rs
+++ b/crates/azuregate/src/serve/response_body.rs
@@ -1,6 +1,9 @@
 //! Response bodies sent to clients.
 
 use std::{
+    cell::RefCell,
+    error::Error,
+    fmt,
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
@@ -11,8 +14,12 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::{
+    task::{AbortHandle, spawn_local},
+    time::{self, Instant},
+};
 
-use super::{crash_detection, in_flight::InFlightRequest, pool::Connection, state::State};
+use super::{crash_detection, in_flight::InFlightRequest, metrics, pool::Connection, state::State};
 
 /// A response body.
 pub(super) enum ResponseBody {
@@ -27,28 +34,72 @@
         ResponseBody::Buffered(Full::new(bytes))
     }
 
-    /// Returns a body that begins with `buffered` and goes on with `incoming`.
+    /// Returns a body that begins with `buffered` and goes on with `incoming`. What does not arrive
+    /// by the deadline is cut.
     pub(super) fn streaming(
         buffered: Bytes,
         incoming: Incoming,
         from: StreamedFrom,
+        deadline: Instant,
     ) -> ResponseBody {
+        let from = Rc::new(RefCell::new(Some(from)));
+        // A task of its own, since the body is not polled while the client does not read.
+        let timeout = spawn_local({
+            let from = Rc::clone(&from);
+            async move {
+                time::sleep_until(deadline).await;
+                if let Some(from) = from.take() {
+                    from.record_cut("deadline");
+                }
+            }
+        });
         ResponseBody::Streaming(Box::new(StreamingBody {
             buffered: Some(buffered),
             incoming,
             from,
+            timeout: timeout.abort_handle(),
         }))
     }
 }
 
+/// Why a response body ended early.
+#[derive(Debug)]
+pub(super) enum BodyError {
+    /// The connection to the server broke, or what came was no body.
+    Broken(hyper::Error),
+    /// The deadline passed.
+    TimedOut,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::Broken(error) => write!(f, "response ended early: {error}"),
+            BodyError::TimedOut => f.write_str("response not complete by its deadline"),
+        }
+    }
+}
+
+impl Error for BodyError {}
+
 /// A response body whose first part is buffered and whose rest is still arriving.
 pub(super) struct StreamingBody {
     buffered: Option<Bytes>,
     incoming: Incoming,
-    from: StreamedFrom,
+    /// `None` after the end or the deadline.
+    from: Rc<RefCell<Option<StreamedFrom>>>,
+    timeout: AbortHandle,
 }
 
-/// Where a streaming body comes from. Held until the body is sent or the client disconnects.
+impl Drop for StreamingBody {
+    fn drop(&mut self) {
+        self.timeout.abort();
+        self.from.take();
+    }
+}
+
+/// Where a streaming body comes from. Held until the body is sent, the client disconnects or the
+/// deadline passes.
 pub(super) enum StreamedFrom {
     /// A backend server.
     Backend {
@@ -63,47 +114,58 @@
     Instance {
         /// Its address.
         addr: SocketAddr,
-        /// The connection to it until the body ends.
-        connection: Option<Connection>,
+        /// The connection to it.
+        connection: Connection,
         /// The state that holds idle connections.
         state: Rc<State>,
     },
 }
 
 impl StreamedFrom {
-    fn record_end(&mut self) {
+    fn record_end(self) {
         match self {
-            StreamedFrom::Backend { in_flight, request, .. } => {
+            StreamedFrom::Backend { mut in_flight, request, .. } => {
                 in_flight.release_connection();
-                in_flight.state.record_response(*request);
+                in_flight.state.record_response(request);
             }
             StreamedFrom::Instance { addr, connection, state } => {
-                if let Some(connection) = connection.take() {
-                    state.instance_pool.put(*addr, connection, state.now_ms());
-                }
+                state.instance_pool.put(addr, connection, state.now_ms());
             }
         }
     }
 
     fn record_broken(&self) {
         match self {
-            StreamedFrom::Backend { in_flight, choice, request } => {
+            StreamedFrom::Backend { in_flight, choice, request } if in_flight.has_broken() => {
                 crash_detection::record_broken(&in_flight.state, choice, *request);
             }
+            StreamedFrom::Backend { .. } => self.record_cut("malformed or too long"),
             // The other instance has seen what happened to its server.
             StreamedFrom::Instance { .. } => {}
         }
     }
+
+    /// Records that this instance has stopped reading.
+    fn record_cut(&self, cause: &str) {
+        let (state, source) = match self {
+            StreamedFrom::Backend { in_flight, choice, .. } => {
+                (&in_flight.state, choice.backend.id.to_string())
+            }
+            StreamedFrom::Instance { state, addr, .. } => (state, addr.to_string()),
+        };
+        metrics::inc_by(&state.metrics.responses_cut, 1);
+        log::info!(source = source, cause = cause; "response cut");
+    }
 }
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             ResponseBody::Buffered(full) => {
                 Pin::new(full).poll_frame(cx).map_err(|never| match never {})
@@ -133,16 +195,22 @@
     fn poll_frame(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(buffered) = self.buffered.take() {
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
+        // Checked first, since a body looks complete once its connection is dropped.
+        if self.from.borrow().is_none() {
+            return Poll::Ready(Some(Err(BodyError::TimedOut)));
+        }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
-        match polled {
-            Poll::Ready(None) => self.from.record_end(),
-            Poll::Ready(Some(Err(_))) => self.from.record_broken(),
-            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+        let has_ended = matches!(polled, Poll::Ready(None | Some(Err(_))));
+        if let Some(from) = has_ended.then(|| self.from.take()).flatten() {
+            match polled {
+                Poll::Ready(Some(Err(_))) => from.record_broken(),
+                _ => from.record_end(),
+            }
         }
-        polled
+        polled.map_err(BodyError::Broken)
     }
 }
--- a/crates/azuregate/tests/serve/endless_responses.rs
+++ b/crates/azuregate/tests/serve/endless_responses.rs
@@ -21,6 +21,8 @@
 const CLIENTS: usize = 4;
 /// Memory that all responses together may take.
 const MAX_MEMORY_BYTES: u64 = 12 << 20;
+/// The longest body, with its framing and what sockets hold.
+const MAX_BODY_BYTES: u64 = 264 << 20;
 const FAST: Duration = Duration::ZERO;
 const SLOW: Duration = Duration::from_millis(20);
 
@@ -33,6 +35,8 @@
     /// Whether the response looks complete.
     is_complete: bool,
     elapsed: Duration,
+    /// The client's connection, which stays open.
+    stream: TcpStream,
 }
 
 /// Sends a request and reads the response without keeping it. A client that does not read stops after
@@ -42,14 +46,15 @@
     let mut stream = TcpStream::connect(process.traffic_addr).await.unwrap();
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut buffer = vec![0; 64 << 10];
-    let mut received = Received { status: 0, bytes: 0, is_complete: false, elapsed: TIMEOUT };
+    let mut received =
+        Received { status: 0, bytes: 0, is_complete: false, elapsed: TIMEOUT, stream };
     let mut length = None;
     loop {
         if !reads && received.status != 0 {
             time::sleep(TIMEOUT + TIMEOUT_SLACK).await;
             break;
         }
-        let Ok(count @ 1..) = stream.read(&mut buffer).await else { break };
+        let Ok(count @ 1..) = received.stream.read(&mut buffer).await else { break };
         if received.status == 0 {
             let head = String::from_utf8_lossy(&buffer[..count]).to_lowercase();
             received.status = head[9..12].parse().unwrap();
@@ -190,3 +195,54 @@
     });
     assert_no_problems(&cases, true).await;
 }
+
+/// Returns a case for each part of a body that may not end.
+fn body_cases() -> Vec<Case> {
+    let parts = [
+        EndlessPart::FailureBody,
+        EndlessPart::ChunkedBody,
+        EndlessPart::CloseDelimitedBody,
+        EndlessPart::SizedBody,
+        EndlessPart::ChunkExtension,
+        EndlessPart::Trailers,
+    ];
+    let mut cases = Vec::new();
+    for part in parts {
+        for interval in [FAST, SLOW] {
+            let write: &[u16] = match part {
+                EndlessPart::FailureBody => &[500, 502, 504],
+                _ => &[200, 502, 504],
+            };
+            cases.push(Case { part, interval, write, max_sent_bytes: MAX_BODY_BYTES });
+        }
+    }
+    cases
+}
+
+/// Guards against bodies that are forwarded or buffered longer than the request may take, which
+/// hold a slot of the server, and against a response that ends early but looks complete.
+#[tokio::test]
+async fn body_without_end_is_cut() {
+    assert_no_problems(&body_cases(), true).await;
+}
+
+/// Guards against a connection to a server that is held for a client that does not read.
+#[tokio::test]
+async fn body_that_is_not_read_is_cut() {
+    assert_no_problems(&body_cases(), false).await;
+}
+
+/// Guards against forwarding a body without a bound on its length.
+#[tokio::test]
+async fn long_body_is_cut() {
+    let mut cluster = TestCluster::start(1).await;
+    cluster.update_config(|config| config.timeout_ms = 60_000);
+    let process = Process::start(&cluster, 1).await;
+    let part = EndlessPart::ChunkedBody;
+    cluster.backends[0].set(Behaviour::Endless(Endless { part, interval: FAST }));
+    let request = get_request("/read/x", "r1").replace("Ms: 3000", "Ms: 60000");
+    let received = receive(&process, &request, true).await;
+    assert!(!received.is_complete && received.elapsed < Duration::from_secs(50), "{received:?}");
+    assert!(received.bytes as u64 <= MAX_BODY_BYTES, "{received:?}");
+    assert!(process.peak_memory_bytes() < 64 << 20, "{} bytes", process.peak_memory_bytes());
+}
--- a/crates/azuregate/tests/serve/leaving.rs
+++ b/crates/azuregate/tests/serve/leaving.rs
@@ -41,7 +41,7 @@
         Behaviour::Reject,
         Behaviour::RejectWith(429),
         Behaviour::ServerError,
-        Behaviour::Stream(Duration::from_secs(1)),
+        Behaviour::Stream(Duration::from_millis(700)),
         Behaviour::CloseDelimited,
     ] {
         let cluster = TestCluster::start(SERVERS).await;
