--- a/crates/azuregate/tests/serve/endless_responses.rs
+++ b/crates/azuregate/tests/serve/endless_responses.rs
@@ -184,6 +184,22 @@
     assert_no_problems(&cases, true).await;
 }
 
+/// Guards against taking a server that sends bytes before any request for one that has crashed, since
+/// the connection is closed.
+#[tokio::test]
+async fn server_that_sends_without_a_request_has_not_crashed() {
+    let cluster = TestCluster::start(2).await;
+    let process = Process::start(&cluster, 1).await;
+    receive(&process, &get_request("/read/x", "first"), true).await;
+    let used = cluster.backends.iter().find(|backend| !backend.received().is_empty()).unwrap();
+    used.set(Behaviour::Endless(Endless { part: EndlessPart::Unsolicited, interval: SLOW }));
+    // Sent on the open connection, which gives the server a reason to be examined.
+    let received = receive(&process, &get_request("/read/x", "second"), true).await;
+    assert_eq!((received.status, used.received().len()), (200, 2));
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(process.metric("azuregate_backend_crashes_total").await, 0);
+}
+
 /// Guards against holding the body of a rejection in memory, and against a retry that waits for it.
 #[tokio::test]
 async fn rejection_without_end_is_cut() {
