End leaving servers in a test once they have said so

It ended two servers 330 ms after its start and took it for granted that both had said by then that they were leaving; their first responses are due at 300 ms and later. The end of such a server is a crash, and the instance was right.

The test now waits until both have said so, with requests in flight as before. What it checks is the same.

--- a/crates/azuregate/tests/serve/leaving.rs
+++ b/crates/azuregate/tests/serve/leaving.rs
@@ -184,8 +184,15 @@
         }
     });
     let end = async {
-        time::sleep(Duration::from_millis(330)).await;
-        for server in &cluster.backends[..2] {
+        let leaving = &cluster.backends[..2];
+        let has_said = |server: &FakeBackend| {
+            server.received().iter().any(|request| request.leaving_said_at.is_some())
+        };
+        eventually("both servers say that they are leaving", async || leaving.iter().all(has_said))
+            .await;
+        // Until the instance has read it.
+        time::sleep(Duration::from_millis(20)).await;
+        for server in leaving {
             server.set_crash_downtime(Duration::from_secs(60));
             server.crash();
         }
