Bound response heads of `azuregate run` as well

The meter moves out of `serve`, and both kinds of connections use it.

What ties a response to a request is not the same there: its servers echo no ID. That a late copy may be taken for an answer on a reused connection of `azuregate run` remains.

--- a/crates/azuregate/src/backend/http.rs
+++ b/crates/azuregate/src/backend/http.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::{IpAddr, SocketAddr},
+    sync::Arc,
 };
 
 use async_trait::async_trait;
@@ -14,6 +15,7 @@
 use crate::{
     backend::{BackendConn, BackendDialer, SendCause, SendError},
     body::Body,
+    metered_stream::{MAX_HEAD_BYTES, MAX_RESPONSE_BYTES, MeteredStream, ReadMeter},
 };
 
 /// Opens TCP connections to backend servers from this instance's IP address.
@@ -30,14 +32,20 @@
         socket.bind(SocketAddr::new(self.ip, 0))?;
         let stream = socket.connect(addr).await?;
         stream.set_nodelay(true)?;
-        let (sender, conn) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let meter = Arc::<ReadMeter>::default();
+        meter.set_remaining(MAX_HEAD_BYTES as u64);
+        let stream = MeteredStream::new(stream, Arc::clone(&meter));
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!(addr:% = addr, error:% = e; "backend connection ended");
             }
         });
-        Ok(Box::new(HttpConn { sender }))
+        Ok(Box::new(HttpConn { sender, meter }))
     }
 }
 
@@ -45,6 +53,7 @@
 /// cancels the request on the backend server.
 struct HttpConn {
     sender: http1::SendRequest<Body>,
+    meter: Arc<ReadMeter>,
 }
 
 #[async_trait]
@@ -53,8 +62,12 @@
         if let Err(e) = self.sender.ready().await {
             return Err(SendError { cause: SendCause::NotSent, detail: e.to_string() });
         }
+        self.meter.set_remaining(MAX_HEAD_BYTES as u64);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response.map(|body| body.map_err(Into::into).boxed_unsync())),
+            Ok(response) => {
+                self.meter.set_remaining(MAX_RESPONSE_BYTES);
+                Ok(response.map(|body| body.map_err(Into::into).boxed_unsync()))
+            }
             Err(mut e) => {
                 // hyper returns the request only if it was still queued. Otherwise
                 // bytes of it may have been written.
@@ -62,7 +75,7 @@
                 let e = e.into_error();
                 let cause = match () {
                     () if queued => SendCause::NotSent,
-                    () if e.is_parse() => SendCause::Invalid,
+                    () if e.is_parse() || self.meter.is_exhausted() => SendCause::Invalid,
                     () => SendCause::Lost,
                 };
                 Err(SendError { cause, detail: e.to_string() })
--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod jsonc;
 pub mod logs;
 pub mod membership;
+mod metered_stream;
 pub mod metrics;
 pub mod operators;
 pub mod peer;
--- a/crates/azuregate/src/serve/metered_stream.rs
+++ b/crates/azuregate/src/metered_stream.rs
@@ -1,10 +1,12 @@
 //! A connection to a server of which a bounded number of bytes is read.
 
 use std::{
-    cell::Cell,
     io,
     pin::Pin,
-    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     task::{Context, Poll, ready},
 };
 
@@ -13,41 +15,56 @@
     net::TcpStream,
 };
 
+/// Bounds the head of a response together with the informational responses before it.
+pub(crate) const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bounds the rest of a response.
+pub(crate) const MAX_RESPONSE_BYTES: u64 = 256 << 20;
+
 /// What is known of the bytes that a server sends on a connection.
-#[derive(Default)]
-pub(super) struct ReadMeter {
-    remaining_bytes: Cell<u64>,
-    has_broken: Cell<bool>,
+#[derive(Debug, Default)]
+pub(crate) struct ReadMeter {
+    remaining_bytes: AtomicU64,
+    has_broken: AtomicBool,
 }
 
 impl ReadMeter {
     /// Sets how many further bytes may be read. One more read fails.
-    pub(super) fn set_remaining(&self, bytes: u64) {
-        self.remaining_bytes.set(bytes);
+    pub(crate) fn set_remaining(&self, bytes: u64) {
+        self.remaining_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    fn record_read(&self, bytes: u64) {
+        let subtract = |remaining_bytes: u64| Some(remaining_bytes.saturating_sub(bytes));
+        let _ = self.remaining_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+    }
+
+    /// Returns whether the next read fails.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.remaining_bytes.load(Ordering::Relaxed) == 0
     }
 
     /// Returns whether the server has closed or reset the connection, or it timed out. Otherwise it
     /// was this instance that stopped reading.
-    pub(super) fn has_broken(&self) -> bool {
-        self.has_broken.get()
+    pub(crate) fn has_broken(&self) -> bool {
+        self.has_broken.load(Ordering::Relaxed)
     }
 }
 
 /// A TCP connection whose reads a [`ReadMeter`] bounds.
-pub(super) struct MeteredStream {
+pub(crate) struct MeteredStream {
     stream: TcpStream,
-    meter: Rc<ReadMeter>,
+    meter: Arc<ReadMeter>,
 }
 
 impl MeteredStream {
-    pub(super) fn new(stream: TcpStream, meter: Rc<ReadMeter>) -> MeteredStream {
+    pub(crate) fn new(stream: TcpStream, meter: Arc<ReadMeter>) -> MeteredStream {
         MeteredStream { stream, meter }
     }
 
     /// Notes whether an operation has found the connection broken.
     fn note<T>(&self, result: io::Result<T>) -> io::Result<T> {
         if result.is_err() {
-            self.meter.has_broken.set(true);
+            self.meter.has_broken.store(true, Ordering::Relaxed);
         }
         result
     }
@@ -59,8 +76,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let remaining_bytes = self.meter.remaining_bytes.get();
-        if remaining_bytes == 0 {
+        if self.meter.is_exhausted() {
             let error = io::Error::new(io::ErrorKind::InvalidData, "response too long");
             return Poll::Ready(Err(error));
         }
@@ -68,9 +84,9 @@
         let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
         let count = buffer.filled().len() - filled;
         if result.is_ok() && count == 0 {
-            self.meter.has_broken.set(true);
+            self.meter.has_broken.store(true, Ordering::Relaxed);
         }
-        self.meter.remaining_bytes.set(remaining_bytes.saturating_sub(count as u64));
+        self.meter.record_read(count as u64);
         Poll::Ready(self.note(result))
     }
 }
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -27,12 +27,11 @@
     response_body::{ResponseBody, StreamedFrom},
     state::State,
 };
+use crate::metered_stream::MAX_RESPONSE_BYTES;
 
 /// Responses up to this size are buffered completely before they are forwarded, so
 /// that a truncated response can still be retried.
 const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
-/// Bounds the body of a response, which is forwarded while it arrives.
-pub(super) const MAX_RESPONSE_BYTES: u64 = 256 << 20;
 /// Bounds the body of a rejection, which is read so that its connection can be reused.
 const MAX_REJECTION_BYTES: u64 = 16 << 10;
 /// The retry of a rejected request waits for that body at most this long.
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -19,6 +19,7 @@
     response_body::{ResponseBody, StreamedFrom},
     state::State,
 };
+use crate::metered_stream::MAX_RESPONSE_BYTES;
 
 /// How many times the request may have been executed before it was forwarded.
 pub(super) const EXECUTIONS: HeaderName = HeaderName::from_static("azuregate-executions");
@@ -93,7 +94,7 @@
         return ForwardResult::Unknown { executions: None };
     }
     let (mut parts, mut incoming) = head.into_parts();
-    connection.meter.set_remaining(attempt::MAX_RESPONSE_BYTES);
+    connection.meter.set_remaining(MAX_RESPONSE_BYTES);
     let Some(buffered) = attempt::buffer_body(&mut incoming).await else {
         return ForwardResult::Unknown { executions: None };
     };
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -52,7 +52,6 @@
 mod in_flight;
 mod leaving;
 mod listen;
-mod metered_stream;
 mod metrics;
 mod outgoing_request;
 mod pipeline;
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -6,6 +6,7 @@
     hash::Hash,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -23,11 +24,8 @@
     time,
 };
 
-use super::{
-    connector::Connector,
-    metered_stream::{MeteredStream, ReadMeter},
-    outgoing_request::OutgoingRequest,
-};
+use super::{connector::Connector, outgoing_request::OutgoingRequest};
+use crate::metered_stream::{MAX_HEAD_BYTES, MeteredStream, ReadMeter};
 
 /// Several times the longest round-trip time between regions.
 const CONNECT_TIMEOUT_MS: u64 = 200;
@@ -39,8 +37,6 @@
 /// connection turns out to be dead.
 const MAX_IDLE_NON_IDEMPOTENT_MS: u64 = 1_000;
 const MAX_IDLE_PER_SERVER: usize = 6;
-/// Bounds the head of a response together with the informational responses before it.
-const MAX_HEAD_BYTES: usize = 64 << 10;
 pub(super) const EVICTION_INTERVAL_MS: u64 = 1_000;
 
 /// A connection to a server, used for one request at a time.
@@ -53,7 +49,7 @@
     /// The requests that were sent on it.
     pub(super) sent_ids: SentIds,
     /// Bounds what is read.
-    pub(super) meter: Rc<ReadMeter>,
+    pub(super) meter: Arc<ReadMeter>,
     task: AbortHandle,
     idle_since_ms: u64,
     /// The number of open connections to the server, idle or in use.
@@ -198,9 +194,9 @@
     pub(super) async fn connect(&self, key: K, addr: SocketAddr) -> std::io::Result<Connection> {
         let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let stream = time::timeout(connect_timeout, self.connector.connect(addr)).await??;
-        let meter = Rc::<ReadMeter>::default();
+        let meter = Arc::<ReadMeter>::default();
         meter.set_remaining(MAX_HEAD_BYTES as u64);
-        let stream = MeteredStream::new(stream, Rc::clone(&meter));
+        let stream = MeteredStream::new(stream, Arc::clone(&meter));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/azuregate/tests/outcomes/main.rs
+++ b/crates/azuregate/tests/outcomes/main.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod bodies;
 mod claims;
+mod endless;
 mod error_kinds;
 mod fake_dialer;
 mod fake_platform;
