Let servers of the soak send late copies and endless responses

The soak checked already that a write runs at most once and never after a refusal, but none of its servers could break that by what they send. Up to five times in a run, from a generator of their own, they now repeat a response or send one of ten parts of a response without end. Runs of planned operations only stay without. The test client reads chunked bodies, so that it can tell a response that is cut.

--- a/crates/azuregate/tests/serve/cluster.rs
+++ b/crates/azuregate/tests/serve/cluster.rs
@@ -252,14 +252,40 @@
         let head = String::from_utf8_lossy(&self.bytes[..end]).into_owned();
         let status = head.split(' ').nth(1).and_then(|status| status.parse().ok())?;
         let mut response = HttpResponse { status, head, body: String::new() };
+        self.bytes.drain(..end);
         let length = response.header("content-length").and_then(|text| text.parse().ok());
-        let length: usize = length.unwrap_or(0);
-        while self.bytes.len() < end + length {
+        let body = match response.header("transfer-encoding") {
+            Some(_) => self.read_chunks().await?,
+            None => self.take(length.unwrap_or(0)).await?,
+        };
+        response.body = String::from_utf8_lossy(&body).into_owned();
+        Some(response)
+    }
+
+    async fn read_chunks(&mut self) -> Option<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let end = loop {
+                if let Some(at) = self.bytes.windows(2).position(|window| window == b"\r\n") {
+                    break at;
+                }
+                self.fill().await?;
+            };
+            let line = self.take(end + 2).await?;
+            let size = usize::from_str_radix(std::str::from_utf8(&line[..end]).ok()?, 16).ok()?;
+            body.extend(self.take(size).await?);
+            self.take(2).await?;
+            if size == 0 {
+                return Some(body);
+            }
+        }
+    }
+
+    async fn take(&mut self, count: usize) -> Option<Vec<u8>> {
+        while self.bytes.len() < count {
             self.fill().await?;
         }
-        response.body = String::from_utf8_lossy(&self.bytes[end..end + length]).into_owned();
-        self.bytes.drain(..end + length);
-        Some(response)
+        Some(self.bytes.drain(..count).collect())
     }
 
     async fn fill(&mut self) -> Option<()> {
--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -22,6 +22,7 @@
 mod cluster;
 mod crashing;
 mod cuts;
+mod faulty_responses;
 mod plan;
 mod processes;
 mod proxy;
--- a/crates/azuregate/tests/soak/plan.rs
+++ b/crates/azuregate/tests/soak/plan.rs
@@ -8,6 +8,7 @@
 use crate::{
     ZONES, announcements,
     cuts::{self, Cut},
+    faulty_responses,
     proxy::LinkMode,
 };
 
@@ -73,6 +74,7 @@
         if !is_planned_only {
             faults.extend(server_crashes(seed, servers));
             faults.extend(cuts::generate(seed, instances, ZONES.len()));
+            faults.extend(faulty_responses::generate(seed, servers));
         }
         faults.extend(rate_limits(seed, servers));
         faults.extend(announcements::generate(seed, servers));
