Reuse connections after long responses of known length

Each response of more than 64 KiB with a length cost a new connection to its server, of which servers accept a limited number, and its request was not remembered as answered: the server of the client's connection does not poll a body again after its last byte, and only that further poll returned the connection to the pool. connection_is_reused_after_a_long_response failed before ("left: 5, right: 1" connections for five responses in a row) and passes now. Found while listing what state a connection is in after each kind of response.

--- a/crates/azuregate/src/serve/response_body.rs
+++ b/crates/azuregate/src/serve/response_body.rs
@@ -57,6 +57,7 @@
             buffered: Some(buffered),
             incoming,
             from,
+            is_complete: false,
             timeout: timeout.abort_handle(),
         }))
     }
@@ -88,6 +89,7 @@
     incoming: Incoming,
     /// `None` after the end or the deadline.
     from: Rc<RefCell<Option<StreamedFrom>>>,
+    is_complete: bool,
     timeout: AbortHandle,
 }
 
@@ -199,17 +201,26 @@
         if let Some(buffered) = self.buffered.take() {
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
+        if self.is_complete {
+            return Poll::Ready(None);
+        }
         // Checked first, since a body looks complete once its connection is dropped.
         if self.from.borrow().is_none() {
             return Poll::Ready(Some(Err(BodyError::TimedOut)));
         }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
-        let has_ended = matches!(polled, Poll::Ready(None | Some(Err(_))));
-        if let Some(from) = has_ended.then(|| self.from.take()).flatten() {
-            match polled {
-                Poll::Ready(Some(Err(_))) => from.record_broken(),
-                _ => from.record_end(),
-            }
+        let is_broken = matches!(polled, Poll::Ready(Some(Err(_))));
+        self.is_complete = match polled {
+            Poll::Ready(None) => true,
+            // A body of known length is not polled again after its last byte.
+            Poll::Ready(Some(Ok(_))) => self.incoming.is_end_stream(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => false,
+        };
+        let has_ended = is_broken || self.is_complete;
+        match has_ended.then(|| self.from.take()).flatten() {
+            Some(from) if is_broken => from.record_broken(),
+            Some(from) => from.record_end(),
+            None => {}
         }
         polled.map_err(BodyError::Broken)
     }
--- a/crates/azuregate/tests/serve/endless_responses.rs
+++ b/crates/azuregate/tests/serve/endless_responses.rs
@@ -262,3 +262,17 @@
     assert!(received.bytes as u64 <= MAX_BODY_BYTES, "{received:?}");
     assert!(process.peak_memory_bytes() < 64 << 20, "{} bytes", process.peak_memory_bytes());
 }
+
+/// Guards against a new connection for each long response.
+#[tokio::test]
+async fn connection_is_reused_after_a_long_response() {
+    let cluster = TestCluster::start(1).await;
+    let process = Process::start(&cluster, 1).await;
+    cluster.backends[0].set(Behaviour::Stream(FAST));
+    for number in 0..5 {
+        let request = get_request("/read/x", &format!("r{number}"));
+        let received = receive(&process, &request, true).await;
+        assert!(received.status == 200 && received.is_complete, "{received:?}");
+    }
+    assert_eq!(process.metric("azuregate_backend_connects_total{result=\"ok\"}").await, 1);
+}
