Log the connection of a try that gets no response

The connection was recorded once its response head had come, so the line of a request that reached its deadline or was cancelled lacked the connection of its last try, and its number in the sequence was taken from the count afterwards. It is recorded before the request is sent now.

--- a/crates/azuregate/src/serve/access_log.rs
+++ b/crates/azuregate/src/serve/access_log.rs
@@ -81,11 +81,13 @@
         self.failures.push_str(cause);
     }
 
+    /// Records the connection that the request is about to be sent on.
     pub(super) fn record_connection(&mut self, connection: &Connection) {
         if !self.connections.is_empty() {
             self.connections.push(',');
         }
-        let _ = write!(self.connections, "{}/{}", connection.number, connection.sent_ids.count());
+        let count = connection.sent_ids.count() + 1;
+        let _ = write!(self.connections, "{}/{count}", connection.number);
     }
 
     pub(super) fn log(&self, status: StatusCode, taken_ms: u64) {
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -123,10 +123,9 @@
             in_flight.release_connection();
             return AttemptResult::NotExecuted(NotExecuted::Withheld);
         }
-        let request = build_request(choice, outgoing);
-        let sent = connection.send(outgoing.id(), request).await;
         log_entry.record_connection(connection);
-        match sent {
+        let request = build_request(choice, outgoing);
+        match connection.send(outgoing.id(), request).await {
             Ok(head) => {
                 if !is_reused {
                     reachability::record_connection(state, choice);
