Test late copies and endless responses on two more ways

Granted requests and forwarded ones use the pool and the readers that were mended; nothing showed it.

--- a/crates/azuregate/tests/serve/endless_responses.rs
+++ b/crates/azuregate/tests/serve/endless_responses.rs
@@ -1,6 +1,9 @@
 //! Backend servers that send bytes without end, until their connection is closed.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use azuregate_platform::fakes::{Behaviour, Endless, EndlessPart, FakeBackend};
 use tokio::{
@@ -10,7 +13,8 @@
 };
 
 use crate::{
-    cluster::{TestCluster, get_request, post_request},
+    cluster::{TestCluster, eventually, get_request, post_request},
+    late_copies::Instances,
     process::Process,
 };
 
@@ -41,9 +45,9 @@
 
 /// Sends a request and reads the response without keeping it. A client that does not read stops after
 /// the head.
-async fn receive(process: &Process, request: &str, reads: bool) -> Received {
+async fn receive(addr: SocketAddr, request: &str, reads: bool) -> Received {
     let start = Instant::now();
-    let mut stream = TcpStream::connect(process.traffic_addr).await.unwrap();
+    let mut stream = TcpStream::connect(addr).await.unwrap();
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut buffer = vec![0; 64 << 10];
     let mut received =
@@ -95,7 +99,7 @@
     let cluster = TestCluster::start(2).await;
     let process = Process::start(&cluster, 1).await;
     // A first request takes memory for good.
-    receive(&process, &get_request("/read/x", "first"), true).await;
+    receive(process.traffic_addr, &get_request("/read/x", "first"), true).await;
     let memory_bytes = process.peak_memory_bytes();
     let behaviour = Behaviour::Endless(Endless { part, interval });
     cluster.backends.iter().for_each(|server| server.set(behaviour.clone()));
@@ -107,7 +111,7 @@
             _ => get_request("/read/x", &id),
         });
     }
-    let all = requests.iter().map(|request| receive(&process, request, reads));
+    let all = requests.iter().map(|request| receive(process.traffic_addr, request, reads));
     let all = futures_util::future::join_all(all).await;
     let mut problems = Vec::new();
     for (number, received) in all.iter().enumerate() {
@@ -190,11 +194,11 @@
 async fn server_that_sends_without_a_request_has_not_crashed() {
     let cluster = TestCluster::start(2).await;
     let process = Process::start(&cluster, 1).await;
-    receive(&process, &get_request("/read/x", "first"), true).await;
+    receive(process.traffic_addr, &get_request("/read/x", "first"), true).await;
     let used = cluster.backends.iter().find(|backend| !backend.received().is_empty()).unwrap();
     used.set(Behaviour::Endless(Endless { part: EndlessPart::Unsolicited, interval: SLOW }));
     // Sent on the open connection, which gives the server a reason to be examined.
-    let received = receive(&process, &get_request("/read/x", "second"), true).await;
+    let received = receive(process.traffic_addr, &get_request("/read/x", "second"), true).await;
     assert_eq!((received.status, used.received().len()), (200, 2));
     time::sleep(Duration::from_secs(1)).await;
     assert_eq!(process.metric("azuregate_backend_crashes_total").await, 0);
@@ -248,6 +252,23 @@
     assert_no_problems(&body_cases(), false).await;
 }
 
+/// Guards against the same for requests that go through another instance.
+#[tokio::test]
+async fn forwarded_response_without_end_is_cut() {
+    let cluster = TestCluster::start(1).await;
+    let instances = Instances::start(&cluster).await;
+    for part in EndlessPart::ALL {
+        let behaviour = Behaviour::Endless(Endless { part, interval: SLOW });
+        cluster.backends[0].set(behaviour);
+        let request = get_request("/read/x", &format!("{part:?}"));
+        let received = receive(instances.cut_off.traffic_addr, &request, true).await;
+        let is_late = received.elapsed > TIMEOUT + TIMEOUT_SLACK;
+        let looks_complete = received.status == 200 && received.is_complete;
+        assert!(!is_late && !looks_complete, "{part:?}: {received:?}");
+        eventually("the connection is closed", async || sending_connections(&cluster) == 0).await;
+    }
+}
+
 /// Guards against forwarding a body without a bound on its length.
 #[tokio::test]
 async fn long_body_is_cut() {
@@ -257,7 +278,7 @@
     let part = EndlessPart::ChunkedBody;
     cluster.backends[0].set(Behaviour::Endless(Endless { part, interval: FAST }));
     let request = get_request("/read/x", "r1").replace("Ms: 3000", "Ms: 60000");
-    let received = receive(&process, &request, true).await;
+    let received = receive(process.traffic_addr, &request, true).await;
     assert!(!received.is_complete && received.elapsed < Duration::from_secs(50), "{received:?}");
     assert!(received.bytes as u64 <= MAX_BODY_BYTES, "{received:?}");
     assert!(process.peak_memory_bytes() < 64 << 20, "{} bytes", process.peak_memory_bytes());
@@ -271,7 +292,7 @@
     cluster.backends[0].set(Behaviour::Stream(FAST));
     for number in 0..5 {
         let request = get_request("/read/x", &format!("r{number}"));
-        let received = receive(&process, &request, true).await;
+        let received = receive(process.traffic_addr, &request, true).await;
         assert!(received.status == 200 && received.is_complete, "{received:?}");
     }
     assert_eq!(process.metric("azuregate_backend_connects_total{result=\"ok\"}").await, 1);
--- a/crates/azuregate/tests/serve/late_copies.rs
+++ b/crates/azuregate/tests/serve/late_copies.rs
@@ -9,7 +9,9 @@
 use tokio::time;
 
 use crate::{
-    cluster::{Client, HttpResponse, Instance, TestCluster, eventually, get_request, post_request},
+    cluster::{
+        Client, HttpResponse, Instance, TestCluster, eventually, get, get_request, post_request,
+    },
     connectors::{CutConnector, start_with},
 };
 
@@ -75,13 +77,14 @@
 }
 
 /// An instance for each way.
-struct Instances {
+pub(crate) struct Instances {
     direct: Instance,
-    cut_off: Instance,
+    /// Reaches no server.
+    pub(crate) cut_off: Instance,
 }
 
 impl Instances {
-    async fn start(cluster: &TestCluster) -> Instances {
+    pub(crate) async fn start(cluster: &TestCluster) -> Instances {
         let direct = cluster.start_ready_instance(1).await;
         let cut_off = start_with(cluster, 2, |connector| {
             let is_cut = Arc::new(AtomicBool::new(true));
@@ -182,6 +185,38 @@
     }
 }
 
+/// Guards against the same for requests that are sent on the account of another instance's part of a
+/// rate limit.
+#[tokio::test]
+async fn late_copies_answer_no_granted_request() {
+    let cluster = TestCluster::start(1).await;
+    let mut instances = Vec::new();
+    for number in 1..=4 {
+        instances.push(cluster.start_ready_instance(number).await);
+    }
+    // Wait until instances know each other.
+    time::sleep(Duration::from_secs(1)).await;
+    cluster.backends[0].set_rate_limit(Some("20"));
+    cluster.backends[0].set(late_copy(Behaviour::Reject));
+    let mut problems = Vec::new();
+    for number in 0..120 {
+        let id = format!("w{number}");
+        let request = post_request("/write/x", &id, "body");
+        let response = instances[number % instances.len()].send(&request).await;
+        time::sleep(SETTLING).await;
+        problems.extend(problem(&id, true, &[response], &cluster.backends[0].received()));
+    }
+    assert!(problems.is_empty(), "{problems:#?}");
+    let mut grants = 0;
+    for instance in &instances {
+        let metrics = get(instance.metrics_addr, "/metrics").await.unwrap().body;
+        let name = "azuregate_rate_limit_grants_total ";
+        let value = metrics.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        grants += value.parse::<usize>().unwrap();
+    }
+    assert!(grants > 0, "no request was granted");
+}
+
 /// Guards against a pause, a rate limit, a leaving or a cold server that only the late copy of a
 /// response names, and that ended before.
 #[tokio::test]
