Let fakes note only what they have said in an answer

Its plan lets the server leave and then send endless responses: the fake noted for each request that it had said so, though such a response has none of the server's headers, and no instance was told. The same held for a rejection without an ID, which counts as nobody's answer, and for the late copy of another response; limits were noted in the first of these. The check of the soak is the same for all that a server says in an answer.

--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -86,6 +86,18 @@
                 | Behaviour::Endless(Endless { part: EndlessPart::RejectionBody, .. })
         )
     }
+
+    /// Returns whether the response has the server's headers and names the request.
+    fn is_answer(&self) -> bool {
+        !matches!(
+            self,
+            Behaviour::DropResponse
+                | Behaviour::Misdirect
+                | Behaviour::StaleResponse
+                | Behaviour::RejectWithoutId
+                | Behaviour::Endless(_)
+        )
+    }
 }
 
 /// The response that a connection repeats.
@@ -367,11 +379,7 @@
             }
         }
         let limit = lock(&shared.rate_limit).clone().map(|(text, _)| text);
-        let names_limit = limit.is_some()
-            && !matches!(
-                behaviour,
-                Behaviour::DropResponse | Behaviour::Misdirect | Behaviour::StaleResponse
-            );
+        let names_limit = limit.is_some() && behaviour.is_answer();
         lock(&shared.received)[index].limit_named_at = names_limit.then(Instant::now);
         if let Behaviour::PushBack(pause) = behaviour {
             lock(&shared.received)[index].pushed_back = Some((Instant::now(), pause));
@@ -381,7 +389,7 @@
         if let Some(limit) = limit.filter(|_| behaviour != Behaviour::Misdirect) {
             headers += &format!("Server-Limit: {limit}\r\n");
         }
-        if headers.contains("Server-Leaving: 1") {
+        if headers.contains("Server-Leaving: 1") && behaviour.is_answer() {
             lock(&shared.received)[index].leaving_said_at = Some(Instant::now());
         }
         if let Behaviour::Endless(endless) = behaviour {
