Summarize suppressed log lines of writes

Under load the log has 50 lines a second of one code and counts the rest, so the record of the incident has no line of its own request: from its ID one could not tell which server it was sent to, over which connections, and what each server did.

A line of a write that was refused, failed or sent more than once has keep=true now. If it is suppressed, its ID, status, server, failures and connections are written in a line with others of its code, at the latest a second later. Summaries take at most 128 KiB a second; what does not fit is counted (summaries omitted).

Tests: 600 of 600 suppressed writes are found by their ID; of 5,000 events each is summarized or counted, within the bound.

--- a/crates/azuregate/src/logs/lines.rs
+++ b/crates/azuregate/src/logs/lines.rs
@@ -14,17 +14,30 @@
     record::{Level, Record},
 };
 
-use super::rate_limiter::{EventKind, RateLimiter, Suppressed};
+use super::{
+    rate_limiter::{EventKind, RateLimiter, Suppressed},
+    summaries::{self, Summaries},
+};
 
 /// Lines of one kind that are written per window.
 const LINES_PER_WINDOW: u64 = 50;
 const WINDOW_MS: u64 = 1_000;
+/// Bytes of summaries of suppressed lines that are written per window.
+const SUMMARY_BYTES_PER_WINDOW: usize = 128 << 10;
+/// A suppressed event whose key of this name is true is summarized.
+const KEEP: &str = "keep";
+/// The keys of a summary.
+const SUMMARY_KEYS: [&str; 6] =
+    ["id", "status", "backend", "failed", "connections", "forwarded_to"];
 /// Maximum length of a line, since callers choose some of the values.
 const MAX_LINE_BYTES: usize = 8_192;
 /// Suffix of a truncated line.
 const TRUNCATED: &str = " truncated=true";
 
 /// Appender that writes each event as one line and limits the rate of each kind.
+///
+/// Of suppressed events that have the pair `keep=true`, a summary is written with others of their
+/// kind.
 pub struct Lines<W> {
     layout: LogfmtLayout,
     origin: Instant,
@@ -34,6 +47,7 @@
 struct State<W> {
     out: W,
     limiter: RateLimiter,
+    summaries: Summaries,
 }
 
 impl<W> fmt::Debug for Lines<W> {
@@ -46,7 +60,8 @@
     /// Creates an appender that writes to `out`.
     pub fn new(out: W) -> Lines<W> {
         let limiter = RateLimiter::new(LINES_PER_WINDOW, WINDOW_MS);
-        let state = Mutex::new(State { out, limiter });
+        let summaries = Summaries::new(SUMMARY_BYTES_PER_WINDOW, WINDOW_MS);
+        let state = Mutex::new(State { out, limiter, summaries });
         Lines { layout: LogfmtLayout::default(), origin: Instant::now(), state }
     }
 
@@ -61,18 +76,39 @@
 
     fn suppressed_line(&self, suppressed: &Suppressed) -> Result<String, Error> {
         let Suppressed { kind, count } = suppressed;
+        self.line_about(
+            kind,
+            format_args!("lines suppressed"),
+            (Key::new("count"), Value::u64(*count)),
+        )
+    }
+
+    fn summaries_line(&self, kind: &EventKind, summaries: &str) -> Result<String, Error> {
+        let pair = (Key::new("lines"), Value::str(summaries));
+        self.line_about(kind, format_args!("suppressed lines summarized"), pair)
+    }
+
+    /// Returns a line of this module about events of a kind.
+    fn line_about(
+        &self,
+        kind: &EventKind,
+        message: fmt::Arguments<'_>,
+        pair: (Key<'_>, Value<'_>),
+    ) -> Result<String, Error> {
         let pairs = [
             (Key::new("of"), Value::str(&kind.message)),
             (Key::new("code"), Value::str(&kind.code)),
-            (Key::new("count"), Value::u64(*count)),
+            pair,
         ];
         let record = Record::builder()
             .level(Level::Warn)
             .target_static(module_path!())
-            .payload(format_args!("lines suppressed"))
+            .payload(message)
             .key_values(&pairs[..])
             .build();
-        self.line(&record, &[])
+        let mut line = self.line(&record, &[])?;
+        line.push('\n');
+        Ok(line)
     }
 }
 
@@ -84,21 +120,51 @@
         let mut text = String::new();
         for suppressed in state.limiter.take_suppressed(now_ms) {
             text.push_str(&self.suppressed_line(&suppressed)?);
-            text.push('\n');
         }
-        if state.limiter.admit(kind(record), now_ms) {
+        let kind = kind(record);
+        if state.limiter.admit(kind.clone(), now_ms) {
             text.push_str(&self.line(record, diags)?);
             text.push('\n');
+        } else if let Some(summary) = summary(record)
+            && let Some(summaries) = state.summaries.add(kind.clone(), &summary, now_ms)
+        {
+            text.push_str(&self.summaries_line(&kind, &summaries)?);
         }
         state.out.write_all(text.as_bytes()).map_err(Error::from_io_error)
     }
 
     fn flush(&self) -> Result<(), Error> {
+        let now_ms = self.now_ms();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        for suppressed in state.limiter.take_suppressed(now_ms) {
+            text.push_str(&self.suppressed_line(&suppressed)?);
+        }
+        for (kind, summaries) in state.summaries.take() {
+            text.push_str(&self.summaries_line(&kind, &summaries)?);
+        }
+        let omitted = state.summaries.take_omitted();
+        if omitted > 0 {
+            let pair = (Key::new("count"), Value::u64(omitted));
+            text.push_str(&self.line_about(
+                &EventKind::default(),
+                format_args!("summaries omitted"),
+                pair,
+            )?);
+        }
+        state.out.write_all(text.as_bytes()).map_err(Error::from_io_error)?;
         state.out.flush().map_err(Error::from_io_error)
     }
 }
 
+/// Returns the summary of an event that has to stay explainable if its line is suppressed.
+fn summary(record: &Record) -> Option<String> {
+    let pairs = record.key_values();
+    pairs.get(KEEP).filter(|keep| keep.to_string() == "true")?;
+    let values = SUMMARY_KEYS.iter().filter_map(|key| Some((*key, pairs.get(key)?.to_string())));
+    Some(summaries::summary(values))
+}
+
 fn kind(record: &Record) -> EventKind {
     let code = record.key_values().get("code");
     EventKind {
--- a/crates/azuregate/src/logs/mod.rs
+++ b/crates/azuregate/src/logs/mod.rs
@@ -3,13 +3,14 @@
 
 The crate logforth formats and filters events. This module additionally escapes
 control characters, so that callers cannot forge lines ([`escape_line`]), limits the
-rate of lines ([`RateLimiter`]) and never blocks on standard output
-([`NonBlockingWriter`]).
+rate of lines ([`RateLimiter`]), of which it keeps [`Summaries`] where each event has to be
+found, and never blocks on standard output ([`NonBlockingWriter`]).
 */
 
 mod lines;
 mod non_blocking;
 mod rate_limiter;
+mod summaries;
 
 use std::io::Write;
 
@@ -19,6 +20,7 @@
 pub use lines::{Lines, escape_line};
 pub use non_blocking::NonBlockingWriter;
 pub use rate_limiter::{EventKind, RateLimiter, Suppressed};
+pub use summaries::Summaries;
 
 /// Initializes logging to standard error. `filter` is a level such as `info`, or a
 /// comma-separated list of `module=level`.
--- a/crates/azuregate/src/serve/access_log.rs
+++ b/crates/azuregate/src/serve/access_log.rs
@@ -20,6 +20,8 @@
     pub(super) path: String,
     pub(super) object: String,
     pub(super) route: String,
+    /// Whether the request may be executed at most once.
+    pub(super) is_write: bool,
     pub(super) service: String,
     pub(super) version: u64,
     pub(super) backend: String,
@@ -51,6 +53,8 @@
             id: text(request::REQUEST_ID).unwrap_or_default().to_owned(),
             object: text(request::AFFINITY_KEY).unwrap_or_default().to_owned(),
             route: String::new(),
+            // Until its route is known.
+            is_write: !parts.method.is_safe(),
             service: String::new(),
             version: 0,
             backend: String::new(),
@@ -90,7 +94,10 @@
         let _ = write!(self.connections, "{}/{count}", connection.number);
     }
 
+    /// Writes the line. That of a write which was refused, failed or sent more than once is
+    /// summarized if it is suppressed.
     pub(super) fn log(&self, status: StatusCode, taken_ms: u64) {
+        let is_served = status.is_success() && self.failures.is_empty();
         log::info!(
             id = self.id.as_str(),
             origin = self.origin,
@@ -110,6 +117,7 @@
             in_flight = self.in_flight,
             limit_per_s = self.limit_per_s.as_str(),
             basis = self.basis.as_str(),
+            keep = self.is_write && !is_served,
             deadline_ms = self.deadline_ms,
             taken_ms = taken_ms;
             "request"
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -89,6 +89,8 @@
 use self::{endpoints::Audience, listen::Listeners, shutdown_phase::ShutdownPhase, state::State};
 use crate::stop::StopSignal;
 
+const LOG_FLUSH_INTERVAL_MS: u64 = 1_000;
+
 /// The error of an entry instance that cannot start.
 #[derive(Debug)]
 pub struct ServeError;
@@ -166,6 +168,7 @@
     }
     spawn_local(quarantine_rows::serve(Rc::clone(&state)));
     spawn_local(evict_idle_connections(Rc::clone(&state)));
+    spawn_local(flush_log(Rc::clone(&state)));
     spawn_local(endpoints::serve(Rc::clone(&state), listeners.readiness, Audience::Clients));
     spawn_local(endpoints::serve(Rc::clone(&state), listeners.lookups, Audience::Clients));
     if let Some(metrics) = listeners.metrics {
@@ -174,9 +177,18 @@
     spawn_local(listen::serve(Rc::clone(&state), listeners.traffic));
     shutdown::run(&state, phase).await;
     log::info!(instance:% = state.settings.instance; "entry instance stopped");
+    log::logger().flush();
     Ok(())
 }
 
+/// Writes what the log holds back, also when there are no further events.
+async fn flush_log(state: Rc<State>) {
+    let mut ticks = state.timer.subscribe(LOG_FLUSH_INTERVAL_MS);
+    while ticks.recv().await.is_some() {
+        log::logger().flush();
+    }
+}
+
 async fn evict_idle_connections(state: Rc<State>) {
     let mut ticks = state.timer.subscribe(pool::EVICTION_INTERVAL_MS);
     while ticks.recv().await.is_some() {
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -106,6 +106,7 @@
     };
     let route = Arc::clone(route);
     log_entry.route.push_str(&route.name);
+    log_entry.is_write = route.kind != RequestKind::Idempotent;
     let timeout_ms = deadline_ms(&parts.headers).min(route.timeout_ms);
     log_entry.deadline_ms = timeout_ms;
     let deadline = received_at + Duration::from_millis(timeout_ms);
--- a/crates/azuregate/tests/logs.rs
+++ b/crates/azuregate/tests/logs.rs
@@ -7,7 +7,9 @@
     sync::{Arc, Mutex},
 };
 
-use azuregate::logs::{EventKind, Lines, NonBlockingWriter, RateLimiter, Suppressed, escape_line};
+use azuregate::logs::{
+    EventKind, Lines, NonBlockingWriter, RateLimiter, Summaries, Suppressed, escape_line,
+};
 use logforth::{
     Append,
     kv::{Key, Value},
@@ -160,3 +162,63 @@
     reader.read_to_string(&mut rest).unwrap();
     assert_eq!(rest, format!("lines dropped count={dropped}\nlast\n"));
 }
+
+fn log_write(lines: &Lines<SharedBuffer>, id: &str, keep: bool) {
+    let pairs = [
+        (Key::new("id"), Value::str(id)),
+        (Key::new("code"), Value::str("rejected")),
+        (Key::new("status"), Value::u64(503)),
+        (Key::new("failed"), Value::str("b1:rejected,b2:connection broke")),
+        (Key::new("connections"), Value::str("84/9,12/1")),
+        (Key::new("keep"), Value::bool(keep)),
+    ];
+    let record = Record::builder()
+        .level(Level::Info)
+        .target("azuregate::serve::access_log")
+        .payload(format_args!("request"))
+        .key_values(&pairs[..])
+        .build();
+    lines.append(&record, &[]).unwrap();
+}
+
+/// Guards against a refused write of which the log has nothing but the count of suppressed lines.
+#[test]
+fn suppressed_write_is_found_by_its_id() {
+    let buffer = SharedBuffer::default();
+    let lines = Lines::new(buffer.clone());
+    for number in 0..600 {
+        log_write(&lines, &format!("w{number:04}"), true);
+        log_write(&lines, &format!("r{number:04}"), false);
+    }
+    lines.flush().unwrap();
+    let seen = buffer.lines().join("\n");
+    for number in 0..600 {
+        let cause = "status=503 failed=b1:rejected,b2:connection broke connections=84/9,12/1";
+        let summary = format!("id=w{number:04} {cause}");
+        let line = format!(
+            "id=w{number:04} code=rejected status=503 failed=\"b1:rejected,b2:connection broke\" \
+             connections=84/9,12/1"
+        );
+        assert!(seen.contains(&summary) || seen.contains(&line), "w{number:04} is missing");
+    }
+    // Above 50 if the test runs longer than one window.
+    assert!((0..600).filter(|number| seen.contains(&format!("id=r{number:04} "))).count() <= 300);
+}
+
+/// Guards against a log that grows with the load without a bound, or that does not say what it lacks.
+#[test]
+fn summaries_of_suppressed_writes_are_bounded() {
+    let mut summaries = Summaries::new(10_000, 1_000);
+    let mut written = Vec::new();
+    for number in 0..5_000 {
+        let summary = format!("id=w{number:04} {}", "x".repeat(number));
+        written.extend(summaries.add(kind("rejected"), &summary, 100));
+    }
+    written.extend(summaries.take().into_iter().map(|(_, text)| text));
+    let written = written.concat();
+    assert!((9_000..=10_000).contains(&written.len()), "{}", written.len());
+    assert_eq!(written.matches("id=w").count() as u64 + summaries.take_omitted(), 5_000);
+    assert_eq!((summaries.take_omitted(), summaries.take()), (0, Vec::new()));
+    summaries.add(kind("rejected"), "id=next", 1_100);
+    assert_eq!(summaries.take(), [(kind("rejected"), "id=next".to_owned())]);
+}
