Do not pass on refusals of writes without evidence

Callers saw 503, 429 or 408 for writes that a backend server had executed; those that trusted the status sent the write again.

Cause: only X-Not-Executed and 421 say that a server did not execute a request. A response with such a status, the server's signature and without the mark was passed on as it was. Towards the client its status is a promise, which nobody had made. Class: a status that says one thing on one side of the instance and more on the other.

Now such a write ends with 502, without the server's signature, which may not stand beside another status, and without Retry-After and body. The rule is in the core (promises_not_executed) and applies to what comes through another instance. Reads keep the server's response unchanged, since they may be executed again. The log says "refused without evidence" in failed.

--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -71,7 +71,7 @@
 pub use reachability::{Reachability, ReachabilityReport};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
-pub use response::{ResponseHead, ResponseKind};
+pub use response::{ResponseHead, ResponseKind, promises_not_executed};
 pub use retry_after::{RetryReason, retry_after_pause_ms};
 pub use retry_budget::{RetryBudgets, RetryLimits};
 pub use sent_ids::SentIds;
--- a/crates/azuregate-core/src/balance/response.rs
+++ b/crates/azuregate-core/src/balance/response.rs
@@ -1,4 +1,5 @@
-//! What a response of a backend server says of the request that was sent.
+//! What a response of a backend server says of the request that was sent, and what a status says to
+//! a client.
 
 /// The parts of a response head that tell which request it answers and whether that was executed.
 #[derive(Clone, Copy, Debug, Default)]
@@ -51,3 +52,16 @@
         }
     }
 }
+
+/// Returns whether a response with this status promises a client that its request was not executed
+/// and never will be.
+///
+/// ```
+/// use azuregate_core::balance::promises_not_executed;
+///
+/// assert!(promises_not_executed(503));
+/// assert!(!promises_not_executed(502));
+/// ```
+pub fn promises_not_executed(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/azuregate/src/serve/dispatch.rs
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -7,7 +7,7 @@
     names::{InstanceId, ServiceName},
 };
 use azuregate_platform::request;
-use hyper::{Response, StatusCode, header};
+use hyper::Response;
 
 use super::{
     access_log::AccessLogEntry,
@@ -97,7 +97,7 @@
                     attempts.possible_executions += 1;
                     let is_failure = response.status().is_server_error();
                     if !is_failure || !self.outgoing.is_idempotent {
-                        return Ok(self.mask_unsigned_rejection(response));
+                        return self.pass_on(response, log_entry);
                     }
                     log_entry.record_failure("failure");
                     failure = Some(response);
@@ -120,7 +120,7 @@
             }
         }
         match failure {
-            Some(response) => Ok(self.mask_unsigned_rejection(response)),
+            Some(response) => self.pass_on(response, log_entry),
             None if attempts.sends == 0 => Err(refusal),
             None => {
                 let is_paused = matches!(refusal, RequestError::PushedBack { .. });
@@ -181,7 +181,7 @@
             attempts.is_in_flight = false;
             match result {
                 ForwardResult::Response(response) => {
-                    return Ok(self.mask_unsigned_rejection(response));
+                    return self.pass_on(response, log_entry);
                 }
                 ForwardResult::Refused { response, is_retriable } => {
                     refusal = Some(response);
@@ -292,26 +292,23 @@
         state.balancer.borrow_mut().choose_granted(query, *handle, state.now_ms())
     }
 
-    /// Replaces an unsigned 503, 429 or 408 response to a non-idempotent request by a 502.
+    /// Returns the response of a server to pass on.
     ///
-    /// Clients take these statuses to mean that the request was not executed and retry
-    /// it. Without the server's signature this is not certain.
-    fn mask_unsigned_rejection(
+    /// # Errors
+    ///
+    /// Returns an error if its status would tell the client that a write was not executed. The
+    /// server has not said so, and a client that believes it sends the write again.
+    fn pass_on(
         &self,
-        mut response: Response<ResponseBody>,
-    ) -> Response<ResponseBody> {
-        let implies_not_executed = matches!(
-            response.status(),
-            StatusCode::SERVICE_UNAVAILABLE
-                | StatusCode::TOO_MANY_REQUESTS
-                | StatusCode::REQUEST_TIMEOUT
-        );
-        let is_signed = response.headers().contains_key(request::RESPONSE_SIGNATURE);
-        if implies_not_executed && !is_signed && !self.outgoing.is_idempotent {
-            *response.status_mut() = StatusCode::BAD_GATEWAY;
-            response.headers_mut().remove(header::RETRY_AFTER);
+        response: Response<ResponseBody>,
+        log_entry: &mut AccessLogEntry,
+    ) -> Result<Response<ResponseBody>, RequestError> {
+        let is_refusal = balance::promises_not_executed(response.status().as_u16());
+        if is_refusal && !self.outgoing.is_idempotent {
+            log_entry.record_failure("refused without evidence");
+            return Err(RequestError::ResponseLost);
         }
-        response
+        Ok(response)
     }
 }
 
