Ignore the not-executed mark where the status contradicts it

Cause: the mark alone made any response a rejection, also a success, which carries the server's signature, a 500 and a 504, which count as executed. The request was sent again.

No server of the record is known to do this; the fault was found by going through what each response may say.

Now the mark counts with 503 and with statuses from 400 to 499. Seven cases more in the table of response_counts_only_if_it_names_the_request; none of the others changed.

--- a/crates/azuregate-core/src/balance/response.rs
+++ b/crates/azuregate-core/src/balance/response.rs
@@ -41,16 +41,22 @@
     pub fn kind(&self, request_id: &[u8]) -> ResponseKind {
         let is_misdirected = self.status == 421;
         let is_success = (200..300).contains(&self.status);
+        // With other statuses, the mark contradicts the status.
+        let can_reject = self.status == 503 || (400..500).contains(&self.status);
         match self.request_id {
             None => ResponseKind::Unnamed,
             Some(id) if id != request_id => ResponseKind::Foreign,
             Some(_) if is_misdirected => ResponseKind::Misdirected,
-            Some(_) if self.is_marked_not_executed => ResponseKind::Rejected,
             Some(_) if self.status < 200 => ResponseKind::Invalid,
-            Some(_) if is_success && (!self.is_signed || self.is_encoded) => ResponseKind::Invalid,
+            Some(_) if is_success && !self.is_valid_success() => ResponseKind::Invalid,
+            Some(_) if self.is_marked_not_executed && can_reject => ResponseKind::Rejected,
             Some(_) => ResponseKind::Answer,
         }
     }
+
+    fn is_valid_success(&self) -> bool {
+        self.is_signed && !self.is_encoded && !self.is_marked_not_executed
+    }
 }
 
 /// Returns whether a response with this status promises a client that its request was not executed
--- a/crates/azuregate-core/tests/balance/response.rs
+++ b/crates/azuregate-core/tests/balance/response.rs
@@ -19,7 +19,7 @@
 const OTHER: Option<&[u8]> = Some(b"r2");
 const SAME: Option<&[u8]> = Some(SENT);
 
-const CASES: [Case; 22] = [
+const CASES: [Case; 29] = [
     (200, SAME, Marks::Signed, ResponseKind::Answer),
     (204, SAME, Marks::Signed, ResponseKind::Answer),
     (404, SAME, Marks::Signed, ResponseKind::Answer),
@@ -30,6 +30,14 @@
     (503, SAME, Marks::NotExecuted, ResponseKind::Rejected),
     (503, SAME, Marks::SignedAndNotExecuted, ResponseKind::Rejected),
     (429, SAME, Marks::NotExecuted, ResponseKind::Rejected),
+    (400, SAME, Marks::NotExecuted, ResponseKind::Rejected),
+    (408, SAME, Marks::NotExecuted, ResponseKind::Rejected),
+    // What says both that the request was executed and that it was not.
+    (200, SAME, Marks::NotExecuted, ResponseKind::Invalid),
+    (200, SAME, Marks::SignedAndNotExecuted, ResponseKind::Invalid),
+    (101, SAME, Marks::NotExecuted, ResponseKind::Invalid),
+    (500, SAME, Marks::NotExecuted, ResponseKind::Answer),
+    (504, SAME, Marks::SignedAndNotExecuted, ResponseKind::Answer),
     (421, SAME, Marks::None, ResponseKind::Misdirected),
     (421, SAME, Marks::NotExecuted, ResponseKind::Misdirected),
     (200, SAME, Marks::None, ResponseKind::Invalid),
