Let no instance repeat a write that another one forwarded

Callers saw nothing of it but a doubled effect: a write that was forwarded, because the instance that took it reached no server, was executed twice if the instance that got it has an idempotent route there.

Cause: each instance asked its own configuration whether a request may be executed again. They differ for a moment whenever it changes. Class: a decision that two instances take, each by what it knows.

Evidence: forwarded_write_is_executed_once_whatever_the_kind_of_the_route failed with 2 executions in place of 1.

Now the instance that took the request says with it whether it may be executed again (azuregate-idempotent), and the other one repeats it only if both say so. Without the header, as from an older version, it does not; reads that such a version forwards are then not retried there. forwarded_read_is_retried holds for this one.

--- a/crates/azuregate/src/serve/attempt_state.rs
+++ b/crates/azuregate/src/serve/attempt_state.rs
@@ -9,6 +9,8 @@
 pub(super) struct AttemptState {
     /// Whether another instance forwarded the request, because it reaches no server.
     pub(super) is_forwarded: bool,
+    /// Whether the instance that forwarded the request forbids to execute it more than once.
+    pub(super) is_at_most_once: bool,
     /// Servers excluded from further attempts.
     pub(super) tried: Vec<BackendHandle>,
     /// The number of attempts, including rejected ones.
@@ -25,10 +27,11 @@
 
 impl AttemptState {
     /// Returns the state of a request that another instance forwarded, which may have been executed
-    /// `executions` times before.
-    pub(super) fn forwarded(executions: u32) -> AttemptState {
+    /// `executions` times before. `is_idempotent` is whether that one allows to execute it again.
+    pub(super) fn forwarded(executions: u32, is_idempotent: bool) -> AttemptState {
         AttemptState {
             is_forwarded: true,
+            is_at_most_once: !is_idempotent,
             possible_executions: executions,
             ..AttemptState::default()
         }
--- a/crates/azuregate/src/serve/forwarded.rs
+++ b/crates/azuregate/src/serve/forwarded.rs
@@ -65,7 +65,8 @@
         return Ok(own_response(RequestError::BadRequest, 0));
     };
     parts.headers.remove(forwarding::EXECUTIONS);
-    let mut attempts = AttemptState::forwarded(executions);
+    let is_idempotent = forwarding::take_idempotent(&mut parts.headers);
+    let mut attempts = AttemptState::forwarded(executions, is_idempotent);
     let body = Some(body);
     let result = request::respond(&state, &mut attempts, peer.ip(), parts, body, received_at).await;
     let mut response = match result {
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -23,6 +23,9 @@
 
 /// How many times the request may have been executed before it was forwarded.
 pub(super) const EXECUTIONS: HeaderName = HeaderName::from_static("azuregate-executions");
+/// Whether the request may be executed again, by the configuration of the instance that took it from
+/// the client. Without it, it may not.
+pub(super) const IDEMPOTENT: HeaderName = HeaderName::from_static("azuregate-idempotent");
 /// The code of the error for which the receiving instance responds itself.
 pub(super) const ERROR_CODE: HeaderName = HeaderName::from_static("azuregate-error");
 
@@ -66,7 +69,9 @@
             },
         };
         let mut request = outgoing.to_request();
+        let is_idempotent = HeaderValue::from(u16::from(outgoing.is_idempotent));
         request.headers_mut().insert(EXECUTIONS, HeaderValue::from(executions));
+        request.headers_mut().insert(IDEMPOTENT, is_idempotent);
         match connection.send(outgoing.id(), request).await {
             Ok(head) => return read_response(state, addr, connection, outgoing, head).await,
             // The other instance closed an idle connection.
@@ -145,6 +150,11 @@
     headers.remove(EXECUTIONS);
 }
 
+/// Takes from the headers of a forwarded request whether it may be executed again.
+pub(super) fn take_idempotent(headers: &mut HeaderMap) -> bool {
+    headers.remove(IDEMPOTENT).is_some_and(|value| value.as_bytes() == b"1")
+}
+
 /// Returns how many times a request may have been executed, as one end tells the other.
 pub(super) fn executions(headers: &HeaderMap) -> Option<u32> {
     headers.get(EXECUTIONS)?.to_str().ok()?.parse().ok()
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 
-use azuregate_core::balance::{RequestKind, Route};
+use azuregate_core::balance::RequestKind;
 use azuregate_platform::request;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -106,7 +106,8 @@
     };
     let route = Arc::clone(route);
     log_entry.route.push_str(&route.name);
-    log_entry.is_write = route.kind != RequestKind::Idempotent;
+    let is_idempotent = route.kind == RequestKind::Idempotent && !attempts.is_at_most_once;
+    log_entry.is_write = !is_idempotent;
     let timeout_ms = deadline_ms(&parts.headers).min(route.timeout_ms);
     log_entry.deadline_ms = timeout_ms;
     let deadline = received_at + Duration::from_millis(timeout_ms);
@@ -127,7 +128,7 @@
             Some(body) => read_body(body, body_limit).await?,
             None => Bytes::new(),
         };
-        let outgoing = outgoing_request(parts, body, &route, deadline);
+        let outgoing = outgoing_request(parts, body, is_idempotent, deadline);
         Dispatcher { state, route: &route, service: &service, outgoing }
             .send(attempts, log_entry)
             .await
@@ -146,14 +147,14 @@
 fn outgoing_request(
     mut parts: Parts,
     body: Bytes,
-    route: &Route,
+    is_idempotent: bool,
     deadline: Instant,
 ) -> OutgoingRequest {
     response::remove_hop_by_hop_headers(&mut parts.headers);
     response::remove_internal_headers(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
     parts.headers.remove(header::CONTENT_LENGTH);
-    OutgoingRequest::new(parts, body, route.kind == RequestKind::Idempotent, deadline)
+    OutgoingRequest::new(parts, body, is_idempotent, deadline)
 }
 
 /// Reads the complete body, so that a slow client does not occupy a backend server and
