Reserve the addresses of each run of a test

Two plays at once showed results that were not theirs: the clients of one got 8,344 successes while none of its servers had executed anything.

Cause: the second number of a network is the process ID modulo 200 and the third counts the runs of the process, so two processes whose IDs differ by a multiple of 200 use the same addresses. The instances of the second cannot open their ports, and its clients talk to the first one's.

Evidence: the other play had 127.48.0 to 127.48.6 open at that time, and 48 is also the number of the process that was started then; the answers had statuses that only the other play's servers give.

Now a run holds a port of its network, and takes the next one if another process holds it.

--- a/crates/azuregate/tests/serve/cluster.rs
+++ b/crates/azuregate/tests/serve/cluster.rs
@@ -1,7 +1,7 @@
 //! A test cluster on loopback: a fake store, fake backend servers and entry instances.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     path::PathBuf,
     sync::atomic::{AtomicU32, Ordering},
     thread::JoinHandle,
@@ -27,6 +27,8 @@
 /// The first port of every instance; each instance has its own IP address.
 pub(crate) const FIRST_PORT: u16 = 18_160;
 pub(crate) const PEER_PORT: u16 = 18_170;
+/// Held by the process that uses a network.
+const GUARD: &str = "254:18199";
 /// The last number of the backend servers' IP address.
 const BACKEND_HOST: u8 = 250;
 /// The metrics port declared in `deploy/system.toml`.
@@ -36,24 +38,50 @@
 
 static NEXT_NETWORK: AtomicU32 = AtomicU32::new(0);
 
+/// A network of loopback addresses that no other test process uses.
+pub(crate) struct Network {
+    /// The first three numbers of its addresses.
+    pub(crate) prefix: String,
+    _guard: TcpListener,
+}
+
+impl Network {
+    pub(crate) fn reserve() -> Network {
+        // Processes with the same number try the same networks.
+        let process = std::process::id() % 200 + 20;
+        loop {
+            let number = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed) % 256;
+            let prefix = format!("127.{process}.{number}");
+            if let Ok(guard) = TcpListener::bind(format!("{prefix}.{GUARD}")) {
+                return Network { prefix, _guard: guard };
+            }
+        }
+    }
+}
+
 /// The environment of the entry instances.
 pub(crate) struct TestCluster {
     pub(crate) store: FakeStore,
     pub(crate) backends: Vec<FakeBackend>,
     pub(crate) config: ConfigDocument,
     pub(crate) network: String,
+    _network: Network,
 }
 
 impl TestCluster {
     /// Starts a store with a configuration, and `count` backend servers.
     pub(crate) async fn start(count: usize) -> TestCluster {
-        // Avoids address conflicts with test processes that run concurrently.
-        let process = std::process::id() % 200 + 20;
-        let network = format!("127.{process}.{}", NEXT_NETWORK.fetch_add(1, Ordering::Relaxed));
+        let network = Network::reserve();
         let store = FakeStore::start("127.0.0.1").await;
         let config = ConfigDocument::new(SERVICE);
         store.put("op", "config", config_row(&config));
-        let mut cluster = TestCluster { store, backends: Vec::new(), config, network };
+        let mut cluster = TestCluster {
+            store,
+            backends: Vec::new(),
+            config,
+            network: network.prefix.clone(),
+            _network: network,
+        };
         for _ in 0..count {
             cluster.add_backend("zone-a").await;
         }
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -5,10 +5,7 @@
     fs,
     net::IpAddr,
     path::PathBuf,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -21,7 +18,7 @@
 use crate::{
     ZONES, announcements, checks,
     clients::{RequestRecord, Traffic},
-    cluster::{Client, get_request, lookup, readiness_status},
+    cluster::{Client, Network, get_request, lookup, readiness_status},
     crashing::CrashingClient,
     cuts::{self, Cut, CutPeriod, Cuts},
     plan::{FAULT_PHASE, Fault, Plan},
@@ -68,6 +65,7 @@
     store: FakeStore,
     store_proxies: Vec<Proxy>,
     config: Mutex<ConfigDocument>,
+    _network: Network,
 }
 
 struct Disturbance {
@@ -139,22 +137,13 @@
     dir
 }
 
-/// Returns a number for a run that is unique in this process, so that concurrent runs have
-/// different IP addresses.
-fn next_run() -> u8 {
-    static RUNS: AtomicU8 = AtomicU8::new(0);
-    RUNS.fetch_add(1, Ordering::Relaxed)
-}
-
-/// Returns the IP address of an instance. It depends on the process id, since other test
-/// processes may run concurrently.
-fn ip(run: u8, instance: usize) -> IpAddr {
-    let process = std::process::id() % 200 + 20;
-    format!("127.{process}.{run}.{}", instance + 1).parse().unwrap()
+/// Returns an IP address of a run.
+fn ip(network: &Network, host: usize) -> IpAddr {
+    format!("{}.{host}", network.prefix).parse().unwrap()
 }
 
 pub(crate) async fn set_up(seed: u64, count: usize) -> Deployment {
-    let run = next_run();
+    let network = Network::reserve();
     let store = FakeStore::start("127.0.0.1").await;
     let config = ConfigDocument::new(SERVICE);
     store.put("op", "config", config_row(&config));
@@ -162,7 +151,7 @@
     for number in 0..SERVERS {
         let id = format!("b{number}");
         // No other process uses this address, so ports stay free while the server is down.
-        let ip = ip(run, FIRST_SERVER_HOST + number);
+        let ip = ip(&network, FIRST_SERVER_HOST + number);
         let backend = FakeBackend::start(&id, &ip.to_string()).await;
         backend.set(NORMAL_BEHAVIOUR);
         let proxy =
@@ -175,7 +164,7 @@
     let (mut instances, mut store_proxies) = (Vec::new(), Vec::new());
     for number in 0..count {
         let proxy = Proxy::start(store.addr()).await;
-        instances.push(Process::start(&dir, number, ip(run, number), proxy.addr));
+        instances.push(Process::start(&dir, number, ip(&network, number + 1), proxy.addr));
         store_proxies.push(proxy);
     }
     let deployment = Deployment {
@@ -190,6 +179,7 @@
         store,
         store_proxies,
         config: Mutex::new(config),
+        _network: network,
     };
     deployment.wait_until_ready().await;
     deployment
