End the processes of a soak run with the run

A soak of many seeds got slower with each: the instances of the runs before went on until the end of the test, five for each seed, and held their addresses.

Cause: the tasks that register servers after a crash hold the deployment and never end. Evidence: at the seventh run of a play, instances of the runs before had their ports open still.

Now they end with the run.

--- a/crates/azuregate/tests/soak/answers.rs
+++ b/crates/azuregate/tests/soak/answers.rs
@@ -118,8 +118,8 @@
             server.backend.limit_connections(MAX_CONNECTIONS, IDLE_TIMEOUT);
         }
         server.backend.set(mixture(&mut random));
-        tokio::spawn(Arc::clone(&deployment).register_restarts(number));
     }
+    let _restarts = deployment.watch_restarts();
     let addrs = deployment.instances.iter().map(|instance| instance.lookup_addr).collect();
     let traffic = Traffic::new(addrs, seed);
     let clients: Vec<_> = (0..CLIENTS).map(|n| tokio::spawn(Arc::clone(&traffic).run(n))).collect();
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -13,7 +13,7 @@
     Behaviour, ConfigDocument, FakeBackend, FakeStore, ReceivedRequest, StoreFault, backend_row,
     config_row,
 };
-use tokio::time;
+use tokio::{task::JoinSet, time};
 
 use crate::{
     ZONES, announcements, checks,
@@ -78,9 +78,8 @@
 pub(crate) async fn run(seed: u64, instances: usize) -> Vec<String> {
     let plan = Plan::generate(seed, instances, SERVERS);
     let deployment = Arc::new(set_up(seed, instances).await);
-    for server in 0..SERVERS {
-        tokio::spawn(Arc::clone(&deployment).register_restarts(server));
-    }
+    // Dropped at the end of the run, since its tasks keep the deployment's processes.
+    let _restarts = deployment.watch_restarts();
     let traffic = Traffic::new(deployment.instances.iter().map(|i| i.lookup_addr).collect(), seed);
     let clients: Vec<_> = (0..CLIENTS).map(|n| tokio::spawn(Arc::clone(&traffic).run(n))).collect();
     // Responses are lost with a server, so runs of planned operations have no crashes.
@@ -363,8 +362,13 @@
         retries::check(&sent, &received)
     }
 
-    /// Replaces the row of a server after each of its crashes.
-    pub(crate) async fn register_restarts(self: Arc<Deployment>, server: usize) {
+    /// Replaces the rows of servers after their crashes, until the result is dropped.
+    pub(crate) fn watch_restarts(self: &Arc<Deployment>) -> JoinSet<()> {
+        let servers = 0..self.servers.len();
+        servers.map(|server| Arc::clone(self).register_restarts(server)).collect()
+    }
+
+    async fn register_restarts(self: Arc<Deployment>, server: usize) {
         let server = &self.servers[server];
         loop {
             let crashed_id = server.backend.restarted().await;
