Log requests that end without a response

A write whose client left, or gave up at its deadline a moment before the response, was in no log: its line was written with the response only. From its ID one could not tell whether it had been sent.

Now the entry is written when it is dropped, with the code cancelled, status 0 and the servers and connections so far.

--- a/crates/azuregate/src/serve/access_log.rs
+++ b/crates/azuregate/src/serve/access_log.rs
@@ -5,13 +5,15 @@
 use azuregate_core::balance::Choice;
 use azuregate_platform::request;
 use hyper::{StatusCode, header::HeaderValue, http::request::Parts};
+use tokio::time::Instant;
 
 use super::pool::Connection;
 
 /// Longer paths are truncated in the log.
 const MAX_LOGGED_PATH_CHARS: usize = 128;
 
-/// The access log entry of a request.
+/// The access log entry of a request, which is logged as cancelled if it is dropped before its
+/// outcome is known.
 pub(super) struct AccessLogEntry {
     pub(super) id: String,
     pub(super) origin: &'static str,
@@ -38,10 +40,26 @@
     /// The state that explains why no backend server was chosen; empty otherwise.
     pub(super) basis: String,
     pub(super) code: &'static str,
+    received_at: Instant,
+    is_logged: bool,
+}
+
+impl Drop for AccessLogEntry {
+    fn drop(&mut self) {
+        if !self.is_logged {
+            self.code = "cancelled";
+            self.log(None);
+        }
+    }
 }
 
 impl AccessLogEntry {
-    pub(super) fn new(is_forwarded: bool, client: IpAddr, parts: &Parts) -> AccessLogEntry {
+    pub(super) fn new(
+        is_forwarded: bool,
+        client: IpAddr,
+        parts: &Parts,
+        received_at: Instant,
+    ) -> AccessLogEntry {
         let text =
             |name| parts.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
@@ -67,6 +85,8 @@
             deadline_ms: 0,
             basis: String::new(),
             code: "answered",
+            received_at,
+            is_logged: false,
         }
     }
 
@@ -94,17 +114,24 @@
         let _ = write!(self.connections, "{}/{count}", connection.number);
     }
 
-    /// Writes the line. That of a write which was refused, failed or sent more than once is
-    /// summarized if it is suppressed.
-    pub(super) fn log(&self, status: StatusCode, taken_ms: u64) {
-        let is_served = status.is_success() && self.failures.is_empty();
+    /// Returns the time since the request was received.
+    pub(super) fn taken_ms(&self) -> u64 {
+        u64::try_from(self.received_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Writes the line, with the status of the response if there is one. That of a write which was
+    /// refused, failed or sent more than once is summarized if it is suppressed.
+    pub(super) fn log(&mut self, status: Option<StatusCode>) {
+        self.is_logged = true;
+        let is_served =
+            status.is_some_and(|status| status.is_success()) && self.failures.is_empty();
         log::info!(
             id = self.id.as_str(),
             origin = self.origin,
             client:% = self.client,
             path = self.path.as_str(),
             code = self.code,
-            status = status.as_u16(),
+            status = status.map_or(0, |status| status.as_u16()),
             route = self.route.as_str(),
             service = self.service.as_str(),
             object = self.object.as_str(),
@@ -119,7 +146,7 @@
             basis = self.basis.as_str(),
             keep = self.is_write && !is_served,
             deadline_ms = self.deadline_ms,
-            taken_ms = taken_ms;
+            taken_ms = self.taken_ms();
             "request"
         );
     }
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -53,9 +53,8 @@
     body: Option<Incoming>,
     received_at: Instant,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let mut log_entry = AccessLogEntry::new(attempts.is_forwarded, sender, &parts);
+    let mut log_entry = AccessLogEntry::new(attempts.is_forwarded, sender, &parts, received_at);
     let result = serve(state, attempts, parts, body, received_at, &mut log_entry).await;
-    let taken_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let status = match &result {
         Ok(response) => response.status(),
         Err(error) => {
@@ -63,8 +62,9 @@
             error.status()
         }
     };
-    state.metrics.record_request(&log_entry.service, &log_entry.route, log_entry.code, taken_ms);
-    log_entry.log(status, taken_ms);
+    let AccessLogEntry { service, route, code, .. } = &log_entry;
+    state.metrics.record_request(service, route, code, log_entry.taken_ms());
+    log_entry.log(Some(status));
     result
 }
 
--- a/crates/azuregate/tests/soak/refusals.rs
+++ b/crates/azuregate/tests/soak/refusals.rs
@@ -22,6 +22,9 @@
 const PAUSE: Duration = Duration::from_millis(60);
 /// Longer than the deadline in the requests.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// One of so many orders is given up after a moment.
+const GIVE_UP_EVERY: usize = 17;
+const PATIENCE: Duration = Duration::from_millis(10);
 const DEFAULT_DURATION_S: u64 = 6;
 /// Time within which servers have executed all that they received.
 const SETTLING: Duration = Duration::from_secs(1);
@@ -124,6 +127,12 @@
             let text = post_request("/write/x", &id, &format!("order {id}"));
             let object = format!("X-Affinity-Key: {object}");
             client.send(&text.replace("X-Affinity-Key: 17", &object)).await;
+            if order % GIVE_UP_EVERY == 0 {
+                time::sleep(PATIENCE).await;
+                client = Client::connect(addr).await;
+                tries.lock().unwrap().push(Try { id, order, status: None, signature: None });
+                break;
+            }
             let response = time::timeout(CLIENT_TIMEOUT, client.response()).await.ok().flatten();
             let status = response.as_ref().map(|response| response.status);
             let header = |name| Some(response.as_ref()?.header(name)?.to_owned());
