--- a/crates/azuregate/tests/soak/answers.rs
+++ b/crates/azuregate/tests/soak/answers.rs
@@ -13,6 +13,7 @@
 use crate::{
     checks,
     clients::{Outcome, RequestRecord, Traffic},
+    cuts::Cut,
     env_number,
     plan::Fault,
     proxy::LinkMode,
@@ -87,7 +88,12 @@
 fn fault(random: &mut Rng, servers: usize) -> Fault {
     let duration = Duration::from_millis(random.u64(100..1_500));
     let (instance, server) = (random.usize(..INSTANCES), random.usize(..servers));
-    match random.usize(..10) {
+    match random.usize(..11) {
+        // Its requests go through another instance.
+        10 => {
+            let cut = if random.bool() { Cut::Reset } else { Cut::RefuseNew };
+            Fault::CutOff { instances: vec![instance], cut, duration: 2 * duration }
+        }
         0 => Fault::Kill { instance, downtime: duration / 4 },
         1 | 2 => Fault::Pause { instance, duration },
         3 => Fault::Stop { instance },
