Keep the logs of each soak process apart

Two plays of the same seed at once wrote to one folder: the second removed it under the first.

Now the name of the folder ends with the process ID.

--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -129,7 +129,8 @@
 }
 
 fn create_run_dir(seed: u64, instances: usize) -> PathBuf {
-    let name = format!("soak-{seed}-{instances}");
+    // The same seed may run in another process.
+    let name = format!("soak-{seed}-{instances}-{}", std::process::id());
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = fs::remove_dir_all(&dir);
     fs::create_dir_all(&dir).unwrap();
