Play writes behind responses that close, with chunked bodies

Nothing played writes there with real processes.

Two instances are stopped in turn while 30 connections have two writes each, with chunked bodies. The test fails if no response closed a connection in time, which would show nothing.

--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -27,6 +27,7 @@
 mod crashing;
 mod cuts;
 mod faulty_responses;
+mod pipelines;
 mod plan;
 mod processes;
 mod proxy;
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -189,7 +189,7 @@
 const NORMAL_BEHAVIOUR: Behaviour = Behaviour::Delay(Duration::from_millis(40));
 
 impl Deployment {
-    async fn wait_until_ready(&self) {
+    pub(crate) async fn wait_until_ready(&self) {
         for instance in &self.instances {
             let start = Instant::now();
             while readiness_status(instance.readiness_addr).await != 200 {
