Count refusals without evidence and responses to other requests

The record of the incident cannot tell whether servers refused writes without evidence or repeated rejections: neither is counted, and lines of single requests are not in it. Two metrics tell it now, for one instance at a time: azuregate_unproven_refusals_total and azuregate_unmatched_responses_total.

Tests: 18 refusals of writes over three ways are counted as 18, by the instance that got them from the server; three responses to earlier requests as 3.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -191,6 +191,9 @@
         ResponseKind::Invalid => Some("malformed answer"),
         ResponseKind::Misdirected | ResponseKind::Rejected | ResponseKind::Answer => None,
     };
+    if matches!(kind, ResponseKind::Foreign | ResponseKind::Unnamed) {
+        metrics::inc_by(&state.metrics.unmatched_responses, 1);
+    }
     if let Some(cause) = unusable {
         in_flight.set_outcome(Outcome::Failed);
         return AttemptResult::Unknown(cause);
--- a/crates/azuregate/src/serve/dispatch.rs
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -305,6 +305,7 @@
     ) -> Result<Response<ResponseBody>, RequestError> {
         let is_refusal = balance::promises_not_executed(response.status().as_u16());
         if is_refusal && !self.outgoing.is_idempotent {
+            metrics::inc_by(&self.state.metrics.unproven_refusals, 1);
             log_entry.record_failure("refused without evidence");
             return Err(RequestError::ResponseLost);
         }
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -30,6 +30,10 @@
     pub(super) withheld: Cell<u64>,
     /// Responses that this instance did not read to the end, after a part had been forwarded.
     pub(super) responses_cut: Cell<u64>,
+    /// Responses of backend servers that name another request than the one that was sent, or none.
+    pub(super) unmatched_responses: Cell<u64>,
+    /// Refusals of writes by backend servers that did not say that these were not executed.
+    pub(super) unproven_refusals: Cell<u64>,
     /// Requests sent to other instances, since no backend server was reachable.
     pub(super) forwarded: Cell<u64>,
     /// Requests that other instances sent on the account of this one's parts of rate limits.
@@ -170,6 +174,11 @@
         line(format_args!("azuregate_backend_pushbacks_total {}", self.pushbacks.get()));
         line(format_args!("azuregate_withheld_requests_total {}", self.withheld.get()));
         line(format_args!("azuregate_responses_cut_total {}", self.responses_cut.get()));
+        line(format_args!(
+            "azuregate_unmatched_responses_total {}",
+            self.unmatched_responses.get()
+        ));
+        line(format_args!("azuregate_unproven_refusals_total {}", self.unproven_refusals.get()));
         line(format_args!("azuregate_rate_limit_grants_total {}", self.grants.get()));
         if let Some(version) = gauges.config_version {
             line(format_args!("azuregate_config_version {version}"));
--- a/crates/azuregate/tests/serve/cluster.rs
+++ b/crates/azuregate/tests/serve/cluster.rs
@@ -194,6 +194,11 @@
         readiness_status(self.readiness_addr).await
     }
 
+    /// Returns the value of a metric without labels.
+    pub(crate) async fn metric(&self, name: &str) -> u64 {
+        metric(self.metrics_addr, name).await
+    }
+
     /// Returns the addresses that a lookup by a client in `zone` of `region` lists.
     pub(crate) async fn lookup(&self, zone: &str, region: &str) -> Vec<SocketAddr> {
         lookup(self.lookup_addr, zone, region).await
@@ -334,6 +339,13 @@
     client.response().await
 }
 
+/// Returns the value of a metric without labels that is served at `addr`.
+pub(crate) async fn metric(addr: SocketAddr, name: &str) -> u64 {
+    let text = get(addr, "/metrics").await.expect("metrics are served").body;
+    let mut values = text.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    values.next().and_then(|value| value.parse().ok()).expect("the metric exists")
+}
+
 /// Returns the status of the readiness endpoint at `addr`, or 0 if there is no response.
 pub(crate) async fn readiness_status(addr: SocketAddr) -> u16 {
     get(addr, "/-/readyz").await.map_or(0, |response| response.status)
--- a/crates/azuregate/tests/serve/late_copies.rs
+++ b/crates/azuregate/tests/serve/late_copies.rs
@@ -9,9 +9,7 @@
 use tokio::time;
 
 use crate::{
-    cluster::{
-        Client, HttpResponse, Instance, TestCluster, eventually, get, get_request, post_request,
-    },
+    cluster::{Client, HttpResponse, Instance, TestCluster, eventually, get_request, post_request},
     connectors::{CutConnector, start_with},
 };
 
@@ -214,10 +212,7 @@
     assert!(problems.is_empty(), "{problems:#?}");
     let mut grants = 0;
     for instance in &instances {
-        let metrics = get(instance.metrics_addr, "/metrics").await.unwrap().body;
-        let name = "azuregate_rate_limit_grants_total ";
-        let value = metrics.lines().find_map(|line| line.strip_prefix(name)).unwrap();
-        grants += value.parse::<usize>().unwrap();
+        grants += instance.metric("azuregate_rate_limit_grants_total").await;
     }
     assert!(grants > 0, "no request was granted");
 }
@@ -236,6 +231,7 @@
             let request = post_request("/write/x", &format!("w{number}"), "body");
             assert_eq!(instance.send(&request).await.unwrap().status, 502, "{line}");
         }
+        assert_eq!(instance.metric("azuregate_unmatched_responses_total").await, 3);
         cluster.backends[0].set_headers(&[]);
         cluster.backends[0].set(Behaviour::Respond);
         // More than a cold server may get in that time.
--- a/crates/azuregate/tests/serve/process.rs
+++ b/crates/azuregate/tests/serve/process.rs
@@ -8,7 +8,7 @@
 
 use azuregate_platform::settings::Settings;
 
-use crate::cluster::{METRICS_PORT, TestCluster, eventually, get, readiness_status};
+use crate::cluster::{METRICS_PORT, TestCluster, eventually, metric, readiness_status};
 
 /// A process that ends when this is dropped.
 pub(crate) struct Process {
@@ -44,9 +44,7 @@
 
     /// Returns the value of a metric without labels.
     pub(crate) async fn metric(&self, name: &str) -> u64 {
-        let text = get(self.metrics_addr, "/metrics").await.unwrap().body;
-        let mut values = text.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
-        values.next().and_then(|value| value.parse().ok()).expect("the metric exists")
+        metric(self.metrics_addr, name).await
     }
 
     /// Returns the largest memory that the process has had, in bytes.
--- a/crates/azuregate/tests/serve/refusals.rs
+++ b/crates/azuregate/tests/serve/refusals.rs
@@ -40,6 +40,10 @@
             }
         }
     }
+    // Counted where the server's response came in.
+    let name = "azuregate_unproven_refusals_total";
+    assert_eq!(instances.direct.metric(name).await, 3 * 2 * 3);
+    assert_eq!(instances.cut_off.metric(name).await, 0);
 }
 
 /// Guards against changing the status that a server gave to a read, which may be executed again.
