--- a/crates/platform/src/fakes/mod.rs
+++ b/crates/platform/src/fakes/mod.rs
@@ -7,12 +7,14 @@
 */
 
 mod backend;
+mod behaviour;
 mod endless;
 mod fixtures;
 mod rows;
 mod store;
 
-pub use backend::{Behaviour, CRASH_SEGMENT, FakeBackend, ReceivedRequest};
+pub use backend::{CRASH_SEGMENT, FakeBackend, ReceivedRequest};
+pub use behaviour::Behaviour;
 pub use endless::{Endless, EndlessPart};
 pub use fixtures::{ConfigDocument, backend_row, config_row, settings_text};
 pub use store::{FakeStore, StoreFault};
