--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,9 +7,10 @@
 mod client;
 mod download;
 mod json;
-mod memory;
+mod length;
 mod net;
 mod record;
+mod silent_store;
 mod stop;
 mod store;
 mod upstream;
@@ -35,11 +36,12 @@
         world::cannot_run("the case takes too long");
     });
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Arc::new(Record::create(path));
+    let record = Arc::new(Record::create(path, case == "silent-store"));
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     match case.as_str() {
         "download" => download::run(&record, has_trouble),
-        "memory" => memory::run(&record, has_trouble),
+        "length" => length::run(&record, has_trouble),
+        "silent-store" => silent_store::run(&record, has_trouble),
         "stop" => stop::run(&record, has_trouble),
         "window" => window::run(&record, has_trouble),
         _ => world::cannot_run("no such case"),
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -5,13 +5,14 @@
 pub struct Record {
     started_at: Instant,
     file: Mutex<File>,
+    keeps_store_calls: bool,
 }
 
 impl Record {
-    pub fn create(path: &str) -> Record {
+    pub fn create(path: &str, keeps_store_calls: bool) -> Record {
         let file = File::create(path)
             .unwrap_or_else(|e| crate::world::cannot_run(&format!("cannot write {path}: {e}")));
-        Record { started_at: Instant::now(), file: Mutex::new(file) }
+        Record { started_at: Instant::now(), file: Mutex::new(file), keeps_store_calls }
     }
 
     /// Returns the seconds since the start.
@@ -23,4 +24,10 @@
         let mut file = self.file.lock().unwrap();
         let _ = writeln!(file, "{:8.3} s  {text}", self.now_s());
     }
+
+    pub fn store(&self, connection: u64, text: &str) {
+        if self.keeps_store_calls {
+            self.line(&format!("store connection {connection}: {text}"));
+        }
+    }
 }
--- a/review/standins-2/upstream.rs
+++ b/review/standins-2/upstream.rs
@@ -1,8 +1,8 @@
 //! A stand-in of an upstream.
 //!
 //! The query of a request says how long its work takes (`work`, in milliseconds), how long the
-//! upstream works before it reads the body (`first`), and over how many milliseconds it sends a long
-//! answer (`sending`).
+//! upstream works before it reads the body (`first`), over how many milliseconds it sends a long
+//! answer (`sending`), and whether it spoils its answer (`spoil`).
 
 use std::{
     io,
@@ -23,6 +23,11 @@
 /// The number of further parts, which are sent in equal steps.
 const PARTS: usize = 40;
 
+/// The length of a chunk of an answer.
+const CHUNK_BYTES: usize = 10_000;
+/// The only upstream that may spoil answers.
+const FAULTY_ID: &str = "i-00000000";
+
 /// What an upstream has seen of one request.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -134,6 +139,9 @@
         let answer = format!("{} has run {id} with {} bytes\n", self.id, body.len());
         let answered = match head.parameter("sending") {
             Some(sending_ms) => respond_slowly(connection, &fields, sending_ms),
+            None if head.parameter("spoil").is_some() => {
+                self.respond_in_chunks(connection, head, &fields)
+            }
             None => connection.respond("200 OK", &fields, answer.as_bytes()),
         };
         match answered {
@@ -142,6 +150,32 @@
         }
     }
 
+    /// Answers with a chunked body. If the request says so and this upstream is faulty, the head of
+    /// the answer names a length as well, which is not that of the body.
+    fn respond_in_chunks(
+        &self,
+        connection: &mut Connection,
+        head: &Head,
+        fields: &str,
+    ) -> io::Result<()> {
+        let is_spoilt = head.parameter("spoil") == Some(1) && self.id == FAULTY_ID;
+        let length = match is_spoilt {
+            true => format!("Content-Length: {}\r\n", LONG_ANSWER_BYTES / 2),
+            false => String::new(),
+        };
+        if is_spoilt {
+            self.record.line(&format!("upstream {} spoils its answer", self.id));
+        }
+        let head = format!("HTTP/1.1 200 OK\r\n{fields}{length}Transfer-Encoding: chunked\r\n\r\n");
+        connection.write(head.as_bytes())?;
+        for _ in 0..LONG_ANSWER_BYTES / CHUNK_BYTES {
+            connection.write(format!("{CHUNK_BYTES:x}\r\n").as_bytes())?;
+            connection.write(&[b'y'; CHUNK_BYTES])?;
+            connection.write(b"\r\n")?;
+        }
+        connection.write(b"0\r\n\r\n")
+    }
+
     /// Works, unless the connection ends. What has arrived is not read meanwhile, so that a
     /// connection whose body waits can be seen to end by its reset only.
     fn work(&self, connection: &mut Connection, time: Duration, has_unread: bool) -> bool {
