--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -30,18 +30,28 @@
     finish(2)
 }
 
-/// Ends all processes that were started, and the case.
+/// Ends all processes that were started, and the case. The logs are kept if KEEP_LOGS is set.
 pub fn finish(code: i32) -> ! {
     let started: Vec<u32> = STARTED.lock().map(|ids| ids.clone()).unwrap_or_default();
     for id in started {
         signal(id, "KILL");
     }
+    if env::var_os("KEEP_LOGS").is_none() {
+        let _ = fs::remove_dir_all(folder());
+    }
     exit(code)
 }
 
+/// The temporary folder of this case: the settings and the logs of the machines.
+fn folder() -> PathBuf {
+    env::temp_dir().join(format!("azuregate-review-{}", std::process::id()))
+}
+
 /// Sends a signal to a process that this case has started.
 pub fn signal(id: u32, name: &str) {
-    let _ = Command::new("kill").args(["-s", name, &id.to_string()]).stderr(Stdio::null()).status();
+    // The shell has `kill` built in, so no program of that name is needed.
+    let command = format!("kill -s {name} {id}");
+    let _ = Command::new("sh").args(["-c", &command]).stderr(Stdio::null()).status();
 }
 
 /// One machine of the system.
@@ -64,7 +74,6 @@
     pub machines: Vec<Machine>,
     pub record: Arc<Record>,
     pub runs: Arc<Runs>,
-    folder: PathBuf,
 }
 
 /// What to start.
@@ -90,8 +99,7 @@
             let port = net::free_port(&all, &ports);
             ports.push(port);
         }
-        let folder = env::temp_dir().join(format!("azuregate-review-{process}"));
-        fs::create_dir_all(&folder).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        fs::create_dir_all(folder()).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let store = Store::start(SocketAddr::new(ip(250), ports[0]), record);
         let runs = Arc::new(Runs::default());
         let upstreams: Vec<Arc<Upstream>> = plan
@@ -108,8 +116,7 @@
         for upstream in &upstreams {
             store.put("servers", &upstream.id, &upstream.entry(1));
         }
-        let mut world =
-            World { store, machines: Vec::new(), record: Arc::clone(record), runs, folder };
+        let mut world = World { store, machines: Vec::new(), record: Arc::clone(record), runs };
         for (n, zone) in plan.machines.iter().enumerate() {
             let text = settings(n, zone, plan.machines, ips[n], &ports, world.store.addr);
             let machine = world.start_machine(n, ips[n], &ports, &text);
@@ -120,9 +127,9 @@
     }
 
     fn start_machine(&self, n: usize, ip: IpAddr, ports: &[u16], settings: &str) -> Machine {
-        let path = self.folder.join(format!("{n}.conf"));
+        let path = folder().join(format!("{n}.conf"));
         fs::write(&path, settings).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let log = fs::File::create(self.folder.join(format!("{n}.log")))
+        let log = fs::File::create(folder().join(format!("{n}.log")))
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
         let child = Command::new(PROGRAM)
             .arg(ARGUMENT)
@@ -176,11 +183,6 @@
             self.record.line("the rule held");
             println!("the rule held");
         }
-        if env::var_os("KEEP_LOGS").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        } else {
-            println!("logs are in {}", self.folder.display());
-        }
         finish(i32::from(!breaks.is_empty()))
     }
 }
