--- a/review/standins-2/length.rs
+++ b/review/standins-2/length.rs
@@ -11,8 +11,6 @@
 };
 
 const READS: usize = 200;
-/// Of so many requests, one asks the faulty upstream to spoil its answer.
-const SPOILT_PERIOD: usize = 33;
 
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> ! {
     let routes = [Route {
@@ -30,9 +28,9 @@
         },
         record,
     );
+    let spoil = u8::from(has_trouble);
     let outcomes: Vec<Outcome> = (1..=READS)
         .map(|n| {
-            let spoil = u8::from(has_trouble && n % SPOILT_PERIOD == 0);
             let request = Request {
                 id: &format!("view-{n}"),
                 method: "GET",
--- a/review/standins-2/upstream.rs
+++ b/review/standins-2/upstream.rs
@@ -2,12 +2,15 @@
 //!
 //! The query of a request says how long its work takes (`work`, in milliseconds), how long the
 //! upstream works before it reads the body (`first`), over how many milliseconds it sends a long
-//! answer (`sending`), and whether it spoils its answer (`spoil`).
+//! answer (`sending`), and whether it may spoil its answer (`spoil`).
 
 use std::{
     io,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -25,8 +28,9 @@
 
 /// The length of a chunk of an answer.
 const CHUNK_BYTES: usize = 10_000;
-/// The only upstream that may spoil answers.
+/// The only upstream that may spoil answers, and which of its answers: less than 3 of 100.
 const FAULTY_ID: &str = "i-00000000";
+const SPOILT_PERIOD: u64 = 34;
 
 /// What an upstream has seen of one request.
 #[derive(Clone, Debug)]
@@ -58,6 +62,8 @@
     pub service: String,
     pub addr: SocketAddr,
     pub zone: String,
+    /// The number of answers with a body in chunks.
+    long_answers: AtomicU64,
     record: Arc<Record>,
     runs: Arc<Runs>,
 }
@@ -79,6 +85,7 @@
             service: service.to_owned(),
             addr,
             zone: zone.to_owned(),
+            long_answers: AtomicU64::new(0),
             record: Arc::clone(record),
             runs: Arc::clone(runs),
         });
@@ -150,15 +157,18 @@
         }
     }
 
-    /// Answers with a chunked body. If the request says so and this upstream is faulty, the head of
-    /// the answer names a length as well, which is not that of the body.
+    /// Answers with a chunked body. If the request says so, the head of a few answers of the
+    /// faulty upstream names a length as well, which is not that of the body.
     fn respond_in_chunks(
         &self,
         connection: &mut Connection,
         head: &Head,
         fields: &str,
     ) -> io::Result<()> {
-        let is_spoilt = head.parameter("spoil") == Some(1) && self.id == FAULTY_ID;
+        let number = self.long_answers.fetch_add(1, Ordering::SeqCst) + 1;
+        let is_spoilt = head.parameter("spoil") == Some(1)
+            && self.id == FAULTY_ID
+            && number % SPOILT_PERIOD == 0;
         let length = match is_spoilt {
             true => format!("Content-Length: {}\r\n", LONG_ANSWER_BYTES / 2),
             false => String::new(),
