Log when a request was received during a planned stop

A request that was cut at a stop was logged as cancelled, as if its client had left, and nothing said how long after SIGTERM it was read. Its line has stopping_ms now. The line of the stop has late_ms, the time from the request for the stop to its start, and the warning at the end of the grace period counts forwarded requests as well.

--- a/crates/azuregate/src/serve/access_log.rs
+++ b/crates/azuregate/src/serve/access_log.rs
@@ -37,6 +37,9 @@
     /// The rate limit that the last backend server named; empty if it named none.
     pub(super) limit_per_s: String,
     pub(super) deadline_ms: u64,
+    /// The time from the request for a planned stop to the receipt of this request; `None` if it was
+    /// received before.
+    pub(super) stopping_ms: Option<u64>,
     /// The state that explains why no backend server was chosen; empty otherwise.
     pub(super) basis: String,
     pub(super) code: &'static str,
@@ -83,6 +86,7 @@
             in_flight: 0,
             limit_per_s: String::new(),
             deadline_ms: 0,
+            stopping_ms: None,
             basis: String::new(),
             code: "answered",
             received_at,
@@ -146,6 +150,7 @@
             basis = self.basis.as_str(),
             keep = self.is_write && !is_served,
             deadline_ms = self.deadline_ms,
+            stopping_ms = self.stopping_ms.map_or_else(String::new, |ms| ms.to_string()),
             taken_ms = self.taken_ms();
             "request"
         );
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -54,6 +54,7 @@
     received_at: Instant,
 ) -> Result<Response<ResponseBody>, RequestError> {
     let mut log_entry = AccessLogEntry::new(attempts.is_forwarded, sender, &parts, received_at);
+    log_entry.stopping_ms = state.stopping_ms(received_at);
     let result = serve(state, attempts, parts, body, received_at, &mut log_entry).await;
     let status = match &result {
         Ok(response) => response.status(),
--- a/crates/azuregate/src/serve/shutdown.rs
+++ b/crates/azuregate/src/serve/shutdown.rs
@@ -27,7 +27,8 @@
 /// connections are closed or the grace period ends.
 pub(super) async fn run(state: &Rc<State>, phase: watch::Sender<ShutdownPhase>) {
     state.stop.clone().wait().await;
-    log::info!(connections = state.connections.get(); "graceful shutdown started");
+    let late_ms = state.stopping_ms(time::Instant::now()).unwrap_or(0);
+    log::info!(connections = state.connections.get(), late_ms = late_ms; "graceful shutdown started");
     phase.send_replace(ShutdownPhase::Draining);
     let deadline_ms = state.bounds().grace_period_ms.saturating_sub(FORCED_CLOSE_MARGIN_MS);
     let deadline = time::Instant::now() + Duration::from_millis(deadline_ms);
@@ -44,6 +45,7 @@
         }
     };
     if time::timeout_at(deadline, steps).await.is_err() {
-        log::warn!(connections = state.connections.get(); "grace period ended with open connections");
+        let forwarded = state.forwarded_in_progress.get();
+        log::warn!(connections = state.connections.get(), forwarded = forwarded; "grace period ended with open connections");
     }
 }
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -17,7 +17,10 @@
     replica::{FreshnessTracker, Table},
 };
 use azuregate_platform::settings::{Bounds, Settings};
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
 
 use super::{
     broken_requests::BrokenRequests,
@@ -146,6 +149,13 @@
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns how long before `at` a planned stop was requested, or `None` if it was not.
+    pub(super) fn stopping_ms(&self, at: time::Instant) -> Option<u64> {
+        let requested_at = self.stop.requested_at()?;
+        let stopping = at.into_std().checked_duration_since(requested_at)?;
+        Some(u64::try_from(stopping.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Returns the current configuration, or `None` until the first one is loaded.
     pub(super) fn config(&self) -> Option<Arc<Config>> {
         self.config.borrow().clone()
