Refuse at a stop what cannot end before the process does

Of a write the caller cannot know whether it ran.

Cause: nothing asked of a request that was read after the signal whether it could end in time.

Now each send, also of a retry or to another instance, first asks whether the request can end in time. It is sent if its deadline or its route's timeout is before the end of the process, or if the longest of the route's latest 64 requests would be done by then; with fewer than 16 of these, four times the target latency of the route counts as well. Otherwise it is refused at once with 503, the code "stopping" and Retry-After 0, which is true since nothing was sent: other instances have room. A body that is still arriving is waited for as long as its request can be sent, and no longer.

The time left counts from the request for the stop, not from its handling. While the instance stops, a reload can only shorten the grace period.

--- a/crates/azuregate-core/src/balance/config.rs
+++ b/crates/azuregate-core/src/balance/config.rs
@@ -144,6 +144,11 @@
         self.services.get(service)
     }
 
+    /// Returns whether there is a route of this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.hosts.values().flatten().any(|route| route.name == name)
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`. A port in `host` is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/azuregate-core/src/balance/mod.rs
+++ b/crates/azuregate-core/src/balance/mod.rs
@@ -22,6 +22,7 @@
 * A server that asks for a pause gets no requests from this instance until its end; see
   [`Balancer::record_pushback`]. One that announces that it is leaving gets none in this run; see
   [`Balancer::record_leaving`].
+* [`RequestTimes`] tells which requests can end before a stopping instance does.
 * [`RetryReason`] determines the retry delay of refused clients.
 */
 
@@ -41,6 +42,7 @@
 mod reachability;
 mod remote_load;
 mod replication_source;
+mod request_times;
 mod response;
 mod retry_after;
 mod retry_budget;
@@ -71,6 +73,7 @@
 pub use reachability::{Reachability, ReachabilityReport};
 pub use remote_load::InFlightCount;
 pub use replication_source::ReplicationSource;
+pub use request_times::{RequestTimes, SendWindow};
 pub use response::{ResponseHead, ResponseKind, promises_not_executed};
 pub use retry_after::{RetryReason, retry_after_pause_ms};
 pub use retry_budget::{RetryBudgets, RetryLimits};
--- a/crates/azuregate-core/src/balance/retry_after.rs
+++ b/crates/azuregate-core/src/balance/retry_after.rs
@@ -11,6 +11,8 @@
     NoCapacity,
     /// All backend servers limit the rate of their requests, and their limits are used up.
     RateLimited,
+    /// The instance is stopping. Others have room.
+    Stopping,
 }
 
 /// Returns the range in milliseconds from which the retry delay of a client is drawn that is refused
@@ -31,6 +33,7 @@
             RetryReason::StaleState => 100..=400,
             RetryReason::NoCapacity => 30..=150,
             RetryReason::RateLimited => 100..=500,
+            RetryReason::Stopping => 0..=0,
         }
     }
 }
--- a/crates/azuregate-core/tests/balance/main.rs
+++ b/crates/azuregate-core/tests/balance/main.rs
@@ -22,6 +22,7 @@
 mod rate_limit_ways;
 mod rate_limits;
 mod reachability;
+mod request_times;
 mod response;
 mod retry_windows;
 mod sent_ids;
--- a/crates/azuregate/src/serve/dispatch.rs
+++ b/crates/azuregate/src/serve/dispatch.rs
@@ -1,9 +1,11 @@
 //! Sends one request to backend servers, or through other instances, until there is a response.
 
-use std::{fmt::Write, rc::Rc};
+use std::{fmt::Write, rc::Rc, sync::Arc};
 
 use azuregate_core::{
-    balance::{self, Admission, BackendQuery, BackendRun, Choice, GrantRequest, Member, Route},
+    balance::{
+        self, Admission, BackendQuery, BackendRun, Choice, GrantRequest, Member, Route, SendWindow,
+    },
     names::{InstanceId, ServiceName},
 };
 use azuregate_platform::request;
@@ -16,8 +18,10 @@
     forwarding::{self, ForwardResult},
     grants, metrics,
     outgoing_request::OutgoingRequest,
+    request_timing::RequestTiming,
     response::RequestError,
     response_body::ResponseBody,
+    shutdown,
     state::State,
 };
 
@@ -34,7 +38,7 @@
 /// Sends a request to backend servers until one attempt succeeds.
 pub(super) struct Dispatcher<'a> {
     pub(super) state: &'a Rc<State>,
-    pub(super) route: &'a Route,
+    pub(super) route: &'a Arc<Route>,
     pub(super) service: &'a ServiceName,
     pub(super) outgoing: OutgoingRequest,
 }
@@ -49,6 +53,22 @@
         &self,
         attempts: &mut AttemptState,
         log_entry: &mut AccessLogEntry,
+    ) -> Result<Response<ResponseBody>, RequestError> {
+        let timing = RequestTiming::new(self.state, self.route);
+        let mut result = self.send_timed(&timing, attempts, log_entry).await;
+        match &mut result {
+            Ok(response) => response.body_mut().hold(timing),
+            Err(error) if error.is_refusal() => timing.discard(),
+            Err(_) => {}
+        }
+        result
+    }
+
+    async fn send_timed(
+        &self,
+        timing: &RequestTiming,
+        attempts: &mut AttemptState,
+        log_entry: &mut AccessLogEntry,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let mut failure = None;
         let mut refusal = RequestError::NoCapacity;
@@ -61,8 +81,12 @@
                     attempts.attempts_exhausted(RequestError::Quarantined { retry_after_ms })
                 );
             }
+            if !self.can_end_in_time(log_entry) {
+                refusal = RequestError::Stopping;
+                break;
+            }
             if self.should_forward(attempts) {
-                return self.forward_to_instance(attempts, log_entry).await;
+                return self.forward_to_instance(timing, attempts, log_entry).await;
             }
             let remaining_ms = self.outgoing.remaining_ms();
             let is_retry = attempts.sends > 0;
@@ -82,6 +106,7 @@
             }
             attempts.tried.push(choice.handle);
             attempts.is_in_flight = true;
+            timing.start();
             let result = attempt::send(self.state, &choice, &self.outgoing, log_entry).await;
             attempts.is_in_flight = false;
             let is_withheld = matches!(result, AttemptResult::NotExecuted(NotExecuted::Withheld));
@@ -123,13 +148,26 @@
             Some(response) => self.pass_on(response, log_entry),
             None if attempts.sends == 0 => Err(refusal),
             None => {
-                let is_paused = matches!(refusal, RequestError::PushedBack { .. });
-                let error = if is_paused { refusal } else { RequestError::Rejected };
+                let error = match refusal {
+                    RequestError::PushedBack { .. } | RequestError::Stopping => refusal,
+                    _ => RequestError::Rejected,
+                };
                 Err(attempts.attempts_exhausted(error))
             }
         }
     }
 
+    /// Returns whether the request, if it is sent now, can be expected to end before this process does.
+    fn can_end_in_time(&self, log_entry: &mut AccessLogEntry) -> bool {
+        let deadline = self.outgoing.deadline;
+        if shutdown::send_window(self.state, self.route, deadline) != SendWindow::Closed {
+            return true;
+        }
+        let longest_ms = self.state.request_times.borrow().longest_ms(self.route);
+        log_entry.basis = format!("longest_ms:{longest_ms}");
+        false
+    }
+
     fn can_retry(&self, attempts: &AttemptState, remaining_ms: u64) -> bool {
         attempts.possible_executions < self.route.attempts
             && attempts.sends < self.route.attempts + EXTRA_SENDS_AFTER_REJECTION
@@ -160,15 +198,21 @@
     /// Forwards the request to other instances until one of them returns a response.
     async fn forward_to_instance(
         &self,
+        timing: &RequestTiming,
         attempts: &mut AttemptState,
         log_entry: &mut AccessLogEntry,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let mut excluded = Vec::new();
         let mut refusal = None;
+        let mut error = RequestError::Unreachable;
         while excluded.len() < MAX_FORWARDS
             && attempts.possible_executions < self.route.attempts
             && self.outgoing.remaining_ms() > MIN_RETRY_REMAINING_MS
         {
+            if !self.can_end_in_time(log_entry) {
+                error = RequestError::Stopping;
+                break;
+            }
             let Some(target) = self.forwarding_target(&excluded) else { break };
             if !self.take_retry(attempts) {
                 break;
@@ -176,6 +220,7 @@
             log_entry.forwarded_to = target.instance.as_str().to_owned();
             metrics::inc_by(&self.state.metrics.forwarded, 1);
             attempts.is_in_flight = true;
+            timing.start();
             let executions = attempts.possible_executions;
             let result = forwarding::send(self.state, &target, &self.outgoing, executions).await;
             attempts.is_in_flight = false;
@@ -203,9 +248,10 @@
         match refusal {
             Some(response) if attempts.possible_executions == 0 => {
                 log_entry.code = "refused-elsewhere";
+                timing.discard();
                 Ok(response)
             }
-            _ => Err(attempts.attempts_exhausted(RequestError::Unreachable)),
+            _ => Err(attempts.attempts_exhausted(error)),
         }
     }
 
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -29,7 +29,8 @@
 * `reachability` checks whether backend servers can be reached at all. `forwarding` sends requests
   through other instances while they cannot, which `forwarded` takes there.
 * `endpoints` serves readiness, lookups and metrics.
-* `shutdown` implements the graceful shutdown.
+* `shutdown` implements the graceful shutdown. `request_timing` measures how long requests take, which
+  tells whether one can end before the process does.
 */
 
 mod access_log;
@@ -64,6 +65,7 @@
 mod relay;
 mod reload;
 mod request;
+mod request_timing;
 mod response;
 mod response_body;
 mod shutdown;
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -21,6 +21,7 @@
     outgoing_request::OutgoingRequest,
     response::{self, RequestError},
     response_body::ResponseBody,
+    shutdown,
     state::State,
 };
 
@@ -126,7 +127,15 @@
 
     let work = async {
         let body = match body {
-            Some(body) => read_body(body, body_limit).await?,
+            Some(body) => tokio::select! {
+                // A body that has arrived is read at once.
+                biased;
+                body = read_body(body, body_limit) => body?,
+                () = shutdown::send_window_closed(state, &route, deadline) => {
+                    log_entry.basis = "body incomplete".to_owned();
+                    return Err(RequestError::Stopping);
+                }
+            },
             None => Bytes::new(),
         };
         let outgoing = outgoing_request(parts, body, is_idempotent, deadline);
--- a/crates/azuregate/src/serve/response.rs
+++ b/crates/azuregate/src/serve/response.rs
@@ -47,6 +47,8 @@
         /// Time until it may be tried again.
         retry_after_ms: u64,
     },
+    /// The instance is stopping, and the request cannot end before it does; it was not executed.
+    Stopping,
     /// The deadline passed before a response arrived.
     TimedOut,
     /// The response was lost or is invalid; the request may have been executed.
@@ -69,6 +71,7 @@
             RequestError::Unreachable => "unreachable",
             RequestError::Rejected => "rejected",
             RequestError::Quarantined { .. } => "quarantined",
+            RequestError::Stopping => "stopping",
             RequestError::TimedOut => "timed-out",
             RequestError::ResponseLost => "answer-lost",
         }
@@ -90,6 +93,7 @@
                 Some(fastrand::u64(retry_after_pause_ms(pause_ms)))
             }
             RequestError::Quarantined { retry_after_ms } => Some(retry_after_ms),
+            RequestError::Stopping => Some(fastrand::u64(RetryReason::Stopping.retry_after_ms())),
             _ => None,
         }
     }
@@ -104,7 +108,8 @@
             | RequestError::PushedBack { .. }
             | RequestError::Unreachable
             | RequestError::Rejected
-            | RequestError::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | RequestError::Quarantined { .. }
+            | RequestError::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::NoRoute => StatusCode::NOT_FOUND,
             RequestError::BadRequest | RequestError::BodyIncomplete => StatusCode::BAD_REQUEST,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -113,6 +118,11 @@
         }
     }
 
+    /// Returns whether it promises that the request was not executed and never will be.
+    pub(super) fn is_refusal(self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     /// Converts the error into a response, with a `Retry-After` header if the request
     /// was not executed.
     pub(super) fn into_response(self) -> Response<ResponseBody> {
--- a/crates/azuregate/src/serve/response_body.rs
+++ b/crates/azuregate/src/serve/response_body.rs
@@ -1,6 +1,7 @@
 //! Response bodies sent to clients.
 
 use std::{
+    any::Any,
     cell::RefCell,
     error::Error,
     fmt,
@@ -22,7 +23,12 @@
 use super::{crash_detection, in_flight::InFlightRequest, metrics, pool::Connection, state::State};
 
 /// A response body.
-pub(super) enum ResponseBody {
+pub(super) struct ResponseBody {
+    source: Source,
+    guards: Vec<Box<dyn Any>>,
+}
+
+enum Source {
     /// A body held completely in memory.
     Buffered(Full<Bytes>),
     /// A body forwarded while it arrives from the backend server.
@@ -31,7 +37,12 @@
 
 impl ResponseBody {
     pub(super) fn buffered(bytes: Bytes) -> ResponseBody {
-        ResponseBody::Buffered(Full::new(bytes))
+        ResponseBody { source: Source::Buffered(Full::new(bytes)), guards: Vec::new() }
+    }
+
+    /// Drops `guard` when the body is sent or given up.
+    pub(super) fn hold(&mut self, guard: impl Any) {
+        self.guards.push(Box::new(guard));
     }
 
     /// Returns a body that begins with `buffered` and goes on with `incoming`. What does not arrive
@@ -53,13 +64,14 @@
                 }
             }
         });
-        ResponseBody::Streaming(Box::new(StreamingBody {
+        let source = Source::Streaming(Box::new(StreamingBody {
             buffered: Some(buffered),
             incoming,
             from,
             is_complete: false,
             timeout: timeout.abort_handle(),
-        }))
+        }));
+        ResponseBody { source, guards: Vec::new() }
     }
 }
 
@@ -168,27 +180,25 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match &mut *self {
-            ResponseBody::Buffered(full) => {
-                Pin::new(full).poll_frame(cx).map_err(|never| match never {})
-            }
-            ResponseBody::Streaming(streaming) => streaming.poll_frame(cx),
+        match &mut self.source {
+            Source::Buffered(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Source::Streaming(streaming) => streaming.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            ResponseBody::Buffered(full) => full.is_end_stream(),
-            ResponseBody::Streaming(streaming) => {
+        match &self.source {
+            Source::Buffered(full) => full.is_end_stream(),
+            Source::Streaming(streaming) => {
                 streaming.buffered.is_none() && streaming.incoming.is_end_stream()
             }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            ResponseBody::Buffered(full) => full.size_hint(),
-            ResponseBody::Streaming(_) => SizeHint::default(),
+        match &self.source {
+            Source::Buffered(full) => full.size_hint(),
+            Source::Streaming(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -11,7 +11,7 @@
 use azuregate_core::{
     balance::{
         self, Admission, BackendHandle, Balancer, Config, Fingerprint, Members, MissingBackends,
-        Quarantine, Reachability, RetryBudgets, RetryLimits, WeightedRoundRobin,
+        Quarantine, Reachability, RequestTimes, RetryBudgets, RetryLimits, WeightedRoundRobin,
     },
     names::{ServiceName, StartNumber},
     replica::{FreshnessTracker, Table},
@@ -55,6 +55,7 @@
     pub(super) reachability_changed: Notify,
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) broken_requests: BrokenRequests,
+    pub(super) request_times: RefCell<RequestTimes>,
     pub(super) grant_questions: Questions,
     pub(super) metrics: Metrics,
     pub(super) tables: RefCell<Tables>,
@@ -120,6 +121,7 @@
             reachability_changed: Notify::new(),
             quarantine: RefCell::default(),
             broken_requests: BrokenRequests::default(),
+            request_times: RefCell::default(),
             grant_questions,
             metrics: Metrics::default(),
             tables: RefCell::default(),
@@ -166,8 +168,17 @@
         self.bounds.borrow().clone()
     }
 
+    /// Returns the time from the request for a planned stop until the process is killed.
+    pub(super) fn grace_period_ms(&self) -> u64 {
+        self.bounds.borrow().grace_period_ms
+    }
+
     /// Replaces the bounds and returns whether they changed.
-    pub(super) fn set_bounds(&self, bounds: Bounds) -> bool {
+    pub(super) fn set_bounds(&self, mut bounds: Bounds) -> bool {
+        if self.stop.is_stopping() {
+            // It is not known whether a longer one applies to a stop that was requested before.
+            bounds.grace_period_ms = bounds.grace_period_ms.min(self.grace_period_ms());
+        }
         if *self.bounds.borrow() == bounds {
             return false;
         }
@@ -228,6 +239,7 @@
             return;
         }
         let config = Arc::new(config);
+        self.request_times.borrow_mut().retain_routes(&config);
         *self.config.borrow_mut() = Some(Arc::clone(&config));
         let mut balancer = self.balancer.borrow_mut();
         balancer.set_config(config);
--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -12,6 +12,7 @@
 mod cut_off;
 mod endless_responses;
 mod late_copies;
+mod late_requests;
 mod leaving;
 mod links;
 mod lookups;
--- a/crates/platform/src/fakes/backend.rs
+++ b/crates/platform/src/fakes/backend.rs
@@ -27,6 +27,10 @@
 pub const CRASH_SEGMENT: &str = "crash-";
 /// With this segment, it sends a part of a long response before.
 const LATE_CRASH_SEGMENT: &str = "crash-late";
+/// A request whose query has this parameter takes that many milliseconds to execute.
+const WORK_PARAMETER: &str = "work_ms=";
+/// The same for the second half of its response, which is a long one.
+const STREAM_PARAMETER: &str = "stream_ms=";
 const PARTIAL_RESPONSE_BYTES: usize = 100_000;
 /// Time from a crash to the next start, unless the test sets another one.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
@@ -355,6 +359,7 @@
             received.body = bytes.drain(..length).collect();
             received.received_at = Instant::now();
         }
+        let behaviour = requested_behaviour(&received.method_and_path, behaviour);
         received.is_executed = !behaviour.is_rejection();
         let crashes =
             received.is_executed && received.method_and_path.contains(&format!("/{CRASH_SEGMENT}"));
@@ -425,6 +430,23 @@
     }
 }
 
+/// Returns how to handle a request that an otherwise sound server is asked to handle in a way.
+fn requested_behaviour(path: &str, behaviour: Behaviour) -> Behaviour {
+    let duration = |name| {
+        let (_, text) = path.split_once(name)?;
+        let digits = text.split(|c: char| !c.is_ascii_digit()).next()?;
+        digits.parse().ok().map(Duration::from_millis)
+    };
+    if !matches!(behaviour, Behaviour::Respond | Behaviour::Delay(_)) {
+        return behaviour;
+    }
+    match (duration(WORK_PARAMETER), duration(STREAM_PARAMETER)) {
+        (Some(work), _) => Behaviour::Delay(work),
+        (None, Some(rest)) => Behaviour::Stream(rest),
+        (None, None) => behaviour,
+    }
+}
+
 /// Sends a response; returns whether the connection stays open.
 async fn respond(stream: &mut TcpStream, behaviour: &Behaviour, text: &str) -> bool {
     let mut text = text.as_bytes();
--- a/crates/platform/src/fakes/fixtures.rs
+++ b/crates/platform/src/fakes/fixtures.rs
@@ -1,6 +1,6 @@
 //! Rows and settings in the formats of the platform.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde_json::{Value, json};
 
@@ -11,14 +11,18 @@
     pub version: u64,
     /// The service of `/read/`, `/write/` and `/upload/`.
     pub service: String,
-    /// The timeout of all routes.
+    /// The timeout of all routes without one of their own.
     pub timeout_ms: u64,
+    /// Timeouts of single routes, by path prefix.
+    pub timeouts_ms: BTreeMap<String, u64>,
     /// The number of servers to which one request may be sent.
     pub attempts: u32,
     /// The longest body of a request.
     pub max_body_bytes: usize,
     /// Path prefixes of further routes to the same service.
     pub extra_prefixes: Vec<String>,
+    /// Path prefixes of further routes to the same service, of requests that must run at most once.
+    pub extra_write_prefixes: Vec<String>,
 }
 
 impl ConfigDocument {
@@ -28,19 +32,22 @@
             version: 1,
             service: service.to_owned(),
             timeout_ms: 1_000,
+            timeouts_ms: BTreeMap::new(),
             attempts: 2,
             max_body_bytes: 1 << 20,
             extra_prefixes: Vec::new(),
+            extra_write_prefixes: Vec::new(),
         }
     }
 
     fn rule(&self, prefix: &str, kind: &str) -> Value {
+        let timeout_ms = self.timeouts_ms.get(prefix).copied().unwrap_or(self.timeout_ms);
         json!({
             "name": format!("r{}", prefix.replace('/', "-")), "type": kind,
             "targetLatencyS": 0.25, "priority": 1, "sessionAffinity": true,
             "match": { "prefix": prefix },
             "action": {
-                "backend": self.service, "timeoutS": self.timeout_ms as f64 / 1e3,
+                "backend": self.service, "timeoutS": timeout_ms as f64 / 1e3,
                 "attempts": self.attempts, "homeRegions": [],
             },
         })
@@ -54,6 +61,8 @@
             self.rule("/upload/", "upload"),
         ];
         rules.extend(self.extra_prefixes.iter().map(|prefix| self.rule(prefix, "idempotent")));
+        let writes = self.extra_write_prefixes.iter();
+        rules.extend(writes.map(|prefix| self.rule(prefix, "non_idempotent")));
         json!({
             "configVersion": format!("{:08x}", self.version),
             "limits": {
