Answer all pipelined requests that were read before a connection closes

What callers saw: at a stop, the response to the first of several requests on a connection said Connection: close, and the connection ended behind it. The requests behind it that the instance had read, among them reads that it had started early, were cancelled at their servers without a response.

Cause: each response of a stopping instance closed its connection, whatever had been read behind its request.

Now the response to the last request that was read closes the connection. From the phase on in which idle connections are closed, only requests that were started before still hold it, and no more are started early: a client that always sends one request ahead would keep the connection open until the process ends. A connection whose next request has arrived but was not handled yet is not closed as idle either.

--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -106,7 +106,11 @@
             () = &mut read_ahead => return,
             () = &mut close_allowed, if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                // Otherwise the response to the last of these requests closes the connection.
+                let pipeline = &connection_state.pipeline;
+                if !pipeline.has_pending(&state) && !pipeline.has_unhandled() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             () = time::sleep(Duration::from_millis(head_timeout_ms.min(idle_timeout_ms))) => {
                 let now_ms = state.now_ms();
@@ -150,7 +154,7 @@
     connection_state.pipeline.finish_current();
     connection_state.in_flight.set(connection_state.in_flight.get() - 1);
     connection_state.idle_since_ms.set(state.now_ms());
-    if state.stop.is_stopping() {
+    if state.stop.is_stopping() && !connection_state.pipeline.has_pending(&state) {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/azuregate/src/serve/pipeline.rs
+++ b/crates/azuregate/src/serve/pipeline.rs
@@ -27,7 +27,9 @@
     time::Instant,
 };
 
-use super::{request as handler, response_body::ResponseBody, state::State};
+use super::{
+    request as handler, response_body::ResponseBody, shutdown_phase::ShutdownPhase, state::State,
+};
 
 /// Limits the started requests of one connection.
 const MAX_STARTED_REQUESTS: usize = 16;
@@ -172,6 +174,7 @@
         let mut started = self.started.borrow_mut();
         if !is_behind_reads
             || started.len() >= MAX_STARTED_REQUESTS
+            || *state.phase.borrow() >= ShutdownPhase::ClosingIdle
             || !handler::can_start_early(state, &parts)
         {
             return;
@@ -189,6 +192,22 @@
         (&mut started.task).await.ok()
     }
 
+    /// Returns whether requests behind the current one have been read and get a response as well.
+    ///
+    /// From [`ShutdownPhase::ClosingIdle`] on, these are only requests that were started before: a
+    /// client that sends one request behind the other would keep the connection open.
+    pub(super) fn has_pending(&self, state: &State) -> bool {
+        match *state.phase.borrow() >= ShutdownPhase::ClosingIdle {
+            true => !self.started.borrow().is_empty(),
+            false => self.finished.get() < self.scanned.get(),
+        }
+    }
+
+    /// Returns whether a request has been received that hyper has not read yet.
+    pub(super) fn has_unhandled(&self) -> bool {
+        self.begun.get() < self.scanned.get()
+    }
+
     /// Marks the current request as responded to.
     pub(super) fn finish_current(&self) {
         self.finished.set(self.finished.get() + 1);
--- a/crates/azuregate/tests/serve/late_requests.rs
+++ b/crates/azuregate/tests/serve/late_requests.rs
@@ -9,7 +9,7 @@
 use azuregate_platform::fakes::FakeBackend;
 use tokio::time;
 
-use crate::cluster::{Client, HttpResponse, Instance, PEER_PORT, TestCluster, get};
+use crate::cluster::{Client, HttpResponse, Instance, PEER_PORT, TestCluster, get, post_request};
 
 /// Enough that no request of a table waits for a slot.
 const SERVERS: usize = 16;
@@ -32,6 +32,8 @@
     SlowBody(u64),
     /// With a body that is never complete.
     EndlessBody,
+    /// Behind another request that is sent with it.
+    Pipelined,
     /// From another instance.
     Forwarded,
 }
@@ -132,6 +134,23 @@
         ..ROW
     },
     Row { name: "body-endless", way: Way::EndlessBody, sent_at: 1_000, expected: Refused, ..ROW },
+    Row {
+        name: "pipelined-fits",
+        way: Way::Pipelined,
+        is_write: false,
+        sent_at: 500,
+        work: 1_000,
+        ..ROW
+    },
+    Row {
+        name: "pipelined-too-long",
+        way: Way::Pipelined,
+        is_write: false,
+        sent_at: 500,
+        work: 5_600,
+        expected: Refused,
+        ..ROW
+    },
     Row { name: "forwarded-fits", way: Way::Forwarded, work: 2_000, ..ROW },
     Row { name: "forwarded-too-long", way: Way::Forwarded, work: 4_000, expected: Refused, ..ROW },
     Row { name: "forwarded-streamed", way: Way::Forwarded, work: 2_300, is_streamed: true, ..ROW },
@@ -203,6 +222,15 @@
                 }
                 client.response().await
             }
+            Way::Pipelined => {
+                at(self.sent_at).await;
+                let mut client = Client::connect(instance.traffic).await;
+                let first = Row { work: 300, ..*self };
+                let first = first.request(&format!("{}-first", self.name), "");
+                client.send(&format!("{first}{text}")).await;
+                client.response().await?;
+                client.response().await
+            }
         }
     }
 
@@ -396,3 +424,32 @@
     let refused = "route=\"r-long-\",code=\"stopping\"} 1";
     assert!(metrics.contains(refused), "{metrics}");
 }
+
+/// Guards against closing a connection behind the first of several requests on it, while the others
+/// are being executed or have been read.
+#[tokio::test]
+async fn pipelined_requests_are_answered_to_the_last() {
+    let row = Row { name: "reads", is_write: false, work: 600, ..ROW };
+    let cluster = start(&[row]).await;
+    let instance = cluster.start_ready_instance(1).await;
+    let read = |number| row.request(&format!("r{number}"), "");
+    let write = post_request("/write/x", "w", "body");
+    // Reads start at once, what is behind a write when it has its response.
+    for (texts, sent_after_signal) in
+        [([read(0), read(1), read(2)], false), ([read(3), write, read(4)], true)]
+    {
+        let mut client = Client::connect(instance.traffic_addr).await;
+        if sent_after_signal {
+            instance.stopper.stop();
+        }
+        client.send(&texts.concat()).await;
+        time::sleep(Duration::from_millis(100)).await;
+        instance.stopper.stop();
+        for last in [false, false, true] {
+            let response = client.response().await.unwrap();
+            let is_closed = response.header("connection") == Some("close");
+            assert_eq!((response.status, is_closed), (200, last));
+        }
+        assert!(client.response().await.is_none());
+    }
+}
