Wait at a stop until forwarded responses are sent

What callers saw: a streamed response that an instance fetched for another one, which reaches no server, ended in the middle when the instance that fetched it stopped: 3.2 s after the signal, though nothing forced it.

Cause: a forwarded request counted as in progress until the head of its response was there. A stopping instance without other connections ended while the body was under way.

Now it counts until its response body is written or given up.

--- a/crates/azuregate/src/serve/forwarded.rs
+++ b/crates/azuregate/src/serve/forwarded.rs
@@ -37,7 +37,8 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-/// Counts a forwarded request that is in progress until dropped.
+/// Counts a forwarded request that is in progress until dropped, which is when its response has been
+/// written.
 struct InProgress(Rc<State>);
 
 impl InProgress {
@@ -58,7 +59,7 @@
     peer: SocketAddr,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let _in_progress = InProgress::new(&state);
+    let in_progress = InProgress::new(&state);
     let received_at = Instant::now();
     let (mut parts, body) = request.into_parts();
     let Some(executions) = forwarding::executions(&parts.headers) else {
@@ -77,6 +78,7 @@
         Err(error) => own_response(error, attempts.possible_executions()),
     };
     leaving::add_run(response.headers_mut(), attempts.leaving);
+    response.body_mut().hold(in_progress);
     Ok(response)
 }
 
--- a/crates/azuregate/tests/serve/late_requests.rs
+++ b/crates/azuregate/tests/serve/late_requests.rs
@@ -453,3 +453,11 @@
         assert!(client.response().await.is_none());
     }
 }
+/// Guards against ending while the response to a forwarded request is being sent.
+#[tokio::test]
+async fn forwarded_response_is_sent_to_its_end() {
+    let rows = [Row { way: Way::Forwarded, sent_at: 2_800, work: 1_500, is_streamed: true, ..ROW }];
+    let rows = rows.map(|row| Row { name: "streamed", ..row });
+    let (problems, _) = play_known(&rows, Duration::ZERO).await;
+    assert!(problems.is_empty(), "{problems:#?}");
+}
