Read the settings once more when a stop begins

What callers saw: after the grace period had been made shorter in the settings file, without SIGHUP and less than 2 s before a stop, requests that were sent in the first moments of the stop were cut at the new, earlier end.

Cause: the file is polled every 2 s, and a stop began with what the last poll had read.

Now a stop begins with reading it. What is read later can only shorten the grace period of this stop.

--- a/crates/azuregate/src/serve/reload.rs
+++ b/crates/azuregate/src/serve/reload.rs
@@ -1,6 +1,6 @@
 //! Reloads the settings file while the instance runs.
 
-use std::{path::PathBuf, rc::Rc};
+use std::{path::PathBuf, pin::pin, rc::Rc};
 
 use azuregate_platform::settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
@@ -25,6 +25,9 @@
             None
         }
     };
+    let mut stop = state.stop.clone();
+    let mut stop = pin!(stop.wait());
+    let mut has_read_at_stop = false;
     loop {
         let is_requested = tokio::select! {
             tick = ticks.recv() => {
@@ -33,6 +36,11 @@
                 }
                 false
             }
+            // The grace period may have changed just before.
+            () = &mut stop, if !has_read_at_stop => {
+                has_read_at_stop = true;
+                false
+            }
             Some(()) = async { hangups.as_mut()?.recv().await } => true,
         };
         let new_text = match std::fs::read_to_string(&path) {
--- a/crates/azuregate/tests/serve/late_requests.rs
+++ b/crates/azuregate/tests/serve/late_requests.rs
@@ -381,10 +381,14 @@
     // When it changes, in milliseconds after 50 ms before the signal.
     let cases = [(0, 4, 4), (350, 5, 5), (350, 9, 6)];
     let plays = cases.map(|(changed_at_ms, grace_period_s, expected_s)| async move {
-        let rows = [
+        let mut rows = vec![
             Row { name: "fits", sent_at: 2_400, work: 1_200, ..ROW },
             Row { name: "too-long", sent_at: 2_400, work: 3_600, expected: Refused, ..ROW },
         ];
+        if changed_at_ms == 0 {
+            let early = Row { name: "early", sent_at: 100, work: 4_500, expected: Refused, ..ROW };
+            rows.push(early);
+        }
         let cluster = start(&rows).await;
         let instance = cluster.start_ready_instance(1).await;
         teach(&rows, &Addrs::of(&instance)).await;
