Notice the time of a signal while the process is busy

What callers saw: a process that was busy when SIGTERM came counted its grace period from when it got to handle the signal. It was killed with requests in progress by that much, and kept its port open longer.

Cause: the signal was awaited on the thread that handles requests.

Now a thread of its own watches the signals and notes the time. A signal that comes while the whole process is frozen is still noticed at its end only.

--- a/crates/azuregate/src/cli/mod.rs
+++ b/crates/azuregate/src/cli/mod.rs
@@ -15,7 +15,7 @@
 mod shares;
 mod stdout;
 
-use std::{env, fs, path::Path, process::ExitCode};
+use std::{env, fs, io, mem::ManuallyDrop, path::Path, process::ExitCode};
 
 use azuregate_platform::settings::{
     Settings as PlatformSettings, SettingsError as PlatformSettingsError,
@@ -32,11 +32,13 @@
     jsonc::Problem,
     logs, run, serve,
     settings::{Settings, SettingsError},
-    stop::{self, StopSignal},
+    stop::{self, StopHandle, StopSignal},
 };
 
 pub use stdout::print_line;
 
+const SIGNAL_STACK_BYTES: usize = 512 << 10;
+
 /// The exit status of a command.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Exit {
@@ -250,29 +252,41 @@
 /// Must be called before ports are opened. An earlier signal would kill the process,
 /// and with it connections that wait to be accepted.
 fn stop_on_signal() -> StopSignal {
+    let (stopper, stop) = stop::channel();
+    if let Err(e) = watch_signals(stopper) {
+        log::error!(error:% = e; "signals cannot be watched");
+    }
+    stop
+}
+
+/// Watches signals on a thread of their own, which notices the time of a signal also while the
+/// others are busy.
+fn watch_signals(stopper: StopHandle) -> io::Result<()> {
     use tokio::signal::unix::{SignalKind, signal};
 
-    let (stopper, stop) = stop::channel();
-    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    tokio::spawn(async move {
-        let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
-            log::error!("signals cannot be watched");
-            // Dropping the stopper would start a stop.
-            return std::future::pending().await;
-        };
+    // Dropping the stopper would start a stop.
+    let stopper = ManuallyDrop::new(stopper);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+    let (mut terminate, mut interrupt) = {
+        let _context = runtime.enter();
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?)
+    };
+    let watch = async move {
         for first in [true, false] {
             tokio::select! {
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
             }
             if first {
-                log::info!("planned stop");
                 stopper.stop();
+                log::info!("planned stop");
             }
         }
         std::process::exit(Exit::Failed as i32);
-    });
-    stop
+    };
+    let thread = std::thread::Builder::new().name("signals".to_owned());
+    thread.stack_size(SIGNAL_STACK_BYTES).spawn(move || runtime.block_on(watch))?;
+    Ok(())
 }
 
 /// Reads a file; the error names it.
--- a/crates/azuregate/tests/serve/shutdown.rs
+++ b/crates/azuregate/tests/serve/shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    io::Write,
+    io::{Read, Write},
     process::{Command, Stdio},
     time::{Duration, Instant},
 };
@@ -81,3 +81,43 @@
     .await;
     assert!(ended.unwrap().success(), "{ended:?}");
 }
+
+/// Guards against a grace period that starts when a busy process gets to handle the signal.
+#[tokio::test]
+async fn time_of_a_signal_is_noticed_while_the_process_is_busy() {
+    const BUSY: Duration = Duration::from_millis(1_500);
+    let cluster = TestCluster::start(1).await;
+    let settings = cluster.settings_file(1);
+    fs::write(&settings, cluster.settings_text(1)).unwrap();
+    let mut process = Command::new(env!("CARGO_BIN_EXE_azuregate"))
+        .args(["serve", "--settings"])
+        .arg(&settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let pid = Pid::from_child(&process);
+    eventually("the instance is registered", async || !cluster.store.keys("instances").is_empty())
+        .await;
+    // Reading a FIFO blocks its only thread that handles requests.
+    let text = settings.with_extension("text");
+    fs::write(&text, cluster.settings_text(1)).unwrap();
+    fs::remove_file(&settings).unwrap();
+    mkfifoat(CWD, &settings, Mode::RUSR | Mode::WUSR).unwrap();
+    kill_process(pid, Signal::HUP).unwrap();
+    let path = settings.clone();
+    let opening = tokio::task::spawn_blocking(move || File::options().write(true).open(path));
+    let mut fifo = opening.await.unwrap().unwrap();
+    kill_process(pid, Signal::TERM).unwrap();
+    let signal_at = Instant::now();
+    time::sleep(BUSY).await;
+    fs::rename(&text, &settings).unwrap();
+    fifo.write_all(cluster.settings_text(1).as_bytes()).unwrap();
+    drop(fifo);
+    eventually("the process has exited", async || process.try_wait().unwrap().is_some()).await;
+    assert!(signal_at.elapsed() < Duration::from_millis(4_500), "{:?}", signal_at.elapsed());
+    let mut log = String::new();
+    process.stdout.take().unwrap().read_to_string(&mut log).unwrap();
+    let late_ms = log.split("late_ms=").nth(1).and_then(|rest| rest.split_whitespace().next());
+    let late_ms: u64 = late_ms.unwrap().parse().unwrap();
+    assert!((1_400..3_000).contains(&late_ms), "{late_ms}");
+}
