Log each request that was read, also if its client left at once

Cause: an instance reads ahead of the HTTP library, to notice that a client leaves. If the request and the end of the connection arrived together, as they do at a process that was busy for these 10 ms, the connection was dropped before the library had seen the request. It had been read and left no line. So had a request that was started early and never polled.

Now a request has its line from when its head was read. Those that the library has not handled when their client leaves are logged as cancelled, also with a body in chunks. A request that is cut by the end of the process has the code "stopped" in place of "cancelled", and the log is flushed after these lines.

--- a/crates/azuregate/src/serve/access_log.rs
+++ b/crates/azuregate/src/serve/access_log.rs
@@ -1,20 +1,21 @@
 //! The access log: one line for each request.
 
-use std::{fmt::Write, net::IpAddr};
+use std::{fmt::Write, net::IpAddr, rc::Rc};
 
 use azuregate_core::balance::Choice;
 use azuregate_platform::request;
 use hyper::{StatusCode, header::HeaderValue, http::request::Parts};
 use tokio::time::Instant;
 
-use super::pool::Connection;
+use super::{pool::Connection, state::State};
 
 /// Longer paths are truncated in the log.
 const MAX_LOGGED_PATH_CHARS: usize = 128;
 
-/// The access log entry of a request, which is logged as cancelled if it is dropped before its
-/// outcome is known.
+/// The access log entry of a request. If it is dropped before its outcome is known, the request is
+/// logged as cut by the end of the process, or else as cancelled by its client.
 pub(super) struct AccessLogEntry {
+    state: Rc<State>,
     pub(super) id: String,
     pub(super) origin: &'static str,
     pub(super) client: IpAddr,
@@ -39,7 +40,7 @@
     pub(super) deadline_ms: u64,
     /// The time from the request for a planned stop to the receipt of this request; `None` if it was
     /// received before.
-    pub(super) stopping_ms: Option<u64>,
+    stopping_ms: Option<u64>,
     /// The state that explains why no backend server was chosen; empty otherwise.
     pub(super) basis: String,
     pub(super) code: &'static str,
@@ -50,7 +51,7 @@
 impl Drop for AccessLogEntry {
     fn drop(&mut self) {
         if !self.is_logged {
-            self.code = "cancelled";
+            self.code = if self.state.has_ended.get() { "stopped" } else { "cancelled" };
             self.log(None);
         }
     }
@@ -58,6 +59,7 @@
 
 impl AccessLogEntry {
     pub(super) fn new(
+        state: &Rc<State>,
         is_forwarded: bool,
         client: IpAddr,
         parts: &Parts,
@@ -68,6 +70,7 @@
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let origin = if is_forwarded { "instance" } else { "client" };
         AccessLogEntry {
+            state: Rc::clone(state),
             origin,
             client,
             path: path.chars().take(MAX_LOGGED_PATH_CHARS).collect(),
@@ -86,7 +89,7 @@
             in_flight: 0,
             limit_per_s: String::new(),
             deadline_ms: 0,
-            stopping_ms: None,
+            stopping_ms: state.stopping_ms(received_at),
             basis: String::new(),
             code: "answered",
             received_at,
--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -103,7 +103,10 @@
         tokio::select! {
             _ = &mut connection => return,
             // The client disconnected; dropping the connection cancels its requests.
-            () = &mut read_ahead => return,
+            () = &mut read_ahead => {
+                connection_state.pipeline.log_unhandled(&state, client);
+                return;
+            }
             () = &mut close_allowed, if !is_closing => {
                 is_closing = true;
                 // Otherwise the response to the last of these requests closes the connection.
--- a/crates/azuregate/src/serve/forwarded.rs
+++ b/crates/azuregate/src/serve/forwarded.rs
@@ -17,8 +17,8 @@
 };
 
 use super::{
-    attempt_state::AttemptState, forwarding, leaving, request, response::RequestError,
-    response_body::ResponseBody, state::State,
+    access_log::AccessLogEntry, attempt_state::AttemptState, forwarding, leaving, request,
+    response::RequestError, response_body::ResponseBody, state::State,
 };
 use crate::accept;
 
@@ -68,8 +68,9 @@
     parts.headers.remove(forwarding::EXECUTIONS);
     let is_idempotent = forwarding::take_idempotent(&mut parts.headers);
     let mut attempts = AttemptState::forwarded(executions, is_idempotent);
+    let log_entry = AccessLogEntry::new(&state, true, peer.ip(), &parts, received_at);
     let body = Some(body);
-    let result = request::respond(&state, &mut attempts, peer.ip(), parts, body, received_at).await;
+    let result = request::respond(&state, &mut attempts, log_entry, parts, body, received_at).await;
     let mut response = match result {
         Ok(mut response) => {
             forwarding::remove_error_headers(response.headers_mut());
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -144,7 +144,10 @@
     stop: StopSignal,
     connector: Box<dyn Connector>,
 ) -> Result<(), Report<ServeError>> {
-    LocalSet::new().run_until(run_local(settings, file, stop, connector)).await
+    let result = LocalSet::new().run_until(run_local(settings, file, stop, connector)).await;
+    // After the tasks have been dropped, which logs requests in progress.
+    log::logger().flush();
+    result
 }
 
 async fn run_local(
@@ -178,8 +181,8 @@
     }
     spawn_local(listen::serve(Rc::clone(&state), listeners.traffic));
     shutdown::run(&state, phase).await;
+    state.has_ended.set(true);
     log::info!(instance:% = state.settings.instance; "entry instance stopped");
-    log::logger().flush();
     Ok(())
 }
 
--- a/crates/azuregate/src/serve/pipeline.rs
+++ b/crates/azuregate/src/serve/pipeline.rs
@@ -28,7 +28,8 @@
 };
 
 use super::{
-    request as handler, response_body::ResponseBody, shutdown_phase::ShutdownPhase, state::State,
+    access_log::AccessLogEntry, request as handler, response_body::ResponseBody,
+    shutdown_phase::ShutdownPhase, state::State,
 };
 
 /// Limits the started requests of one connection.
@@ -91,7 +92,10 @@
             Ok(httparse::Status::Partial) | Err(_) => return self.disable(),
         };
         let Some(parts) = request_parts(&head) else { return self.disable() };
-        let Some(body_length) = body_length(&parts.headers) else { return self.disable() };
+        let Some(body_length) = body_length(&parts.headers) else {
+            self.disable();
+            return Some(ScannedRequest { parts, has_body: true });
+        };
         self.bytes.advance(length);
         self.body_remaining_bytes = body_length;
         Some(ScannedRequest { parts, has_body: body_length > 0 })
@@ -145,10 +149,20 @@
     }
 }
 
+/// A request that has been received and not been handled.
+struct UnhandledRequest {
+    /// Its place among the requests of the connection.
+    number: u64,
+    parts: Parts,
+    received_at: Instant,
+}
+
 /// The pipelined requests of one connection.
 #[derive(Default)]
 pub(super) struct Pipeline {
     started: RefCell<VecDeque<StartedRequest>>,
+    /// Requests that hyper has not read yet and that were not started.
+    unhandled: RefCell<VecDeque<UnhandledRequest>>,
     /// The number of requests whose heads were scanned.
     scanned: Cell<u64>,
     /// The number of requests that hyper has read.
@@ -163,20 +177,23 @@
     /// Adds a received request, and starts it if it is pipelined behind another one.
     pub(super) fn push(&self, state: &Rc<State>, client: IpAddr, request: ScannedRequest) {
         let number = self.scanned.replace(self.scanned.get() + 1);
-        if !request.is_read() {
+        let is_read = request.is_read();
+        if !is_read {
             self.reads_from.set(number + 1);
-            return;
         }
         let finished = self.finished.get();
         // A read behind a write has to see its effect.
         let is_behind_reads = finished < number && finished >= self.reads_from.get();
         let parts = request.parts;
         let mut started = self.started.borrow_mut();
-        if !is_behind_reads
+        if !is_read
+            || !is_behind_reads
             || started.len() >= MAX_STARTED_REQUESTS
             || *state.phase.borrow() >= ShutdownPhase::ClosingIdle
             || !handler::can_start_early(state, &parts)
         {
+            let unhandled = UnhandledRequest { number, parts, received_at: Instant::now() };
+            self.unhandled.borrow_mut().push_back(unhandled);
             return;
         }
         let uri = parts.uri.clone();
@@ -208,6 +225,14 @@
         self.begun.get() < self.scanned.get()
     }
 
+    /// Logs the requests that were received before their client disconnected and not handled.
+    pub(super) fn log_unhandled(&self, state: &Rc<State>, client: IpAddr) {
+        for UnhandledRequest { parts, received_at, .. } in self.unhandled.take() {
+            // Logged as cancelled.
+            drop(AccessLogEntry::new(state, false, client, &parts, received_at));
+        }
+    }
+
     /// Marks the current request as responded to.
     pub(super) fn finish_current(&self) {
         self.finished.set(self.finished.get() + 1);
@@ -221,6 +246,8 @@
     fn take(&self, parts: &Parts) -> Option<StartedRequest> {
         let number = self.begun.replace(self.begun.get() + 1);
         let id = parts.headers.get(request::REQUEST_ID);
+        let mut unhandled = self.unhandled.borrow_mut();
+        while unhandled.pop_front_if(|unhandled| unhandled.number <= number).is_some() {}
         let mut started = self.started.borrow_mut();
         let is_past = |started: &StartedRequest| started.number < number;
         while started.front().is_some_and(is_past) {
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -29,16 +29,21 @@
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
 /// Handles a request of `client` whose head was received at `received_at`.
-pub(super) async fn handle(
+///
+/// It has a line in the log also if the future is never polled.
+pub(super) fn handle(
     state: Rc<State>,
     client: IpAddr,
     parts: Parts,
     body: Option<Incoming>,
     received_at: Instant,
-) -> Response<ResponseBody> {
-    let mut attempts = AttemptState::default();
-    let result = respond(&state, &mut attempts, client, parts, body, received_at).await;
-    result.unwrap_or_else(RequestError::into_response)
+) -> impl Future<Output = Response<ResponseBody>> {
+    let log_entry = AccessLogEntry::new(&state, false, client, &parts, received_at);
+    async move {
+        let mut attempts = AttemptState::default();
+        let result = respond(&state, &mut attempts, log_entry, parts, body, received_at).await;
+        result.unwrap_or_else(RequestError::into_response)
+    }
 }
 
 /// Handles a request, and records its outcome.
@@ -49,13 +54,11 @@
 pub(super) async fn respond(
     state: &Rc<State>,
     attempts: &mut AttemptState,
-    sender: IpAddr,
+    mut log_entry: AccessLogEntry,
     parts: Parts,
     body: Option<Incoming>,
     received_at: Instant,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let mut log_entry = AccessLogEntry::new(attempts.is_forwarded, sender, &parts, received_at);
-    log_entry.stopping_ms = state.stopping_ms(received_at);
     let result = serve(state, attempts, parts, body, received_at, &mut log_entry).await;
     let status = match &result {
         Ok(response) => response.status(),
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -83,6 +83,8 @@
     pub(super) connections: Cell<usize>,
     /// The number of requests in progress that other instances forwarded.
     pub(super) forwarded_in_progress: Cell<usize>,
+    /// Whether the planned stop has ended, with requests in progress or without.
+    pub(super) has_ended: Cell<bool>,
     config: RefCell<Option<Arc<Config>>>,
     bounds: RefCell<Bounds>,
     retry_budgets: RefCell<RetryBudgets>,
@@ -137,6 +139,7 @@
             unknown_member: Notify::new(),
             connections: Cell::new(0),
             forwarded_in_progress: Cell::new(0),
+            has_ended: Cell::new(false),
             config: RefCell::new(None),
             bounds: RefCell::new(settings.bounds.clone()),
             retry_budgets: RefCell::new(RetryBudgets::new(retry_limits(&settings.bounds))),
--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -22,6 +22,7 @@
 mod refusals;
 mod relay;
 mod reload;
+mod request_lines;
 mod responses;
 mod shutdown;
 mod slow_links;
--- a/crates/azuregate/tests/serve/process.rs
+++ b/crates/azuregate/tests/serve/process.rs
@@ -1,12 +1,15 @@
-//! An entry instance that runs as a process, so that its memory can be measured.
+//! An entry instance that runs as a process, so that it can get signals, and its memory and its log be
+//! read.
 
 use std::{
-    fs,
+    fs::{self, File},
     net::SocketAddr,
+    path::PathBuf,
     process::{Child, Command, Stdio},
 };
 
 use azuregate_platform::settings::Settings;
+use rustix::process::{Pid, Signal, kill_process};
 
 use crate::cluster::{METRICS_PORT, TestCluster, eventually, metric, readiness_status};
 
@@ -14,6 +17,7 @@
 pub(crate) struct Process {
     pub(crate) traffic_addr: SocketAddr,
     metrics_addr: SocketAddr,
+    log: PathBuf,
     child: Child,
 }
 
@@ -24,11 +28,12 @@
         let settings = Settings::parse(&text).unwrap();
         let file = cluster.settings_file(number);
         fs::write(&file, &text).unwrap();
+        let log = file.with_extension("log");
         let child = Command::new(env!("CARGO_BIN_EXE_azuregate"))
             .arg("serve")
             .env("AZUREGATE_SETTINGS", file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(File::create(&log).unwrap())
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
@@ -38,10 +43,28 @@
         Process {
             traffic_addr: settings.traffic_addr,
             metrics_addr: SocketAddr::new(settings.ip, METRICS_PORT),
+            log,
             child,
         }
     }
 
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Returns whether the process has ended.
+    pub(crate) fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
+    /// Returns the log line of the request `id`.
+    pub(crate) fn request_line(&self, id: &str) -> Option<String> {
+        let log = fs::read_to_string(&self.log).unwrap();
+        let line = log.lines().find(|line| line.contains(&format!("message=request id={id} ")));
+        line.map(str::to_owned)
+    }
+
     /// Returns the value of a metric without labels.
     pub(crate) async fn metric(&self, name: &str) -> u64 {
         metric(self.metrics_addr, name).await
