Play planned stops in series in the soak, and write up the stops

What callers would see without it: the soak stopped instances under requests of 40 ms only, so it could not show a request that is cut since it was read too late to end.

planned_stops_cut_no_request stops real processes one after the other, some overlapping, while clients keep their connections and older look-ups; one request in 16 is a write of 3.6 s. No request may be cut, and none that was refused be executed.

--- a/crates/azuregate/tests/soak/main.rs
+++ b/crates/azuregate/tests/soak/main.rs
@@ -13,6 +13,8 @@
 * `AZUREGATE_SOAK_BINARY=FILE ...` starts that program as the instances, such as an earlier version.
 * `AZUREGATE_REFUSALS_S=80 cargo test -p azuregate --test soak refused -- --nocapture` plays refusals
   for longer, and `AZUREGATE_ANSWERS_SEEDS=20 ... answers` random seeds of answers of all kinds.
+* `AZUREGATE_STOPS=12 AZUREGATE_STOPS_SEED=7 ... planned_stops -- --nocapture` plays more stops in series, and with
+  `AZUREGATE_STOPS_MIXED=1` routes on which long requests are rare, some of which are cut.
 */
 
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
@@ -35,6 +37,7 @@
 mod refusals;
 mod retries;
 mod run;
+mod stops;
 
 /// Availability zones and their regions, as in the settings fixture.
 const ZONES: [(&str, &str); 3] =
--- a/crates/azuregate/tests/soak/run.rs
+++ b/crates/azuregate/tests/soak/run.rs
@@ -412,6 +412,15 @@
         faults.iter().any(|&(other, begin, end)| other == server && begin <= to && end >= from)
     }
 
+    /// Adds routes of writes, and sets the timeout of all routes.
+    pub(crate) fn set_timeouts(&self, write_prefixes: &[&str], timeout: Duration) {
+        let mut config = self.config.lock().unwrap();
+        config.version += 1;
+        config.timeout_ms = u64::try_from(timeout.as_millis()).unwrap();
+        config.extra_write_prefixes = write_prefixes.iter().map(|&p| p.to_owned()).collect();
+        self.store.put("op", "config", config_row(&config));
+    }
+
     fn publish_config(&self) {
         let mut config = self.config.lock().unwrap();
         config.version += 1;
