Give the soak's stops a seed of their own

Cause: a run's folder is named after its seed, its number of instances and the test process. planned_stops_cut_no_request took seed 1 with three instances, as that test does, and both run at the same time: one overwrote the settings of the other's instances.

Its seed is 46 now, which no other test has.

--- a/crates/azuregate/tests/soak/stops.rs
+++ b/crates/azuregate/tests/soak/stops.rs
@@ -23,7 +23,8 @@
     run::{self, Deployment},
 };
 
-const DEFAULT_SEED: u64 = 1;
+/// No other test of this program uses it, since it names the folder of the run.
+const DEFAULT_SEED: u64 = 46;
 const INSTANCES: usize = 3;
 const CLIENTS: usize = 20;
 const DEFAULT_STOPS: usize = 3;
