Test an instance under crowds of clients that do not behave

Each test starts one process with 96 MB and 500 file descriptors in its settings, opens a small crowd that stays connected, and checks that the process lives, that its memory together with the bytes in its sockets and its descriptors stay within these, and that an ordinary read and write are served afterwards.

--- /dev/null
+++ b/crates/azuregate/tests/misbehaving_clients/connections.rs
@@ -0,0 +1,111 @@
+//! Crowds that keep connections open without sending bodies.
+
+use std::time::Duration;
+
+use azuregate_platform::fakes::Behaviour;
+
+use crate::{
+    crowd::{Crowd, Payload},
+    machine::{Machine, ROUTE_TIMEOUT_MS},
+};
+
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+fn repeated(head: &str, piece: &str, pieces: usize) -> Payload {
+    Payload {
+        head: head.to_owned(),
+        piece: piece.as_bytes().to_vec().into(),
+        pieces,
+        rest: Vec::new().into(),
+        interval: Duration::ZERO,
+    }
+}
+
+fn read(number: usize) -> String {
+    format!(
+        "GET /read/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: c{number}\r\n\
+         X-Deadline-Ms: {ROUTE_TIMEOUT_MS}\r\n\r\n"
+    )
+}
+
+/// Guards against running out of file descriptors on connections without a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let crowd = Crowd::start(machine.process.traffic_addr, 700, &repeated("", "", 0));
+    machine.settle(&crowd.sent_bytes).await;
+    machine.check().await;
+}
+
+/// Guards against the same on connections to all ports that clients reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_to_other_ports() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let idle = repeated("", "", 0);
+    let addrs = [machine.process.lookup_addr, machine.forwarding_addr()];
+    let crowds = addrs.map(|addr| Crowd::start(addr, 500, &idle));
+    for crowd in &crowds {
+        machine.settle(&crowd.sent_bytes).await;
+    }
+    machine.check().await;
+}
+
+/// Guards against partial heads, on more connections than the process may have.
+#[tokio::test(flavor = "multi_thread")]
+async fn partial_heads() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let head = "GET /read/x HTTP/1.1\r\nHost: shop.example\r\nX-Filler: ";
+    let partial = repeated(head, &"x".repeat(1_000), 15);
+    let crowd = Crowd::start(machine.process.traffic_addr, 700, &partial);
+    machine.settle(&crowd.sent_bytes).await;
+    machine.check().await;
+}
+
+/// Guards against partial heads of lookups and of forwarded requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn partial_heads_on_other_ports() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let head = "GET /-/resolve HTTP/1.1\r\nHost: shop.example\r\nX-Filler: ";
+    let partial = repeated(head, &"x".repeat(10_000), 38);
+    let addrs = [machine.process.lookup_addr, machine.forwarding_addr()];
+    let crowds = addrs.map(|addr| Crowd::start(addr, 150, &partial));
+    for crowd in &crowds {
+        machine.settle(&crowd.sent_bytes).await;
+    }
+    machine.check().await;
+}
+
+/// Guards against pipelined requests that wait behind a slow one.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_requests() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let slow = Behaviour::Delay(Duration::from_millis(u64::from(u16::MAX)));
+    machine.cluster.backends.iter().for_each(|backend| backend.set(slow.clone()));
+    let crowd = Crowd::start(machine.process.traffic_addr, 120, &repeated("", &read(0), 2_000));
+    machine.settle(&crowd.sent_bytes).await;
+    machine.cluster.backends.iter().for_each(|backend| backend.set(Behaviour::Respond));
+    machine.check().await;
+}
+
+/// Guards against responses that their clients do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_responses() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let large = Behaviour::RespondBytes(60_000);
+    machine.cluster.backends.iter().for_each(|backend| backend.set(large.clone()));
+    let crowd = Crowd::start(machine.process.traffic_addr, 150, &repeated("", &read(0), 200));
+    machine.settle(&crowd.sent_bytes).await;
+    machine.cluster.backends.iter().for_each(|backend| backend.set(Behaviour::Respond));
+    machine.check().await;
+}
+
+/// Guards against lookups whose clients do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_lookups() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let lookup = "GET /-/resolve?name=shop.example&region=r&zone=z HTTP/1.1\r\nHost: x\r\n\r\n";
+    let lookups = repeated("", &lookup.repeat(100), 400);
+    let crowd = Crowd::start(machine.process.lookup_addr, 150, &lookups);
+    machine.settle(&crowd.sent_bytes).await;
+    machine.check().await;
+}
--- a/crates/azuregate/tests/serve/process.rs
+++ b/crates/azuregate/tests/serve/process.rs
@@ -16,6 +16,7 @@
 /// A process that ends when this is dropped.
 pub(crate) struct Process {
     pub(crate) traffic_addr: SocketAddr,
+    pub(crate) lookup_addr: SocketAddr,
     metrics_addr: SocketAddr,
     log: PathBuf,
     child: Child,
@@ -24,7 +25,12 @@
 impl Process {
     /// Starts an instance and waits until it is ready.
     pub(crate) async fn start(cluster: &TestCluster, number: u8) -> Process {
-        let text = cluster.settings_text(number);
+        Process::start_with(cluster, number, "").await
+    }
+
+    /// Starts an instance with further lines of settings, and waits until it is ready.
+    pub(crate) async fn start_with(cluster: &TestCluster, number: u8, lines: &str) -> Process {
+        let text = cluster.settings_text(number) + lines;
         let settings = Settings::parse(&text).unwrap();
         let file = cluster.settings_file(number);
         fs::write(&file, &text).unwrap();
@@ -42,12 +48,23 @@
             .await;
         Process {
             traffic_addr: settings.traffic_addr,
+            lookup_addr: settings.lookup_addr,
             metrics_addr: SocketAddr::new(settings.ip, METRICS_PORT),
             log,
             child,
         }
     }
 
+    /// Returns the process ID.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns all lines that the process has logged.
+    pub(crate) fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap()
+    }
+
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
--- a/crates/platform/src/fakes/behaviour.rs
+++ b/crates/platform/src/fakes/behaviour.rs
@@ -59,6 +59,8 @@
     CloseDelimitedReset,
     /// Sends a long response, its second half after this delay.
     Stream(Duration),
+    /// Responds with a body of this many bytes.
+    RespondBytes(usize),
     /// Responds with success but without `X-Response-Signature`.
     Unsigned,
     /// Responds with success but without the request's ID.
@@ -118,6 +120,7 @@
 ) -> String {
     let body = match behaviour {
         Behaviour::Stream(_) => "x".repeat(LONG_RESPONSE_BYTES),
+        Behaviour::RespondBytes(bytes) => "x".repeat(*bytes),
         _ => format!("answer to {id}"),
     };
     let success_for = |id: &str| success(id, Some(body.len()), &body);
@@ -125,6 +128,7 @@
         Behaviour::Respond
         | Behaviour::Delay(_)
         | Behaviour::Stream(_)
+        | Behaviour::RespondBytes(_)
         | Behaviour::AnswerBeforeBody => success_for(id),
         Behaviour::Reject | Behaviour::RejectBeforeBody => rejection(503, &named(id)),
         Behaviour::Refuse { status, is_signed } => {
