Charge what clients hold to one account, and make them give way

What callers saw: an instance ended, with all requests in progress, when clients sent many large bodies at once and stalled just short of their end, or opened more connections than it has descriptors.

Cause: nobody accounted for memory. Bodies were collected whole in a buffer that doubles as it grows, up to the body limit on each connection; the settings' memoryMb and maxFds were not read; the ports for lookups and for forwarded requests took heads of 400 KiB without any timeout.

All connections are now charged to one account, by capacity. A body is kept in segments of 64 KiB at most that are charged before they are allocated, so nothing doubles and nothing is copied, and sent from there to backend servers. When there is no room, a connection that has waited for its client for 500 ms gives way, by the product of its bytes and time; a segment is progress, a byte is not, so a client that trickles stalls as well. If nobody stalls, a body takes memory from those that began after it, so the oldest always completes and bodies never wait for each other; the youngest waits for a second, in which the others complete or stall. Bodies of more than 64 KiB leave a quarter of the memory to other requests. A request that gives way is refused with 503 and Retry-After before anything was sent; if it has none, its connection is closed. What is left of a refused body is read and discarded for half a second, so that the refusal reaches its client.

One body of the largest size is still served.

In the harness, what servers do to the crowd of pipelined requests is now 6 s instead of 65 s: their slots were full for longer than the test waits, which is no matter of memory. The retry ratio is that of the platform instead of the fixture's 1000, whose tokens alone took up to 2 GiB: that is a fault of its own. The crowd of unread responses has 300 clients instead of 150, since it needs more memory without them.

--- a/crates/azuregate-core/src/balance/quarantine/report.rs
+++ b/crates/azuregate-core/src/balance/quarantine/report.rs
@@ -20,10 +20,21 @@
 impl Fingerprint {
     /// Returns the fingerprint of a request that consists of `parts`.
     pub fn new<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Fingerprint {
+        Fingerprint::of_segments(parts.into_iter().map(|part| [part]))
+    }
+
+    /// Returns the fingerprint of a request that consists of `parts`, of which each is in segments. It does not
+    /// depend on where a part is divided.
+    pub fn of_segments<'a, Part>(parts: impl IntoIterator<Item = Part>) -> Fingerprint
+    where
+        Part: AsRef<[&'a [u8]]>,
+    {
         let mut hasher = Xxh3::new();
         for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+            let segments = part.as_ref();
+            let bytes: usize = segments.iter().map(|segment| segment.len()).sum();
+            hasher.update(&(bytes as u64).to_le_bytes());
+            segments.iter().for_each(|segment| hasher.update(segment));
         }
         Fingerprint(hasher.digest())
     }
--- a/crates/azuregate-core/src/balance/retry_after.rs
+++ b/crates/azuregate-core/src/balance/retry_after.rs
@@ -11,6 +11,8 @@
     NoCapacity,
     /// All backend servers limit the rate of their requests, and their limits are used up.
     RateLimited,
+    /// Clients hold all the memory of the instance that they may.
+    NoMemory,
     /// The instance is stopping. Others have room.
     Stopping,
 }
@@ -33,6 +35,8 @@
             RetryReason::StaleState => 100..=400,
             RetryReason::NoCapacity => 30..=150,
             RetryReason::RateLimited => 100..=500,
+            // By then, clients that stall have given way.
+            RetryReason::NoMemory => 100..=500,
             RetryReason::Stopping => 0..=0,
         }
     }
--- a/crates/azuregate-core/src/lib.rs
+++ b/crates/azuregate-core/src/lib.rs
@@ -23,6 +23,7 @@
 * [`shift`] computes the progress of traffic shifts and limits what moves.
 * [`steer`] selects the availability zones that a request may be sent to.
 * [`claim`] decides whether a request with an idempotency key may run.
+* [`client_memory`] limits what clients make an instance hold.
 * [`home`] does the same for keys that belong to one start of an instance.
 * [`balance`] selects a backend server by the object that a request concerns.
 * [`replica`] holds copies of the store's tables and tracks whether they are fresh.
@@ -39,6 +40,7 @@
 pub mod balance;
 pub mod blocks;
 pub mod claim;
+pub mod client_memory;
 pub mod entries;
 pub mod error;
 pub mod home;
--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -8,7 +8,7 @@
 use azuregate_core::balance::{Choice, Outcome, ResponseHead, ResponseKind};
 use azuregate_platform::request;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Method, Request, Response, Version,
     body::{Body, Incoming},
@@ -23,7 +23,9 @@
     leaving, metrics,
     outgoing_request::OutgoingRequest,
     pool::SendError,
-    pushback, rate_limits, reachability, response,
+    pushback, rate_limits, reachability,
+    request_body::RequestBody,
+    response,
     response_body::{ResponseBody, StreamedFrom},
     state::State,
 };
@@ -160,7 +162,7 @@
     read_response(state, choice, outgoing, in_flight, head, taken_ms).await
 }
 
-fn build_request(choice: &Choice, outgoing: &OutgoingRequest) -> Request<Full<Bytes>> {
+fn build_request(choice: &Choice, outgoing: &OutgoingRequest) -> Request<RequestBody> {
     let mut request = outgoing.to_request();
     if let Ok(id) = HeaderValue::from_str(choice.backend.id.as_str()) {
         request.headers_mut().insert(request::TARGET_BACKEND, id);
--- a/crates/azuregate/src/serve/attempt_state.rs
+++ b/crates/azuregate/src/serve/attempt_state.rs
@@ -11,6 +11,8 @@
     pub(super) is_forwarded: bool,
     /// Whether the instance that forwarded the request forbids to execute it more than once.
     pub(super) is_at_most_once: bool,
+    /// Whether the whole body of the request has been received.
+    pub(super) has_received_body: bool,
     /// Servers excluded from further attempts.
     pub(super) tried: Vec<BackendHandle>,
     /// The number of attempts, including rejected ones.
--- a/crates/azuregate/src/serve/client_stream.rs
+++ b/crates/azuregate/src/serve/client_stream.rs
@@ -5,13 +5,12 @@
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll, Waker},
+    task::{Context, Poll, Waker, ready},
 };
 
-use bytes::{Buf, BytesMut};
 use hyper::rt::{self, ReadBufCursor};
 use tokio::{
-    io::{AsyncReadExt, AsyncWrite},
+    io::AsyncWrite,
     net::{
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -19,22 +18,51 @@
     sync::Notify,
 };
 
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
-const MIN_READ_CAPACITY_BYTES: usize = 4 << 10;
+use super::client_memory::ConnectionMemory;
+
+const READ_AHEAD_BYTES: usize = 16 << 10;
 
 /// The buffer between [`ReadAhead`] and [`ClientStream`].
 #[derive(Default)]
 struct ReadBuffer {
-    bytes: BytesMut,
+    bytes: Vec<u8>,
+    /// The number of `bytes` that the HTTP server has read.
+    read_bytes: usize,
     is_eof: bool,
+    /// Whether the HTTP server reads no more.
+    is_discarding: bool,
     reader_waker: Option<Waker>,
 }
 
+impl ReadBuffer {
+    fn unread(&self) -> &[u8] {
+        &self.bytes[self.read_bytes..]
+    }
+
+    fn consume(&mut self, count: usize) {
+        self.read_bytes += count;
+        if self.unread().is_empty() {
+            self.bytes = Vec::new();
+            self.read_bytes = 0;
+        }
+    }
+
+    /// Makes space for all that may be read ahead.
+    fn reserve(&mut self) {
+        if self.is_discarding {
+            self.read_bytes = self.bytes.len();
+        }
+        self.bytes.drain(..std::mem::take(&mut self.read_bytes));
+        self.bytes.reserve_exact(READ_AHEAD_BYTES - self.bytes.len());
+    }
+}
+
 /// The stream that the HTTP server reads from and writes to.
 pub(super) struct ClientStream {
     shared: Rc<RefCell<ReadBuffer>>,
-    space_available: Rc<Notify>,
+    resume: Rc<Notify>,
     writer: OwnedWriteHalf,
+    memory: Rc<ConnectionMemory>,
 }
 
 /// Reads from the socket into the buffer.
@@ -44,38 +72,41 @@
 /// and would not cancel the request at the backend server.
 pub(super) struct ReadAhead {
     shared: Rc<RefCell<ReadBuffer>>,
-    space_available: Rc<Notify>,
+    resume: Rc<Notify>,
     reader: OwnedReadHalf,
 }
 
 /// Splits a connection into the HTTP server's stream and its read-ahead task.
-pub(super) fn split(stream: TcpStream) -> (ClientStream, ReadAhead) {
+pub(super) fn split(stream: TcpStream, memory: Rc<ConnectionMemory>) -> (ClientStream, ReadAhead) {
     let (reader, writer) = stream.into_split();
     let shared = Rc::new(RefCell::new(ReadBuffer::default()));
-    let space_available = Rc::new(Notify::new());
-    let client = ClientStream {
-        shared: Rc::clone(&shared),
-        space_available: Rc::clone(&space_available),
-        writer,
-    };
-    (client, ReadAhead { shared, space_available, reader })
+    let resume = Rc::new(Notify::new());
+    let client =
+        ClientStream { shared: Rc::clone(&shared), resume: Rc::clone(&resume), writer, memory };
+    (client, ReadAhead { shared, resume, reader })
 }
 
 impl ReadAhead {
-    /// Reads until the client closes the connection, passing all bytes to `on_bytes`
-    /// before the HTTP server can read them.
-    pub(super) async fn run(mut self, mut on_bytes: impl FnMut(&[u8])) {
-        let mut bytes = BytesMut::new();
+    /// Reads until the client closes the connection, passing all bytes to `on_bytes` before the HTTP server
+    /// can read them.
+    pub(super) async fn run(self, mut on_bytes: impl FnMut(&[u8])) {
         loop {
-            while self.shared.borrow().bytes.len() >= MAX_READ_AHEAD_BYTES {
-                self.space_available.notified().await;
+            while self.is_buffer_full() {
+                self.resume.notified().await;
             }
-            bytes.reserve(MIN_READ_CAPACITY_BYTES);
-            let is_eof = !matches!(self.reader.read_buf(&mut bytes).await, Ok(1..));
-            on_bytes(&bytes);
+            let is_readable = self.reader.readable().await.is_ok();
             let mut shared = self.shared.borrow_mut();
+            shared.reserve();
+            let unread = shared.bytes.len();
+            let result = self.reader.try_read_buf(&mut shared.bytes);
+            if result.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
+                // Otherwise an idle connection keeps the buffer.
+                shared.consume(0);
+                continue;
+            }
+            let is_eof = !is_readable || !matches!(result, Ok(1..));
+            on_bytes(&shared.bytes[unread..]);
             shared.is_eof = is_eof;
-            shared.bytes.unsplit(bytes.split());
             if let Some(waker) = shared.reader_waker.take() {
                 waker.wake();
             }
@@ -84,6 +115,11 @@
             }
         }
     }
+
+    fn is_buffer_full(&self) -> bool {
+        let shared = self.shared.borrow();
+        !shared.is_discarding && shared.unread().len() >= READ_AHEAD_BYTES
+    }
 }
 
 impl rt::Read for ClientStream {
@@ -93,25 +129,34 @@
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let mut shared = self.shared.borrow_mut();
-        if shared.bytes.is_empty() && !shared.is_eof {
+        if shared.unread().is_empty() && !shared.is_eof {
             shared.reader_waker = Some(cx.waker().clone());
             return Poll::Pending;
         }
-        let count = shared.bytes.len().min(buffer.remaining());
-        buffer.put_slice(&shared.bytes[..count]);
-        shared.bytes.advance(count);
-        self.space_available.notify_one();
+        let count = shared.unread().len().min(buffer.remaining());
+        buffer.put_slice(&shared.unread()[..count]);
+        shared.consume(count);
+        self.resume.notify_one();
         Poll::Ready(Ok(()))
     }
 }
 
+impl ClientStream {
+    /// Records whether the client keeps a write from being accepted.
+    fn note<T>(&mut self, polled: Poll<T>) -> Poll<T> {
+        self.memory.set_write_blocked(polled.is_pending());
+        polled
+    }
+}
+
 impl rt::Write for ClientStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.writer).poll_write(cx, bytes)
+        let polled = Pin::new(&mut self.writer).poll_write(cx, bytes);
+        self.note(polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -119,7 +164,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.writer).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.writer).poll_shutdown(cx))?;
+        self.shared.borrow_mut().is_discarding = true;
+        self.resume.notify_one();
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -131,6 +179,7 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.writer).poll_write_vectored(cx, parts)
+        let polled = Pin::new(&mut self.writer).poll_write_vectored(cx, parts);
+        self.note(polled)
     }
 }
--- a/crates/azuregate/src/serve/endpoints.rs
+++ b/crates/azuregate/src/serve/endpoints.rs
@@ -5,19 +5,19 @@
 use azuregate_platform::request::{LOOKUP_PATH, Lookup, READINESS_PATH, encode_lookup_response};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
-};
-use hyper_util::rt::TokioIo;
+use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
 use tokio::{net::TcpListener, task::spawn_local};
 
-use super::{metrics::Gauges, response::full_response, state::State};
+use super::{
+    bounded_connection, client_memory::Port, metrics::Gauges, response::full_response, state::State,
+};
 use crate::accept;
 
 /// The TTL of lookup results. A short TTL directs clients away from a stopped instance
 /// soon, at the cost of one lookup per client and TTL.
 pub(super) const LOOKUP_TTL_MS: u64 = 2_000;
 
+const MAX_HEAD_BYTES: usize = 16 << 10;
 const METRICS_PATH: &str = "/metrics";
 
 /// The audience of a port, which determines the available endpoints.
@@ -32,16 +32,14 @@
 /// Serves the endpoints of one port until the process ends.
 pub(super) async fn serve(state: Rc<State>, listener: TcpListener, audience: Audience) {
     loop {
-        let (stream, _) = accept::next(&listener).await;
+        let (stream, peer) = accept::next(&listener).await;
+        let Some(memory) = state.client_memory.open(Port::Endpoints, peer.ip()) else { continue };
         let state = Rc::clone(&state);
-        spawn_local(async move {
-            let service = service_fn(move |request| {
-                let response = respond(&state, audience, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            // An error means that the client disconnected.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        let service = service_fn(move |request| {
+            let response = respond(&state, audience, &request);
+            async move { Ok::<_, Infallible>(response) }
         });
+        spawn_local(bounded_connection::serve(stream, memory, MAX_HEAD_BYTES, service));
     }
 }
 
@@ -70,6 +68,8 @@
     let gauges = Gauges {
         is_ready: state.is_ready(),
         connections: state.connections.get(),
+        client_usage: state.client_memory.usage(),
+        client_limits: state.client_memory.limits(),
         instances: state.members.borrow().len(),
         followers: state.followers.get(),
         is_watching: *state.is_watching.borrow(),
@@ -81,7 +81,8 @@
         config_version: state.config().map(|config| config.version()),
         age_ms: state.contact.borrow().age_ms(state.now_ms()),
     };
-    full_response(StatusCode::OK, "text/plain", state.metrics.render(gauges).into_bytes())
+    let text = state.metrics.render(gauges, &state.client_memory.counters);
+    full_response(StatusCode::OK, "text/plain", text.into_bytes())
 }
 
 fn lookup(state: &State, query: &str) -> Response<Full<Bytes>> {
--- a/crates/azuregate/src/serve/forwarded.rs
+++ b/crates/azuregate/src/serve/forwarded.rs
@@ -5,11 +5,7 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc};
 
-use hyper::{
-    Request, Response, body::Incoming, header::HeaderValue, server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::TokioIo;
+use hyper::{Request, Response, body::Incoming, header::HeaderValue, service::service_fn};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -17,24 +13,43 @@
 };
 
 use super::{
-    access_log::AccessLogEntry, attempt_state::AttemptState, forwarding, leaving, request,
-    response::RequestError, response_body::ResponseBody, state::State,
+    access_log::AccessLogEntry,
+    attempt_state::AttemptState,
+    bounded_connection,
+    client_memory::{ConnectionMemory, Port},
+    forwarding, leaving,
+    request::{self, ReceivedRequest},
+    response::RequestError,
+    response_body::ResponseBody,
+    state::State,
 };
 use crate::accept;
 
+/// What another instance adds to the head that its client sent.
+const MAX_OWN_HEAD_BYTES: usize = 8 << 10;
+
 /// Takes forwarded requests until the process ends.
 pub(super) async fn serve(state: Rc<State>, listener: TcpListener) {
     loop {
         let (stream, peer) = accept::next(&listener).await;
-        spawn_local(serve_connection(Rc::clone(&state), stream, peer));
+        let Some(memory) = state.client_memory.open(Port::Forwarded, peer.ip()) else { continue };
+        spawn_local(serve_connection(Rc::clone(&state), stream, peer, memory));
     }
 }
 
-async fn serve_connection(state: Rc<State>, stream: TcpStream, peer: SocketAddr) {
+async fn serve_connection(
+    state: Rc<State>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    memory: Rc<ConnectionMemory>,
+) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| handle(Rc::clone(&state), peer, request));
-    // An error means that the other instance disconnected.
-    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    let head_bytes = state.config().map_or(0, |config| config.limits().header_bytes);
+    let service = service_fn({
+        let memory = Rc::clone(&memory);
+        move |request| handle(Rc::clone(&state), peer, Rc::clone(&memory), request)
+    });
+    bounded_connection::serve(stream, memory, head_bytes + MAX_OWN_HEAD_BYTES, service).await;
 }
 
 /// Counts a forwarded request that is in progress until dropped, which is when its response has been
@@ -57,6 +72,7 @@
 async fn handle(
     state: Rc<State>,
     peer: SocketAddr,
+    memory: Rc<ConnectionMemory>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let in_progress = InProgress::new(&state);
@@ -69,8 +85,8 @@
     let is_idempotent = forwarding::take_idempotent(&mut parts.headers);
     let mut attempts = AttemptState::forwarded(executions, is_idempotent);
     let log_entry = AccessLogEntry::new(&state, true, peer.ip(), &parts, received_at);
-    let body = Some(body);
-    let result = request::respond(&state, &mut attempts, log_entry, parts, body, received_at).await;
+    let received = ReceivedRequest { parts, body: Some(body), received_at, memory };
+    let result = request::respond(&state, &mut attempts, log_entry, received).await;
     let mut response = match result {
         Ok(mut response) => {
             forwarding::remove_error_headers(response.headers_mut());
--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -4,17 +4,24 @@
 
 use azuregate_platform::settings::Settings;
 use error_stack::{Report, ResultExt};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, UdpSocket},
     task::spawn_local,
 };
 
-use super::{ServeError, connection, shutdown, shutdown_phase::ShutdownPhase, state::State};
+use super::{
+    ServeError, client_memory::Port, connection, shutdown, shutdown_phase::ShutdownPhase,
+    state::State,
+};
 use crate::accept;
 
 /// The metrics port of every instance, as `deploy/system.toml` declares it.
 const METRICS_PORT: u16 = 9_464;
 
+/// What a connection may receive before it is read.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+
 /// The bound sockets of an entry instance.
 pub(super) struct Listeners {
     pub(super) traffic: TcpListener,
@@ -60,10 +67,13 @@
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener, Report<ServeError>> {
-    TcpListener::bind(addr)
+    let listener = TcpListener::bind(addr)
         .await
         .change_context(ServeError)
-        .attach_with(|| format!("cannot listen on {addr}"))
+        .attach_with(|| format!("cannot listen on {addr}"))?;
+    // Accepted connections have it as well. Otherwise it grows to megabytes.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    Ok(listener)
 }
 
 /// Accepts client connections until the shutdown closes the listener.
@@ -74,10 +84,11 @@
             accepted = accept::next(&listener) => accepted,
             () = &mut closed => return,
         };
+        let Some(memory) = state.client_memory.open(Port::Traffic, peer.ip()) else { continue };
         let state = Rc::clone(&state);
         spawn_local(async move {
             state.connections.set(state.connections.get() + 1);
-            connection::serve(Rc::clone(&state), stream, peer.ip()).await;
+            connection::serve(Rc::clone(&state), stream, peer.ip(), memory).await;
             state.connections.set(state.connections.get() - 1);
         });
     }
--- a/crates/azuregate/src/serve/metrics.rs
+++ b/crates/azuregate/src/serve/metrics.rs
@@ -6,8 +6,11 @@
     fmt::Write,
 };
 
+use azuregate_core::client_memory::{Limits, Usage};
 use hdrhistogram::Histogram;
 
+use super::client_memory::EvictionCounters;
+
 /// Longer latencies are recorded as this value.
 const MAX_LATENCY_MS: u64 = 60_000;
 /// Bounds memory, since each route that was ever configured adds series.
@@ -75,6 +78,10 @@
     pub(super) is_ready: bool,
     /// Open client connections.
     pub(super) connections: usize,
+    /// What clients hold.
+    pub(super) client_usage: Usage,
+    /// What clients may hold.
+    pub(super) client_limits: Limits,
     /// Registered instances.
     pub(super) instances: usize,
     /// Instances that follow this one.
@@ -148,7 +155,7 @@
     }
 
     /// Renders all metrics as text, one per line.
-    pub(super) fn render(&self, gauges: Gauges) -> String {
+    pub(super) fn render(&self, gauges: Gauges, evictions: &EvictionCounters) -> String {
         let mut text = String::new();
         let mut line = |line: std::fmt::Arguments<'_>| {
             let _ = text.write_fmt(line);
@@ -156,6 +163,14 @@
         };
         line(format_args!("azuregate_ready {}", u8::from(gauges.is_ready)));
         line(format_args!("azuregate_connections {}", gauges.connections));
+        let Gauges { client_usage: usage, client_limits: limits, .. } = gauges;
+        line(format_args!("azuregate_client_memory_bytes {}", usage.bytes));
+        line(format_args!("azuregate_client_memory_limit_bytes {}", limits.total_bytes));
+        line(format_args!("azuregate_held_connections {}", usage.connections));
+        line(format_args!("azuregate_held_connections_limit {}", limits.connections));
+        for (name, counter) in evictions.with_names() {
+            line(format_args!("azuregate_{name}_total {}", counter.get()));
+        }
         line(format_args!("azuregate_instances {}", gauges.instances));
         line(format_args!("azuregate_followers {}", gauges.followers));
         line(format_args!("azuregate_watching {}", u8::from(gauges.is_watching)));
--- a/crates/azuregate/src/serve/mod.rs
+++ b/crates/azuregate/src/serve/mod.rs
@@ -14,11 +14,13 @@
   `table_watch` receives changes from the store and `follower` from other instances;
   `relay` forwards them to followers in the format of `encoding`. `heartbeat` detects
   which other instances are alive.
-* `listen` accepts connections, `connection` serves one connection, and
+* `listen` accepts connections, `connection` serves one connection, `bounded_connection` one of another port, and
   `client_stream` detects that its client has disconnected.
 * `pipeline` starts pipelined requests before the previous responses are sent.
 * `request` handles one client request and `access_log` logs it. `dispatch` sends it to backend
   servers, by an `attempt` each; `attempt_state` is what has become of it so far.
+* `client_memory` charges connections with what they hold, and makes them give way when the machine is short of
+  memory; `request_body` is a body that it charges.
 * `pool` holds idle connections to backend servers, which `connector` opens.
 * `crash_detection` tells crashes of backend servers from other `broken_requests` by a `probe`, and
   `quarantine_rows` keeps the requests that cause them in the store.
@@ -37,7 +39,9 @@
 mod apply;
 mod attempt;
 mod attempt_state;
+mod bounded_connection;
 mod broken_requests;
+mod client_memory;
 mod client_stream;
 mod connection;
 mod connector;
@@ -65,6 +69,7 @@
 mod relay;
 mod reload;
 mod request;
+mod request_body;
 mod request_timing;
 mod response;
 mod response_body;
--- a/crates/azuregate/src/serve/outgoing_request.rs
+++ b/crates/azuregate/src/serve/outgoing_request.rs
@@ -4,8 +4,6 @@
 
 use azuregate_core::balance::Fingerprint;
 use azuregate_platform::request;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Uri, Version,
     header::{self, HeaderName, HeaderValue},
@@ -13,6 +11,8 @@
 };
 use tokio::time::Instant;
 
+use super::request_body::RequestBody;
+
 /// Headers that distinguish requests with the same path and body: the host and the caller's
 /// credentials. The client's address is not part of it, since a caller may come from several.
 const FINGERPRINT_HEADERS: [HeaderName; 3] = [header::HOST, header::AUTHORIZATION, header::COOKIE];
@@ -22,7 +22,7 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: RequestBody,
     pub(super) is_idempotent: bool,
     /// When the response must be complete.
     pub(super) deadline: Instant,
@@ -32,7 +32,7 @@
 impl OutgoingRequest {
     pub(super) fn new(
         parts: Parts,
-        body: Bytes,
+        body: RequestBody,
         is_idempotent: bool,
         deadline: Instant,
     ) -> OutgoingRequest {
@@ -59,8 +59,8 @@
     }
 
     /// Returns the request to send to a server, with the time that is left for it.
-    pub(super) fn to_request(&self) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    pub(super) fn to_request(&self) -> Request<RequestBody> {
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.version_mut() = Version::HTTP_11;
@@ -75,8 +75,10 @@
             let path = self.uri.path_and_query().map_or("", |path| path.as_str());
             let headers = FINGERPRINT_HEADERS
                 .map(|name| self.headers.get(name).map(HeaderValue::as_bytes).unwrap_or_default());
-            let line = [self.method.as_str().as_bytes(), path.as_bytes(), &self.body];
-            Fingerprint::new(line.into_iter().chain(headers))
+            let line = [self.method.as_str().as_bytes(), path.as_bytes()].map(|part| vec![part]);
+            let headers = headers.map(|header| vec![header]);
+            let parts = line.into_iter().chain([self.body.segments()]).chain(headers);
+            Fingerprint::of_segments(parts)
         })
     }
 }
--- a/crates/azuregate/src/serve/pipeline.rs
+++ b/crates/azuregate/src/serve/pipeline.rs
@@ -28,8 +28,8 @@
 };
 
 use super::{
-    access_log::AccessLogEntry, request as handler, response_body::ResponseBody,
-    shutdown_phase::ShutdownPhase, state::State,
+    access_log::AccessLogEntry, client_memory::ConnectionMemory, request as handler,
+    response_body::ResponseBody, shutdown_phase::ShutdownPhase, state::State,
 };
 
 /// Limits the started requests of one connection.
@@ -66,9 +66,15 @@
 impl RequestScanner {
     /// Appends bytes received on the connection.
     pub(super) fn feed(&mut self, bytes: &[u8]) {
-        if !self.is_disabled {
-            self.bytes.extend_from_slice(bytes);
+        if self.is_disabled {
+            return;
         }
+        let skipped = match self.bytes.is_empty() {
+            true => self.body_remaining_bytes.min(bytes.len()),
+            false => 0,
+        };
+        self.body_remaining_bytes -= skipped;
+        self.bytes.extend_from_slice(&bytes[skipped..]);
     }
 
     /// Returns whether a request head has been received only in part.
@@ -78,6 +84,10 @@
 
     /// Returns the next request of which the whole head has been received. Bodies are skipped.
     pub(super) fn next_request(&mut self) -> Option<ScannedRequest> {
+        if self.bytes.is_empty() {
+            // Otherwise an idle connection keeps its capacity.
+            self.bytes = BytesMut::new();
+        }
         let skipped = self.body_remaining_bytes.min(self.bytes.len());
         self.bytes.advance(skipped);
         self.body_remaining_bytes -= skipped;
@@ -175,7 +185,13 @@
 
 impl Pipeline {
     /// Adds a received request, and starts it if it is pipelined behind another one.
-    pub(super) fn push(&self, state: &Rc<State>, client: IpAddr, request: ScannedRequest) {
+    pub(super) fn push(
+        &self,
+        state: &Rc<State>,
+        client: IpAddr,
+        memory: &Rc<ConnectionMemory>,
+        request: ScannedRequest,
+    ) {
         let number = self.scanned.replace(self.scanned.get() + 1);
         let is_read = request.is_read();
         if !is_read {
@@ -198,8 +214,10 @@
         }
         let uri = parts.uri.clone();
         let id = parts.headers.get(request::REQUEST_ID).cloned();
-        let task =
-            spawn_local(handler::handle(Rc::clone(state), client, parts, None, Instant::now()));
+        let memory = Rc::clone(memory);
+        let handled =
+            handler::handle(Rc::clone(state), client, memory, parts, None, Instant::now());
+        let task = spawn_local(handled);
         started.push_back(StartedRequest { number, uri, id, task });
     }
 
--- a/crates/azuregate/src/serve/pool.rs
+++ b/crates/azuregate/src/serve/pool.rs
@@ -11,8 +11,6 @@
 };
 
 use azuregate_core::balance::SentIds;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -24,7 +22,7 @@
     time,
 };
 
-use super::{connector::Connector, outgoing_request::OutgoingRequest};
+use super::{connector::Connector, outgoing_request::OutgoingRequest, request_body::RequestBody};
 use crate::metered_stream::{MAX_HEAD_BYTES, MeteredStream, ReadMeter};
 
 /// Several times the longest round-trip time between regions.
@@ -41,7 +39,7 @@
 
 /// A connection to a server, used for one request at a time.
 pub(super) struct Connection {
-    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) sender: SendRequest<RequestBody>,
     /// Whether the connection has already served a request.
     pub(super) is_reused: bool,
     /// Identifies the connection in the log.
@@ -65,7 +63,7 @@
     pub(super) async fn send(
         &mut self,
         id: &[u8],
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.sent_ids.insert(id);
         self.meter.set_remaining(MAX_HEAD_BYTES as u64);
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -4,21 +4,16 @@
 
 use azuregate_core::balance::RequestKind;
 use azuregate_platform::request;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::{
-    HeaderMap, Response,
-    body::{Body, Incoming},
-    header,
-    http::request::Parts,
-};
+use hyper::{HeaderMap, Response, body::Incoming, header, http::request::Parts};
 use tokio::time::{self, Instant};
 
 use super::{
     access_log::AccessLogEntry,
     attempt_state::AttemptState,
+    client_memory::ConnectionMemory,
     dispatch::Dispatcher,
     outgoing_request::OutgoingRequest,
+    request_body::RequestBody,
     response::{self, RequestError},
     response_body::ResponseBody,
     shutdown,
@@ -28,12 +23,28 @@
 /// The deadline of requests without a deadline header.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
+/// Marks a response that is sent before the whole body of its request was received.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PrecedesBody;
+
+/// A request whose head was received.
+pub(super) struct ReceivedRequest {
+    pub(super) parts: Parts,
+    /// `None` if it has no body.
+    pub(super) body: Option<Incoming>,
+    /// When its head was received.
+    pub(super) received_at: Instant,
+    /// What the connection that it came on holds.
+    pub(super) memory: Rc<ConnectionMemory>,
+}
+
 /// Handles a request of `client` whose head was received at `received_at`.
 ///
 /// It has a line in the log also if the future is never polled.
 pub(super) fn handle(
     state: Rc<State>,
     client: IpAddr,
+    memory: Rc<ConnectionMemory>,
     parts: Parts,
     body: Option<Incoming>,
     received_at: Instant,
@@ -41,8 +52,13 @@
     let log_entry = AccessLogEntry::new(&state, false, client, &parts, received_at);
     async move {
         let mut attempts = AttemptState::default();
-        let result = respond(&state, &mut attempts, log_entry, parts, body, received_at).await;
-        result.unwrap_or_else(RequestError::into_response)
+        let request = ReceivedRequest { parts, body, received_at, memory };
+        let result = respond(&state, &mut attempts, log_entry, request).await;
+        let mut response = result.unwrap_or_else(RequestError::into_response);
+        if !attempts.has_received_body {
+            response.extensions_mut().insert(PrecedesBody);
+        }
+        response
     }
 }
 
@@ -55,11 +71,9 @@
     state: &Rc<State>,
     attempts: &mut AttemptState,
     mut log_entry: AccessLogEntry,
-    parts: Parts,
-    body: Option<Incoming>,
-    received_at: Instant,
+    request: ReceivedRequest,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let result = serve(state, attempts, parts, body, received_at, &mut log_entry).await;
+    let result = serve(state, attempts, request, &mut log_entry).await;
     let status = match &result {
         Ok(response) => response.status(),
         Err(error) => {
@@ -86,11 +100,10 @@
 async fn serve(
     state: &Rc<State>,
     attempts: &mut AttemptState,
-    parts: Parts,
-    body: Option<Incoming>,
-    received_at: Instant,
+    request: ReceivedRequest,
     log_entry: &mut AccessLogEntry,
 ) -> Result<Response<ResponseBody>, RequestError> {
+    let ReceivedRequest { parts, body, received_at, memory } = request;
     let Some(config) = state.config() else { return Err(RequestError::NotReady) };
     log_entry.version = config.version();
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
@@ -125,22 +138,26 @@
     if !state.has_backends() {
         return Err(RequestError::NotReady);
     }
-    let body_limit = config.limits().body_bytes;
+    let body_limit_bytes = config.limits().body_bytes;
     drop(config);
+    if !memory.has_memory() {
+        return Err(RequestError::NoMemory);
+    }
 
     let work = async {
         let body = match body {
             Some(body) => tokio::select! {
                 // A body that has arrived is read at once.
                 biased;
-                body = read_body(body, body_limit) => body?,
+                body = RequestBody::read(body, body_limit_bytes, &memory) => body?,
                 () = shutdown::send_window_closed(state, &route, deadline) => {
                     log_entry.basis = "body incomplete".to_owned();
                     return Err(RequestError::Stopping);
                 }
             },
-            None => Bytes::new(),
+            None => RequestBody::default(),
         };
+        attempts.has_received_body = true;
         let outgoing = outgoing_request(parts, body, is_idempotent, deadline);
         Dispatcher { state, route: &route, service: &service, outgoing }
             .send(attempts, log_entry)
@@ -159,7 +176,7 @@
 
 fn outgoing_request(
     mut parts: Parts,
-    body: Bytes,
+    body: RequestBody,
     is_idempotent: bool,
     deadline: Instant,
 ) -> OutgoingRequest {
@@ -169,21 +186,3 @@
     parts.headers.remove(header::CONTENT_LENGTH);
     OutgoingRequest::new(parts, body, is_idempotent, deadline)
 }
-
-/// Reads the complete body, so that a slow client does not occupy a backend server and
-/// a rejected request can be sent to another one.
-async fn read_body(mut incoming: Incoming, limit: usize) -> Result<Bytes, RequestError> {
-    if incoming.size_hint().lower() > limit as u64 {
-        return Err(RequestError::BodyTooLarge);
-    }
-    let mut body = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        let frame = frame.map_err(|_| RequestError::BodyIncomplete)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if body.len() + data.len() > limit {
-            return Err(RequestError::BodyTooLarge);
-        }
-        body.extend_from_slice(&data);
-    }
-    Ok(body.freeze())
-}
--- a/crates/azuregate/src/serve/response.rs
+++ b/crates/azuregate/src/serve/response.rs
@@ -25,6 +25,8 @@
     BadRequest,
     /// The body exceeds the size limit.
     BodyTooLarge,
+    /// Clients hold all the memory that they may; the request was not executed.
+    NoMemory,
     /// The client's body could not be read completely.
     BodyIncomplete,
     /// No backend server has capacity; the request was not executed.
@@ -65,6 +67,7 @@
             RequestError::BadRequest => "bad-request",
             RequestError::BodyTooLarge => "body-too-long",
             RequestError::BodyIncomplete => "body-broken",
+            RequestError::NoMemory => "no-memory",
             RequestError::NoCapacity => "no-room",
             RequestError::RateLimited => "rate-limited",
             RequestError::PushedBack { .. } => "pushed-back",
@@ -86,6 +89,7 @@
             RequestError::NoCapacity | RequestError::Unreachable | RequestError::Rejected => {
                 Some(fastrand::u64(RetryReason::NoCapacity.retry_after_ms()))
             }
+            RequestError::NoMemory => Some(fastrand::u64(RetryReason::NoMemory.retry_after_ms())),
             RequestError::RateLimited => {
                 Some(fastrand::u64(RetryReason::RateLimited.retry_after_ms()))
             }
@@ -104,6 +108,7 @@
             RequestError::NotReady
             | RequestError::StoreContactLost
             | RequestError::NoCapacity
+            | RequestError::NoMemory
             | RequestError::RateLimited
             | RequestError::PushedBack { .. }
             | RequestError::Unreachable
--- a/crates/azuregate/src/serve/state.rs
+++ b/crates/azuregate/src/serve/state.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
@@ -13,6 +14,7 @@
         self, Admission, BackendHandle, Balancer, Config, Fingerprint, Members, MissingBackends,
         Quarantine, Reachability, RequestTimes, RetryBudgets, RetryLimits, WeightedRoundRobin,
     },
+    client_memory::Limits,
     names::{ServiceName, StartNumber},
     replica::{FreshnessTracker, Table},
 };
@@ -24,6 +26,7 @@
 
 use super::{
     broken_requests::BrokenRequests,
+    client_memory::ClientMemory,
     connector::{Connector, TcpConnector},
     encoding::EncodedChangesCache,
     grants::Questions,
@@ -79,6 +82,8 @@
     pub(super) lag_detected: Notify,
     /// Notified when heartbeats of an unregistered instance are received.
     pub(super) unknown_member: Notify,
+    /// What clients hold.
+    pub(super) client_memory: Rc<ClientMemory>,
     /// The number of open client connections.
     pub(super) connections: Cell<usize>,
     /// The number of requests in progress that other instances forwarded.
@@ -137,6 +142,10 @@
             store_reachable_since_ms: Cell::new(None),
             lag_detected: Notify::new(),
             unknown_member: Notify::new(),
+            client_memory: ClientMemory::new(Limits::of_machine(
+                settings.memory_mb,
+                settings.max_fds,
+            )),
             connections: Cell::new(0),
             forwarded_in_progress: Cell::new(0),
             has_ended: Cell::new(false),
@@ -243,6 +252,7 @@
         }
         let config = Arc::new(config);
         self.request_times.borrow_mut().retain_routes(&config);
+        self.client_memory.set_largest_body(config.limits().body_bytes);
         *self.config.borrow_mut() = Some(Arc::clone(&config));
         let mut balancer = self.balancer.borrow_mut();
         balancer.set_config(config);
--- a/crates/azuregate/tests/misbehaving_clients/bodies.rs
+++ b/crates/azuregate/tests/misbehaving_clients/bodies.rs
@@ -60,7 +60,8 @@
         Framing::Length(_) => vec![b'x'; sent_bytes - pieces * piece_bytes],
         Framing::Chunks(_) => Vec::new(),
     };
-    Payload { head: head(framing), piece: piece.into(), pieces, rest: rest.into(), interval }
+    let (head, piece, rest) = (head(framing), piece.into(), rest.into());
+    Payload { head, piece, pieces, rest, interval, trickles: false }
 }
 
 async fn check_crowd(payloads: &[(usize, Payload)]) {
@@ -106,6 +107,17 @@
     check_crowd(&[(CLIENTS, stalled)]).await;
 }
 
+/// Guards against clients that keep their memory by sending a byte now and then.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_trickle() {
+    let whole = payload(Framing::Length(MAX_BODY_BYTES), MAX_BODY_BYTES / 2, Duration::ZERO);
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let addr = machine.process.traffic_addr;
+    let crowd = Crowd::start(addr, CLIENTS, &Payload { trickles: true, ..whole });
+    machine.settle(&crowd.sent_bytes).await;
+    machine.check().await;
+}
+
 /// Guards against reading bodies that are far over the limit, whether they announce it or not.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_over_the_limit() {
@@ -160,6 +172,47 @@
     machine.check().await;
 }
 
+/// Guards against refusals that their clients never see, since the connection is reset under the rest of the
+/// body.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_long_body_reaches_its_client() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    for framing in [Framing::Length(2 * MAX_BODY_BYTES), Framing::Chunks(10_000)] {
+        let mut client = Client::connect(machine.process.traffic_addr).await;
+        let payload = payload(framing, 2 * MAX_BODY_BYTES, Duration::ZERO);
+        client.send(&payload.head).await;
+        for _ in 0..payload.pieces {
+            client.send(std::str::from_utf8(&payload.piece).unwrap()).await;
+        }
+        let response = client.response().await;
+        assert_eq!(response.map(|response| response.status), Some(413), "{framing:?}");
+    }
+    machine.check().await;
+}
+
+/// Guards against making a client give way without telling it that its request was not executed.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_body_is_refused_with_a_promise() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let whole = payload(Framing::Length(MAX_BODY_BYTES), MAX_BODY_BYTES - 1, Duration::ZERO);
+    let mut client = Client::connect(machine.process.traffic_addr).await;
+    client.send(&whole.head.replace("{n}", "-refused")).await;
+    for _ in 0..whole.pieces {
+        client.send(std::str::from_utf8(&whole.piece).unwrap()).await;
+    }
+    // It has stalled by then.
+    time::sleep(Duration::from_secs(2)).await;
+    let crowd = Crowd::start(machine.process.traffic_addr, CLIENTS, &whole);
+    machine.settle(&crowd.sent_bytes).await;
+    let response = client.response().await.expect("the client is told");
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some(), "{response:?}");
+    assert_eq!(machine.cluster.request_count("crowd-refused"), 0);
+    assert!(machine.process.request_line("crowd-refused").unwrap().contains("code=no-memory"));
+    assert_ne!(machine.process.metric("azuregate_client_bodies_refused_total").await, 0);
+    machine.check().await;
+}
+
 /// Guards against limits that a single body of legal size meets.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_body_of_the_largest_size() {
--- a/crates/azuregate/tests/misbehaving_clients/connections.rs
+++ b/crates/azuregate/tests/misbehaving_clients/connections.rs
@@ -18,6 +18,7 @@
         pieces,
         rest: Vec::new().into(),
         interval: Duration::ZERO,
+        trickles: false,
     }
 }
 
@@ -79,7 +80,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn pipelined_requests() {
     let mut machine = Machine::start(MAX_BODY_BYTES).await;
-    let slow = Behaviour::Delay(Duration::from_millis(u64::from(u16::MAX)));
+    let slow = Behaviour::Delay(Duration::from_secs(6));
     machine.cluster.backends.iter().for_each(|backend| backend.set(slow.clone()));
     let crowd = Crowd::start(machine.process.traffic_addr, 120, &repeated("", &read(0), 2_000));
     machine.settle(&crowd.sent_bytes).await;
@@ -93,7 +94,7 @@
     let mut machine = Machine::start(MAX_BODY_BYTES).await;
     let large = Behaviour::RespondBytes(60_000);
     machine.cluster.backends.iter().for_each(|backend| backend.set(large.clone()));
-    let crowd = Crowd::start(machine.process.traffic_addr, 150, &repeated("", &read(0), 200));
+    let crowd = Crowd::start(machine.process.traffic_addr, 300, &repeated("", &read(0), 200));
     machine.settle(&crowd.sent_bytes).await;
     machine.cluster.backends.iter().for_each(|backend| backend.set(Behaviour::Respond));
     machine.check().await;
--- a/crates/azuregate/tests/misbehaving_clients/crowd.rs
+++ b/crates/azuregate/tests/misbehaving_clients/crowd.rs
@@ -21,6 +21,8 @@
 /// A small buffer, so that what is sent is on its way.
 const SEND_BUFFER_BYTES: u32 = 16 << 10;
 
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What each client of a crowd sends, piece by piece.
 #[derive(Clone, Debug)]
 pub(crate) struct Payload {
@@ -33,6 +35,8 @@
     pub(crate) rest: Arc<Vec<u8>>,
     /// The time between two pieces.
     pub(crate) interval: Duration,
+    /// Whether a byte is sent now and then afterwards.
+    pub(crate) trickles: bool,
 }
 
 /// A crowd; its connections are closed when this is dropped.
@@ -60,6 +64,12 @@
     // A client that sends nothing counts as well.
     sent_bytes.fetch_add(1, Ordering::Relaxed);
     let is_sent = send(&mut stream, &payload, &sent_bytes).await;
+    while is_sent.is_some() && payload.trickles {
+        time::sleep(TRICKLE_INTERVAL).await;
+        if stream.write_all(b"x").await.is_err() {
+            return;
+        }
+    }
     if is_sent.is_some() {
         // Stays connected without reading.
         std::future::pending::<()>().await;
--- a/crates/azuregate/tests/misbehaving_clients/machine.rs
+++ b/crates/azuregate/tests/misbehaving_clients/machine.rs
@@ -58,13 +58,19 @@
 impl Machine {
     /// Starts an instance that takes bodies of `max_body_bytes`, and two backend servers.
     pub(crate) async fn start(max_body_bytes: usize) -> Machine {
+        Machine::start_with(max_body_bytes, "terms.bounds.retryBudgetRatio=0.2\n").await
+    }
+
+    /// Starts the same with further lines of settings.
+    pub(crate) async fn start_with(max_body_bytes: usize, lines: &str) -> Machine {
         let guard = RUNNING.lock().await;
         let mut cluster = TestCluster::start(2).await;
         cluster.update_config(|config| {
             config.max_body_bytes = max_body_bytes;
             config.timeout_ms = ROUTE_TIMEOUT_MS;
         });
-        let limits = format!("self.limits.memoryMb={MEMORY_MB}\nself.limits.maxFds={MAX_FDS}\n");
+        let limits =
+            format!("self.limits.memoryMb={MEMORY_MB}\nself.limits.maxFds={MAX_FDS}\n{lines}");
         let process = Process::start_with(&cluster, 1, &limits).await;
         let peaks = Arc::<Peaks>::default();
         std::thread::spawn({
--- a/crates/azuregate/tests/serve/main.rs
+++ b/crates/azuregate/tests/serve/main.rs
@@ -17,6 +17,7 @@
 mod links;
 mod lookups;
 mod pauses;
+#[allow(dead_code, reason = "shared with the tests of crowds")]
 mod process;
 mod rate_limits;
 mod refusals;
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -14,6 +14,9 @@
 const PATH_VARIABLE: &str = "AZUREGATE_SETTINGS";
 /// Path of the settings file if the variable is not set.
 const DEFAULT_PATH: &str = "/etc/azuregate/node.conf";
+/// Limits of a machine for which the settings have none.
+const DEFAULT_MEMORY_MB: u64 = 256;
+const DEFAULT_MAX_FDS: u64 = 4_096;
 
 /// Settings of one entry instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,6 +45,10 @@
     pub store_addr: SocketAddr,
     /// Interval at which backend servers renew their rows.
     pub heartbeat_ms: u64,
+    /// Memory of the machine, in MiB, beyond which the process is killed.
+    pub memory_mb: u64,
+    /// File descriptors that the process may have open.
+    pub max_fds: u64,
     /// Bounds that apply to the whole deployment.
     pub bounds: Bounds,
 }
@@ -144,6 +151,8 @@
         let store_addr = self.required("provider.provider.address");
         let ports = self.port_range("network.internalPorts");
         let heartbeat_ms = self.millis("provider.heartbeatS", 1_500);
+        let memory_mb = self.limit("self.limits.memoryMb", DEFAULT_MEMORY_MB);
+        let max_fds = self.limit("self.limits.maxFds", DEFAULT_MAX_FDS);
         let bounds = self.bounds();
         let (peer_port, last_peer_port) = ports?;
         Some(Settings {
@@ -159,6 +168,8 @@
             last_peer_port,
             store_addr: store_addr?,
             heartbeat_ms,
+            memory_mb,
+            max_fds,
             bounds,
         })
     }
@@ -220,6 +231,14 @@
         }
     }
 
+    /// Parses a limit of the machine. The platform leaves out what it does not limit.
+    fn limit(&mut self, name: &str, default: u64) -> u64 {
+        match self.number(name, 0.0) as u64 {
+            0 => default,
+            limit => limit,
+        }
+    }
+
     /// Parses a duration in seconds.
     fn millis(&mut self, name: &str, default_ms: u64) -> u64 {
         (self.number(name, default_ms as f64 / 1_000.0) * 1_000.0).round() as u64
