Bound the pipelined requests that are held for one connection

What callers saw: an instance ran out of memory under clients that pipeline many small requests behind a slow one.

Cause: the scanner copies each head into maps and strings, several times as large as the 64 KiB that are read ahead, without a bound on their number; each started request kept the memory of its whole task until its response was taken.

Requests start early only while there is memory for their responses, which is charged when they start; otherwise they are handled in turn.

--- a/crates/azuregate/src/serve/bounded_connection.rs
+++ b/crates/azuregate/src/serve/bounded_connection.rs
@@ -48,7 +48,7 @@
             }
         }
     };
-    let read_ahead = pin!(read_ahead.run(on_bytes));
+    let read_ahead = pin!(read_ahead.run(on_bytes, || false));
     let mut server = http1::Builder::new();
     server.header_read_timeout(None).max_buf_size(head_bytes);
     tokio::select! {
--- a/crates/azuregate/src/serve/client_memory.rs
+++ b/crates/azuregate/src/serve/client_memory.rs
@@ -101,6 +101,11 @@
         self.account.borrow().limits()
     }
 
+    /// Returns whether `bytes` more can be held without a connection giving way.
+    pub(super) fn has_room(&self, bytes: usize) -> bool {
+        self.account.borrow().has_room(bytes)
+    }
+
     /// Charges a new connection, for which another one may be closed. Returns `None` if there is no room.
     pub(super) fn open(
         self: &Rc<Self>,
@@ -253,6 +258,12 @@
         self.memory.close(self.id);
     }
 
+    /// Charges `bytes` until the result is dropped, whether there is room or not.
+    pub(super) fn charge(self: &Rc<Self>, bytes: usize) -> Charge {
+        self.memory.account.borrow_mut().charge(self.id, bytes);
+        Charge { connection: Rc::clone(self), bytes }
+    }
+
     /// Begins a body.
     pub(super) fn begin_body(self: &Rc<Self>) -> IncomingBody {
         self.is_body_evicted.set(false);
--- a/crates/azuregate/src/serve/client_stream.rs
+++ b/crates/azuregate/src/serve/client_stream.rs
@@ -87,12 +87,18 @@
 }
 
 impl ReadAhead {
+    /// Returns what is notified to look again whether to read.
+    pub(super) fn resume(&self) -> Rc<Notify> {
+        Rc::clone(&self.resume)
+    }
+
     /// Reads until the client closes the connection, passing all bytes to `on_bytes` before the HTTP server
-    /// can read them.
-    pub(super) async fn run(self, mut on_bytes: impl FnMut(&[u8])) {
+    /// can read them. Pauses while `is_full`, after which it calls `on_bytes` without bytes.
+    pub(super) async fn run(self, mut on_bytes: impl FnMut(&[u8]), is_full: impl Fn() -> bool) {
         loop {
-            while self.is_buffer_full() {
+            while self.is_buffer_full() || is_full() {
                 self.resume.notified().await;
+                on_bytes(&[]);
             }
             let is_readable = self.reader.readable().await.is_ok();
             let mut shared = self.shared.borrow_mut();
--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -128,7 +128,7 @@
     let _ = stream.set_nodelay(true);
     let limits = state.config().map_or(DEFAULT_LIMITS, |config| config.limits());
     let (client_stream, read_ahead) = client_stream::split(stream, Rc::clone(&memory));
-    let pipeline = Pipeline::default();
+    let pipeline = Pipeline::new(read_ahead.resume());
     let connection_state = ConnectionState::new(pipeline, Rc::clone(&memory), state.now_ms());
     let connection_state = Rc::new(connection_state);
     let service = service_fn({
@@ -145,13 +145,17 @@
     let pipeline = &connection_state.pipeline;
     let on_bytes = |bytes: &[u8]| {
         scanner.feed(bytes);
-        while let Some(request) = scanner.next_request() {
+        while !pipeline.is_full()
+            && let Some(request) = scanner.next_request()
+        {
             pipeline.push(&state, client, &memory, request);
         }
         connection_state.set_partial_head(scanner.has_partial_head(), state.now_ms());
-        connection_state.charge_head();
+        if !bytes.is_empty() {
+            connection_state.charge_head();
+        }
     };
-    let mut read_ahead = pin!(read_ahead.run(on_bytes));
+    let mut read_ahead = pin!(read_ahead.run(on_bytes, || pipeline.is_full()));
     let mut close_allowed = pin!(idle_close_allowed(&state, &connection_state));
     let mut is_closing = false;
     let idle_timeout_ms = limits.idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS;
--- a/crates/azuregate/src/serve/pipeline.rs
+++ b/crates/azuregate/src/serve/pipeline.rs
@@ -23,6 +23,7 @@
     http::request::Parts,
 };
 use tokio::{
+    sync::Notify,
     task::{JoinHandle, spawn_local},
     time::Instant,
 };
@@ -34,6 +35,9 @@
 
 /// Limits the started requests of one connection.
 const MAX_STARTED_REQUESTS: usize = 16;
+/// Limits the requests of one connection that hyper has not read. Their heads are copies, several times as
+/// large as the bytes received.
+const MAX_SCANNED_REQUESTS: u64 = 32;
 /// A request with more headers disables the scanner for its connection.
 const MAX_HEADERS: usize = 48;
 /// A longer request head disables the scanner for its connection.
@@ -168,7 +172,6 @@
 }
 
 /// The pipelined requests of one connection.
-#[derive(Default)]
 pub(super) struct Pipeline {
     started: RefCell<VecDeque<StartedRequest>>,
     /// Requests that hyper has not read yet and that were not started.
@@ -181,9 +184,29 @@
     finished: Cell<u64>,
     /// The number of requests up to the last one that is not a read.
     reads_from: Cell<u64>,
+    /// Notified when the pipeline has room.
+    resume: Rc<Notify>,
 }
 
 impl Pipeline {
+    /// Returns an empty pipeline, which notifies `resume` when it has room again.
+    pub(super) fn new(resume: Rc<Notify>) -> Pipeline {
+        Pipeline {
+            started: RefCell::default(),
+            unhandled: RefCell::default(),
+            scanned: Cell::new(0),
+            begun: Cell::new(0),
+            finished: Cell::new(0),
+            reads_from: Cell::new(0),
+            resume,
+        }
+    }
+
+    /// Returns whether no further request may be pushed until hyper has read another one.
+    pub(super) fn is_full(&self) -> bool {
+        self.scanned.get().saturating_sub(self.begun.get()) >= MAX_SCANNED_REQUESTS
+    }
+
     /// Adds a received request, and starts it if it is pipelined behind another one.
     pub(super) fn push(
         &self,
@@ -214,10 +237,23 @@
         }
         let uri = parts.uri.clone();
         let id = parts.headers.get(request::REQUEST_ID).cloned();
+        // Charged before there is a response, since many requests start at the same time.
+        let charge = memory.charge(handler::RESPONSE_BYTES);
         let memory = Rc::clone(memory);
-        let handled =
-            handler::handle(Rc::clone(state), client, memory, parts, None, Instant::now());
-        let task = spawn_local(handled);
+        // Boxed, since the memory of a task is kept until its result is taken.
+        let handled = Box::pin(handler::handle(
+            Rc::clone(state),
+            client,
+            memory,
+            parts,
+            None,
+            Instant::now(),
+        ));
+        let task = spawn_local(async move {
+            let response = handled.await;
+            drop(charge);
+            response
+        });
         started.push_back(StartedRequest { number, uri, id, task });
     }
 
@@ -263,6 +299,7 @@
     /// hyper delimit requests in different ways.
     fn take(&self, parts: &Parts) -> Option<StartedRequest> {
         let number = self.begun.replace(self.begun.get() + 1);
+        self.resume.notify_one();
         let id = parts.headers.get(request::REQUEST_ID);
         let mut unhandled = self.unhandled.borrow_mut();
         while unhandled.pop_front_if(|unhandled| unhandled.number <= number).is_some() {}
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -20,6 +20,8 @@
     state::State,
 };
 
+/// The memory that a response takes of which the start is buffered.
+pub(super) const RESPONSE_BYTES: usize = 128 << 10;
 /// The deadline of requests without a deadline header.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
@@ -95,6 +97,7 @@
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let route = host.and_then(|host| config.route(host, parts.uri.path()));
     route.is_some_and(|route| route.kind == RequestKind::Idempotent)
+        && state.client_memory.has_room(RESPONSE_BYTES)
 }
 
 async fn serve(
