Charge responses that clients do not read

What callers saw: an instance came near its memory, or beyond it, when many clients asked for responses of some 60 KB and read none.

Cause: responses were kept in memory and in send buffers that grow to 4 MiB a connection, and in the receive buffers of connections to backend servers, without being charged to anybody.

A response is charged to its client's connection until it has been written or dropped, with its socket once the client does not take more. The buffers of sockets no longer grow: 32 KiB to clients, 128 KiB from backend servers. A stopping instance had relied on large buffers to end after the last response to another instance; it waits until that has been written.

--- a/crates/azuregate/src/serve/attempt.rs
+++ b/crates/azuregate/src/serve/attempt.rs
@@ -18,6 +18,8 @@
 
 use super::{
     access_log::AccessLogEntry,
+    client_memory::Charge,
+    connector::RECEIVE_BUFFER_BYTES,
     crash_detection,
     in_flight::InFlightRequest,
     leaving, metrics,
@@ -29,11 +31,15 @@
     response_body::{ResponseBody, StreamedFrom},
     state::State,
 };
-use crate::metered_stream::MAX_RESPONSE_BYTES;
+use crate::metered_stream::{MAX_HEAD_BYTES, MAX_RESPONSE_BYTES};
 
 /// Responses up to this size are buffered completely before they are forwarded, so
 /// that a truncated response can still be retried.
 const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
+/// What a response holds that is forwarded while it arrives: its start, what is read at a time, and what the
+/// socket has received.
+pub(super) const STREAM_BYTES: usize =
+    2 * RESPONSE_BUFFER_BYTES + MAX_HEAD_BYTES + RECEIVE_BUFFER_BYTES;
 /// Bounds the body of a rejection, which is read so that its connection can be reused.
 const MAX_REJECTION_BYTES: u64 = 16 << 10;
 /// The retry of a rejected request waits for that body at most this long.
@@ -216,7 +222,8 @@
     let (mut parts, mut incoming) = head.into_parts();
     let is_failure = parts.status.is_server_error();
     in_flight.set_remaining(MAX_RESPONSE_BYTES);
-    let Some(buffered) = buffer_body(&mut incoming).await else {
+    let mut charge = outgoing.memory.charge(0);
+    let Some(buffered) = buffer_body(&mut incoming, &mut charge).await else {
         in_flight.set_outcome(Outcome::Failed);
         if !in_flight.has_broken() {
             return AttemptResult::Unknown("malformed answer");
@@ -235,7 +242,9 @@
     if !is_complete(&incoming, &buffered) {
         let (request, choice) = (outgoing.fingerprint(), choice.clone());
         let from = StreamedFrom::Backend { in_flight, choice, request };
-        let body = ResponseBody::streaming(buffered, incoming, from, outgoing.deadline);
+        charge.set(STREAM_BYTES);
+        let mut body = ResponseBody::streaming(buffered, incoming, from, outgoing.deadline);
+        body.hold(charge);
         return AttemptResult::Response(Response::from_parts(parts, body));
     }
     state.record_response(outgoing.fingerprint());
@@ -245,7 +254,9 @@
     if outgoing.method != Method::HEAD {
         parts.headers.remove(header::CONTENT_LENGTH);
     }
-    AttemptResult::Response(Response::from_parts(parts, ResponseBody::buffered(buffered)))
+    let mut body = ResponseBody::buffered(buffered);
+    body.hold(charge);
+    AttemptResult::Response(Response::from_parts(parts, body))
 }
 
 /// Returns what a response is to a request.
@@ -292,16 +303,18 @@
     Ok(())
 }
 
-/// Reads a body, or the start of a long one. Returns `None` if it ends early or is too long.
-pub(super) async fn buffer_body(incoming: &mut Incoming) -> Option<Bytes> {
+/// Reads a body, or the start of a long one, and charges it. Returns `None` if it ends early or is too long.
+pub(super) async fn buffer_body(incoming: &mut Incoming, charge: &mut Charge) -> Option<Bytes> {
     if incoming.size_hint().lower() > MAX_RESPONSE_BYTES {
         return None;
     }
-    let mut buffered = BytesMut::new();
+    let expected_bytes = incoming.size_hint().lower().min(RESPONSE_BUFFER_BYTES as u64);
+    let mut buffered = BytesMut::with_capacity(expected_bytes as usize);
     while buffered.len() <= RESPONSE_BUFFER_BYTES {
         let Some(frame) = incoming.frame().await else { break };
         if let Ok(data) = frame.ok()?.into_data() {
             buffered.extend_from_slice(&data);
+            charge.set(buffered.capacity());
         }
     }
     Some(buffered.freeze())
--- a/crates/azuregate/src/serve/client_memory.rs
+++ b/crates/azuregate/src/serve/client_memory.rs
@@ -61,6 +61,8 @@
     connections: RefCell<HashMap<HolderId, Weak<ConnectionMemory>>>,
     /// Notified when memory becomes free.
     freed: Notify,
+    /// The number of connections to other instances that have not read their responses.
+    unsent_forwarded: Cell<usize>,
     pub(super) counters: EvictionCounters,
     started_at: Instant,
 }
@@ -73,6 +75,7 @@
             machine,
             connections: RefCell::default(),
             freed: Notify::new(),
+            unsent_forwarded: Cell::new(0),
             counters: EvictionCounters::default(),
             started_at: Instant::now(),
         })
@@ -101,6 +104,11 @@
         self.account.borrow().limits()
     }
 
+    /// Returns whether all responses to forwarded requests have been sent, apart from those in progress.
+    pub(super) fn has_sent_forwarded(&self) -> bool {
+        self.unsent_forwarded.get() == 0
+    }
+
     /// Returns whether `bytes` more can be held without a connection giving way.
     pub(super) fn has_room(&self, bytes: usize) -> bool {
         self.account.borrow().has_room(bytes)
@@ -224,6 +232,10 @@
             return;
         }
         self.update_activity();
+        if self.port == Port::Forwarded {
+            let count = &self.memory.unsent_forwarded;
+            count.set(if is_blocked { count.get() + 1 } else { count.get() - 1 });
+        }
     }
 
     fn update_activity(&self) {
@@ -378,6 +390,19 @@
     bytes: usize,
 }
 
+impl Charge {
+    /// Changes how much is charged.
+    pub(super) fn set(&mut self, bytes: usize) {
+        let (id, memory) = (self.connection.id, &self.connection.memory);
+        let mut account = memory.account.borrow_mut();
+        match bytes.checked_sub(self.bytes) {
+            Some(more) => account.charge(id, more),
+            None => account.release(id, self.bytes - bytes),
+        }
+        self.bytes = bytes;
+    }
+}
+
 impl Drop for Charge {
     fn drop(&mut self) {
         let memory = &self.connection.memory;
--- a/crates/azuregate/src/serve/client_stream.rs
+++ b/crates/azuregate/src/serve/client_stream.rs
@@ -18,9 +18,15 @@
     sync::Notify,
 };
 
-use super::client_memory::ConnectionMemory;
+use super::{
+    client_memory::{Charge, ConnectionMemory},
+    listen::SEND_BUFFER_BYTES,
+    request::RESPONSE_BYTES,
+};
 
 const READ_AHEAD_BYTES: usize = 16 << 10;
+/// What is held of a response that the client does not read, by the socket and by the HTTP server.
+const UNSENT_BYTES: usize = SEND_BUFFER_BYTES + RESPONSE_BYTES;
 
 /// The buffer between [`ReadAhead`] and [`ClientStream`].
 #[derive(Default)]
@@ -63,6 +69,8 @@
     resume: Rc<Notify>,
     writer: OwnedWriteHalf,
     memory: Rc<ConnectionMemory>,
+    /// Charged while the client does not read.
+    unsent: Option<Charge>,
 }
 
 /// Reads from the socket into the buffer.
@@ -81,8 +89,13 @@
     let (reader, writer) = stream.into_split();
     let shared = Rc::new(RefCell::new(ReadBuffer::default()));
     let resume = Rc::new(Notify::new());
-    let client =
-        ClientStream { shared: Rc::clone(&shared), resume: Rc::clone(&resume), writer, memory };
+    let client = ClientStream {
+        shared: Rc::clone(&shared),
+        resume: Rc::clone(&resume),
+        writer,
+        memory,
+        unsent: None,
+    };
     (client, ReadAhead { shared, resume, reader })
 }
 
@@ -151,6 +164,11 @@
     /// Records whether the client keeps a write from being accepted.
     fn note<T>(&mut self, polled: Poll<T>) -> Poll<T> {
         self.memory.set_write_blocked(polled.is_pending());
+        match (polled.is_pending(), &self.unsent) {
+            (true, None) => self.unsent = Some(self.memory.charge(UNSENT_BYTES)),
+            (false, Some(_)) => self.unsent = None,
+            (true, Some(_)) | (false, None) => {}
+        }
         polled
     }
 }
--- a/crates/azuregate/src/serve/connector.rs
+++ b/crates/azuregate/src/serve/connector.rs
@@ -16,6 +16,9 @@
 /// Keepalive stays off: this timeout would also close a connection after one lost probe.
 const UNACKED_DATA_TIMEOUT_MS: u64 = 350;
 
+/// What a connection may receive before it is read: enough for a long response from another region.
+pub(super) const RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+
 /// Opens connections to backend servers.
 #[async_trait]
 pub trait Connector: Send {
@@ -38,6 +41,8 @@
 impl Connector for TcpConnector {
     async fn connect(&self, addr: SocketAddr) -> io::Result<TcpStream> {
         let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        // Otherwise the buffer grows to megabytes while a client does not read its response.
+        let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32);
         socket.bind((self.ip, 0).into())?;
         let stream = socket.connect(addr).await?;
         stream.set_nodelay(true)?;
--- a/crates/azuregate/src/serve/forwarding.rs
+++ b/crates/azuregate/src/serve/forwarding.rs
@@ -100,22 +100,25 @@
     }
     let (mut parts, mut incoming) = head.into_parts();
     connection.meter.set_remaining(MAX_RESPONSE_BYTES);
-    let Some(buffered) = attempt::buffer_body(&mut incoming).await else {
+    let mut charge = outgoing.memory.charge(0);
+    let Some(buffered) = attempt::buffer_body(&mut incoming, &mut charge).await else {
         return ForwardResult::Unknown { executions: None };
     };
     response::remove_hop_by_hop_headers(&mut parts.headers);
-    let body = match attempt::is_complete(&incoming, &buffered) {
+    let mut body = match attempt::is_complete(&incoming, &buffered) {
         true => {
             state.instance_pool.put(addr, connection, state.now_ms());
             parts.headers.remove(header::CONTENT_LENGTH);
             ResponseBody::buffered(buffered)
         }
         false => {
+            charge.set(attempt::STREAM_BYTES);
             let state = Rc::clone(state);
             let from = StreamedFrom::Instance { addr, connection, state };
             ResponseBody::streaming(buffered, incoming, from, outgoing.deadline)
         }
     };
+    body.hold(charge);
     ForwardResult::Response(Response::from_parts(parts, body))
 }
 
--- a/crates/azuregate/src/serve/listen.rs
+++ b/crates/azuregate/src/serve/listen.rs
@@ -21,6 +21,8 @@
 
 /// What a connection may receive before it is read.
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// What a connection may hold of a response that its client does not read.
+pub(super) const SEND_BUFFER_BYTES: usize = 32 << 10;
 
 /// The bound sockets of an entry instance.
 pub(super) struct Listeners {
@@ -71,8 +73,10 @@
         .await
         .change_context(ServeError)
         .attach_with(|| format!("cannot listen on {addr}"))?;
-    // Accepted connections have it as well. Otherwise it grows to megabytes.
-    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    // Accepted connections have these as well. Otherwise they grow to megabytes.
+    let socket = SockRef::from(&listener);
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
     Ok(listener)
 }
 
--- a/crates/azuregate/src/serve/outgoing_request.rs
+++ b/crates/azuregate/src/serve/outgoing_request.rs
@@ -1,6 +1,6 @@
 //! A client request prepared for forwarding.
 
-use std::cell::OnceCell;
+use std::{cell::OnceCell, rc::Rc};
 
 use azuregate_core::balance::Fingerprint;
 use azuregate_platform::request;
@@ -11,7 +11,7 @@
 };
 use tokio::time::Instant;
 
-use super::request_body::RequestBody;
+use super::{client_memory::ConnectionMemory, request_body::RequestBody};
 
 /// Headers that distinguish requests with the same path and body: the host and the caller's
 /// credentials. The client's address is not part of it, since a caller may come from several.
@@ -26,6 +26,8 @@
     pub(super) is_idempotent: bool,
     /// When the response must be complete.
     pub(super) deadline: Instant,
+    /// What the client's connection holds.
+    pub(super) memory: Rc<ConnectionMemory>,
     fingerprint: OnceCell<Fingerprint>,
 }
 
@@ -35,6 +37,7 @@
         body: RequestBody,
         is_idempotent: bool,
         deadline: Instant,
+        memory: Rc<ConnectionMemory>,
     ) -> OutgoingRequest {
         OutgoingRequest {
             method: parts.method,
@@ -43,6 +46,7 @@
             body,
             is_idempotent,
             deadline,
+            memory,
             fingerprint: OnceCell::new(),
         }
     }
--- a/crates/azuregate/src/serve/request.rs
+++ b/crates/azuregate/src/serve/request.rs
@@ -161,7 +161,7 @@
             None => RequestBody::default(),
         };
         attempts.has_received_body = true;
-        let outgoing = outgoing_request(parts, body, is_idempotent, deadline);
+        let outgoing = outgoing_request(parts, body, is_idempotent, deadline, memory);
         Dispatcher { state, route: &route, service: &service, outgoing }
             .send(attempts, log_entry)
             .await
@@ -182,10 +182,11 @@
     body: RequestBody,
     is_idempotent: bool,
     deadline: Instant,
+    memory: Rc<ConnectionMemory>,
 ) -> OutgoingRequest {
     response::remove_hop_by_hop_headers(&mut parts.headers);
     response::remove_internal_headers(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
     parts.headers.remove(header::CONTENT_LENGTH);
-    OutgoingRequest::new(parts, body, is_idempotent, deadline)
+    OutgoingRequest::new(parts, body, is_idempotent, deadline, memory)
 }
--- a/crates/azuregate/src/serve/shutdown.rs
+++ b/crates/azuregate/src/serve/shutdown.rs
@@ -73,7 +73,10 @@
         phase.send_replace(ShutdownPhase::ClosingIdle);
         time::sleep(Duration::from_millis(LEAVE_PROPAGATION_MS)).await;
         phase.send_replace(ShutdownPhase::ListenerClosed);
-        while state.connections.get() > 0 || state.forwarded_in_progress.get() > 0 {
+        while state.connections.get() > 0
+            || state.forwarded_in_progress.get() > 0
+            || !state.client_memory.has_sent_forwarded()
+        {
             time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
     };
