Keep retry tokens by the millisecond

What callers saw: nothing with the ratios in use; with a high one, an instance ran out of memory at a high rate of requests.

Cause: a retry budget kept the time of each token on its own, for an eighth of the window, so its size grew with the rate at which clients send.

Tokens of the same millisecond are one entry, so there are no more entries than milliseconds in that time. The core's tests of budgets are unchanged.

--- a/crates/azuregate-core/src/balance/retry_budget.rs
+++ b/crates/azuregate-core/src/balance/retry_budget.rs
@@ -111,8 +111,9 @@
     burst_part: usize,
     /// What requests have paid for the next token.
     fraction: f64,
-    /// When each token was paid for.
-    tokens: VecDeque<u64>,
+    /// When tokens were paid for, and how many.
+    tokens: VecDeque<(u64, usize)>,
+    available: usize,
 }
 
 impl RetryBudget {
@@ -124,29 +125,45 @@
 
     fn record_request(&mut self, now_ms: u64) {
         self.fraction += self.ratio;
-        while self.fraction >= 1.0 {
-            self.fraction -= 1.0;
-            self.tokens.push_back(now_ms);
+        let paid = self.fraction as usize;
+        self.fraction -= paid as f64;
+        self.available += paid;
+        match self.tokens.back_mut() {
+            Some((paid_ms, count)) if *paid_ms == now_ms => *count += paid,
+            _ if paid > 0 => self.tokens.push_back((now_ms, paid)),
+            _ => {}
         }
         self.discard_expired(now_ms);
     }
 
     fn try_acquire(&mut self, now_ms: u64) -> bool {
         self.discard_expired(now_ms);
-        self.tokens.pop_front().is_some()
+        let Some((_, count)) = self.tokens.front_mut() else { return false };
+        *count -= 1;
+        if *count == 0 {
+            self.tokens.pop_front();
+        }
+        self.available -= 1;
+        true
     }
 
     fn available(&mut self, now_ms: u64) -> usize {
         self.discard_expired(now_ms);
-        self.tokens.len()
+        self.available
     }
 
     /// Discards old tokens beyond the part of the burst.
     fn discard_expired(&mut self, now_ms: u64) {
-        while self.tokens.len() > self.burst_part
-            && self.tokens.front().is_some_and(|paid_ms| paid_ms + self.carryover_ms < now_ms)
+        while let Some((paid_ms, count)) = self.tokens.front_mut()
+            && self.available > self.burst_part
+            && *paid_ms + self.carryover_ms < now_ms
         {
-            self.tokens.pop_front();
+            let discarded = (*count).min(self.available - self.burst_part);
+            *count -= discarded;
+            self.available -= discarded;
+            if *count == 0 {
+                self.tokens.pop_front();
+            }
         }
     }
 }
--- a/crates/azuregate/tests/misbehaving_clients/connections.rs
+++ b/crates/azuregate/tests/misbehaving_clients/connections.rs
@@ -110,3 +110,17 @@
     machine.settle(&crowd.sent_bytes).await;
     machine.check().await;
 }
+
+/// Guards against keeping something of each request, however many there are.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_at_a_high_rate() {
+    // Each request pays for as many retries.
+    let lines = "terms.bounds.retryBudgetRatio=1000\n";
+    let mut machine = Machine::start_with(MAX_BODY_BYTES, lines).await;
+    let slow = Behaviour::Delay(Duration::from_secs(6));
+    machine.cluster.backends.iter().for_each(|backend| backend.set(slow.clone()));
+    let crowd = Crowd::start(machine.process.traffic_addr, 120, &repeated("", &read(0), 2_000));
+    machine.settle(&crowd.sent_bytes).await;
+    machine.cluster.backends.iter().for_each(|backend| backend.set(Behaviour::Respond));
+    machine.check().await;
+}
