Limit what clients make `azuregate run` hold

What callers saw: an instance of `azuregate run` ran out of memory or of descriptors under clients that open connections and stall.

Cause: nobody accounted for their connections, and heads could be 400 KiB long, for as long as 30 s.

Connections of the traffic port are charged to the same kind of account as those of `azuregate serve`, and give way by the same rules: by what they wait for and for how long. A head may have 64 KiB. The settings `memory_mb` and `max_fds` say how large the machine is.

--- a/crates/azuregate-lab/src/example.rs
+++ b/crates/azuregate-lab/src/example.rs
@@ -29,6 +29,14 @@
 /// the first availability zone. Each further zone adds one.
 const CLIENT_SUBNET_OFFSET: u8 = 100;
 
+fn default_memory_mb() -> u64 {
+    256
+}
+
+fn default_max_fds() -> u64 {
+    4_096
+}
+
 /// An example deployment.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -43,6 +51,12 @@
     pub ports: Ports,
     /// How long an entry instance continues to serve after a planned stop begins.
     pub stop_delay_ms: u64,
+    /// The memory of each entry instance's machine, in MiB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// The file descriptors that each entry instance may open.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: u64,
     /// The entry instances.
     pub entries: Vec<EntryExample>,
     /// The services with their backend servers.
@@ -168,6 +182,8 @@
             statsd_addr: None,
             log_filter: "info".to_owned(),
             stop_delay_ms: self.stop_delay_ms,
+            memory_mb: self.memory_mb,
+            max_fds: self.max_fds,
         }
     }
 
--- a/crates/azuregate-lab/tests/processes/deployment.rs
+++ b/crates/azuregate-lab/tests/processes/deployment.rs
@@ -73,6 +73,17 @@
         client::call(self.traffic(index), request).await.unwrap()
     }
 
+    /// The same, or returns `None` if there is no response.
+    pub(crate) async fn try_send(
+        &self,
+        index: usize,
+        mut request: Request<Full<Bytes>>,
+    ) -> Option<Response<Bytes>> {
+        let host = self.example.services[0].name.as_str().parse().unwrap();
+        request.headers_mut().insert("host", host);
+        client::call(self.traffic(index), request).await.ok()
+    }
+
     /// How often a request ran, over all backend servers.
     pub(crate) async fn runs(&self, request_id: &str) -> u64 {
         let mut runs = 0;
--- a/crates/azuregate-lab/tests/processes/main.rs
+++ b/crates/azuregate-lab/tests/processes/main.rs
@@ -5,6 +5,7 @@
 
 mod bad_input;
 mod configuration;
+mod crowds;
 mod deployment;
 mod dispatchers;
 mod load;
--- a/crates/azuregate/src/lib.rs
+++ b/crates/azuregate/src/lib.rs
@@ -31,6 +31,7 @@
 * [`poll`] reads the platform, [`probe`] probes backend servers, [`membership`]
   tracks the other instances.
 * [`peer`] distributes accepted changes among instances.
+* [`client_limiter`] limits what callers make the instance hold.
 * [`operators`] serves the operators' remote procedure calls.
 */
 
@@ -39,6 +40,7 @@
 pub mod body;
 pub mod claims;
 pub mod cli;
+pub mod client_limiter;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
--- a/crates/azuregate/src/run/mod.rs
+++ b/crates/azuregate/src/run/mod.rs
@@ -5,6 +5,7 @@
 
 use std::{fmt, sync::Arc, time::Duration};
 
+use azuregate_core::client_memory::Limits;
 use azuregate_schema::v1::operators_server::OperatorsServer;
 use error_stack::Report;
 use tokio::{
@@ -16,8 +17,8 @@
 use tonic::transport::server::TcpIncoming;
 
 use crate::{
-    dispatch::RoutingMode, operators::OperatorsService, probe, settings::Settings, status,
-    stop::StopSignal, traffic::TrafficServer,
+    client_limiter::ClientLimiter, dispatch::RoutingMode, operators::OperatorsService, probe,
+    settings::Settings, status, stop::StopSignal, traffic::TrafficServer,
 };
 
 use self::{ports::Ports, shared::Shared};
@@ -62,12 +63,15 @@
     let background = start_background(&shared, ports.peers, ports.status);
     let operators = OperatorsPort::start(shared.operators(), ports.operators);
 
+    let limits = Limits::of_machine(shared.settings.memory_mb, shared.settings.max_fds);
+    let limiter = ClientLimiter::new(limits);
     let callers = TrafficServer {
         gateway: Arc::new(shared.gateway(rule)),
         config: shared.config.clone(),
         instance: shared.settings.instance.clone(),
         start: shared.start,
         stop: shared.stop.clone(),
+        limiter,
     };
     log::info!(instance:% = shared.settings.instance, start:% = shared.start; "entry instance started");
     callers.serve(ports.traffic, stop_delay_ms).await;
--- a/crates/azuregate/src/settings/fields.rs
+++ b/crates/azuregate/src/settings/fields.rs
@@ -13,6 +13,11 @@
 /// Maximum length of the name of an instance, region or availability zone.
 const MAX_NAME_BYTES: usize = 63;
 const MAX_STOP_DELAY_MS: u64 = 3_600_000;
+/// With less, nothing is left for clients.
+const MIN_MEMORY_MB: u64 = 48;
+const MAX_MEMORY_MB: u64 = 1 << 20;
+const MIN_FDS: u64 = 256;
+const MAX_FDS: u64 = 1 << 20;
 const MAX_LINK_DELAY_MS: u64 = 60_000;
 const MAX_LINK_MBIT_PER_S: u64 = 10_000_000;
 /// Bounds of the polling interval. Shorter intervals overload the platform if there are
@@ -41,6 +46,8 @@
     field("statsd_addr", Nullable, Schema::String(addr)),
     field("log_filter", Optional, Schema::String(log_filter)),
     field("stop_delay_ms", Optional, Schema::Integer { min: 0, max: MAX_STOP_DELAY_MS }),
+    field("memory_mb", Optional, Schema::Integer { min: MIN_MEMORY_MB, max: MAX_MEMORY_MB }),
+    field("max_fds", Optional, Schema::Integer { min: MIN_FDS, max: MAX_FDS }),
 ]);
 
 const PLATFORM: Schema = Schema::Object(&[
--- a/crates/azuregate/src/settings/mod.rs
+++ b/crates/azuregate/src/settings/mod.rs
@@ -62,6 +62,12 @@
     /// address.
     #[serde(default = "default_stop_delay_ms")]
     pub stop_delay_ms: u64,
+    /// The memory of the machine, in MiB, of which clients may hold a part.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// The file descriptors that the process may have open, half of which connections of clients may use.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: u64,
 }
 
 /// The settings of the connection to the platform.
@@ -86,6 +92,14 @@
     6_000
 }
 
+fn default_memory_mb() -> u64 {
+    256
+}
+
+fn default_max_fds() -> u64 {
+    4_096
+}
+
 fn default_poll_ms() -> u64 {
     500
 }
--- a/crates/azuregate/src/traffic.rs
+++ b/crates/azuregate/src/traffic.rs
@@ -13,6 +13,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     time,
@@ -21,11 +22,17 @@
 use crate::{
     accept,
     body::Body,
+    client_limiter::{ClientBody, ClientLimiter, ClientStream},
     config::{Change, Config},
     gateway::Gateway,
     stop::StopSignal,
 };
 
+/// The longest head of a request.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// What the socket of a client may hold of its request, and of its response. Otherwise it grows to megabytes.
+const SOCKET_BUFFER_BYTES: usize = 32 << 10;
+
 /// The HTTP server for clients.
 pub struct TrafficServer {
     /// Handles the requests.
@@ -38,6 +45,8 @@
     pub start: StartNumber,
     /// Signals a planned stop.
     pub stop: StopSignal,
+    /// Limits what clients make the instance hold.
+    pub limiter: Arc<ClientLimiter>,
 }
 
 impl TrafficServer {
@@ -48,6 +57,10 @@
     /// may still use cached entry look-ups. Then it closes the port and finishes
     /// the requests in progress.
     pub async fn serve(self, listener: TcpListener, stop_delay_ms: u64) {
+        // Accepted connections have these as well.
+        let socket = SockRef::from(&listener);
+        let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+        let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES);
         let graceful = GracefulShutdown::new();
         let stopped = self.wait_for_stop(stop_delay_ms);
         tokio::pin!(stopped);
@@ -77,18 +90,39 @@
     }
 
     fn spawn_connection(&self, graceful: &GracefulShutdown, stream: TcpStream, caller: SocketAddr) {
+        let Some(connection) = self.limiter.open(caller) else { return };
         let _ = stream.set_nodelay(true);
         let (gateway, stop) = (Arc::clone(&self.gateway), self.stop.clone());
-        let service = service_fn(move |request: Request<Incoming>| {
-            let request = request.map(|body| body.map_err(Into::into).boxed_unsync());
-            respond(Arc::clone(&gateway), stop.clone(), request, caller)
+        let service = service_fn({
+            let connection = Arc::clone(&connection);
+            move |request: Request<Incoming>| {
+                let request = request.map(|body| {
+                    ClientBody::new(body, Arc::clone(&connection))
+                        .map_err(Into::into)
+                        .boxed_unsync()
+                });
+                connection.begin_request();
+                let response = respond(Arc::clone(&gateway), stop.clone(), request, caller);
+                let connection = Arc::clone(&connection);
+                async move {
+                    let response = response.await;
+                    connection.end_request();
+                    response
+                }
+            }
         });
+        let stream = ClientStream::new(stream, Arc::clone(&connection));
         let conn = http1::Builder::new()
             .timer(TokioTimer::new())
+            .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let conn = graceful.watch(conn);
         tokio::spawn(async move {
-            if let Err(e) = conn.await {
+            let result = tokio::select! {
+                result = conn => result,
+                () = connection.closed() => return,
+            };
+            if let Err(e) = result {
                 log::debug!(caller:% = caller, error:% = e; "caller's connection ended");
             }
         });
