Reserve a body's length before its first byte, and wait only without memory

Cause: a body took memory from bodies that began after it. A crowd that came before an upload counted as older, for the 500 ms in which it does not stall yet.

A body of known length reserves all of it at once, and waits for up to a second for that, in which others complete or stall. One in chunks takes segments as before, and is refused if there is no memory for the next one. None waits while it holds memory, so bodies still never wait for each other, and nothing is taken from a body that is being sent.

--- a/crates/azuregate-core/src/client_memory/account.rs
+++ b/crates/azuregate-core/src/client_memory/account.rs
@@ -17,7 +17,7 @@
     Idle,
     /// For a request, or for the rest of one.
     Receiving,
-    /// For memory, with a part of a body.
+    /// For memory, before the first byte of a body.
     WaitingForMemory,
     /// For backend servers, or for this instance.
     Working,
@@ -61,8 +61,7 @@
     bytes: usize,
     /// The part of `bytes` that is a body which is being received.
     body_bytes: usize,
-    /// When that body began, among all; `None` without one.
-    body_number: Option<u64>,
+    is_receiving_body: bool,
     is_active: bool,
     activity: Activity,
     /// When the connection last made progress.
@@ -84,13 +83,12 @@
     used_bytes: usize,
     holders: HashMap<HolderId, Holder>,
     next_id: u64,
-    next_body: u64,
 }
 
 impl Account {
     /// Returns an account without connections.
     pub fn new(limits: Limits) -> Account {
-        Account { limits, used_bytes: 0, holders: HashMap::new(), next_id: 0, next_body: 0 }
+        Account { limits, used_bytes: 0, holders: HashMap::new(), next_id: 0 }
     }
 
     /// Replaces the limits. Connections that exceed them remain.
@@ -124,7 +122,7 @@
         let holder = Holder {
             bytes: CONNECTION_BYTES,
             body_bytes: 0,
-            body_number: None,
+            is_receiving_body: false,
             is_active: false,
             activity: Activity::Receiving,
             since_ms: now_ms,
@@ -199,16 +197,16 @@
 
     /// Begins the body of a request.
     pub fn begin_body(&mut self, id: HolderId, now_ms: u64) {
-        let number = self.next_body;
-        self.next_body += 1;
         if let Some(holder) = self.holders.get_mut(&id) {
-            holder.body_number = Some(number);
+            holder.is_receiving_body = true;
         }
         self.set_activity(id, Activity::Receiving, now_ms);
         self.touch(id, now_ms);
     }
 
     /// Decides whether a body may use another `bytes`, for which it has waited `waited_ms`.
+    ///
+    /// It never waits while it holds memory, so no two bodies wait for each other.
     pub fn reserve_body(
         &mut self,
         id: HolderId,
@@ -228,10 +226,11 @@
             self.touch(id, now_ms);
             return Decision::Granted;
         }
-        if let Some(victim) = self.stalled(Some(id), now_ms).or_else(|| self.younger_body(id)) {
+        let holds_memory = holder.body_bytes > 0;
+        if let Some(victim) = self.stalled(Some(id), now_ms) {
             return Decision::Evict(victim);
         }
-        if waited_ms >= MAX_WAIT_MS {
+        if holds_memory || waited_ms >= MAX_WAIT_MS {
             return Decision::Refused;
         }
         self.set_activity(id, Activity::WaitingForMemory, now_ms);
@@ -242,13 +241,13 @@
     pub fn complete_body(&mut self, id: HolderId, now_ms: u64) -> usize {
         self.set_activity(id, Activity::Working, now_ms);
         let Some(holder) = self.holders.get_mut(&id) else { return 0 };
-        holder.body_number = None;
+        holder.is_receiving_body = false;
         std::mem::take(&mut holder.body_bytes)
     }
 
     /// Returns whether a connection is receiving a body.
     pub fn is_receiving_body(&self, id: HolderId) -> bool {
-        self.holders.get(&id).is_some_and(|holder| holder.body_number.is_some())
+        self.holders.get(&id).is_some_and(|holder| holder.is_receiving_body)
     }
 
     /// Ends a body that is given up, and releases its memory.
@@ -278,12 +277,4 @@
         });
         idle.min_by_key(|(id, holder)| (holder.since_ms, **id)).map(|(id, _)| *id)
     }
-
-    /// Returns the body that began last, if it began after that of `id`.
-    fn younger_body(&self, id: HolderId) -> Option<HolderId> {
-        let own_number = self.holders.get(&id)?.body_number;
-        let bodies = self.holders.iter().filter(|(_, holder)| holder.body_bytes > 0);
-        let youngest = bodies.max_by_key(|(_, holder)| holder.body_number)?;
-        (youngest.1.body_number > own_number).then_some(*youngest.0)
-    }
 }
--- a/crates/azuregate-core/src/client_memory/limits.rs
+++ b/crates/azuregate-core/src/client_memory/limits.rs
@@ -10,7 +10,7 @@
 pub const STALL_MS: u64 = 500;
 /// A connection between two requests gives way after this time.
 pub(super) const IDLE_MS: u64 = 1_000;
-/// How long a body waits for memory: until connections that stall can be told from others.
+/// How long a body waits for memory: in this time, connections that stall can be told from others.
 pub const MAX_WAIT_MS: u64 = 2 * STALL_MS;
 
 /// Memory of the process that does not depend on clients.
--- a/crates/azuregate-core/src/client_memory/mod.rs
+++ b/crates/azuregate-core/src/client_memory/mod.rs
@@ -11,8 +11,9 @@
 * A connection stalls when it has waited for its client for [`STALL_MS`]. Bytes of a body count as progress by
   the segment, so a client that sends one byte at a time stalls as well.
 * When memory is short, connections that stall give way, those with the highest product of bytes and time first.
-* Otherwise, a body takes memory from those that began after it, so the oldest body always completes and bodies
-  never wait for each other. The youngest waits for [`MAX_WAIT_MS`], in which the others complete or stall.
+* If none stalls, a body waits for [`MAX_WAIT_MS`], in which others complete or stall, but only while it holds no
+  memory. One of known length therefore reserves all of it before its first byte, and one that is sent in chunks
+  is refused if there is no memory for the next segment. Bodies never wait for each other.
 * Bodies of more than [`SMALL_BODY_BYTES`] leave a part of the memory to other requests.
 
 # Example
--- a/crates/azuregate/src/serve/client_memory.rs
+++ b/crates/azuregate/src/serve/client_memory.rs
@@ -348,15 +348,21 @@
         segments.last().map_or(0, |segment| segment.capacity() - segment.len())
     }
 
-    /// Adds a segment of `bytes` once there is memory.
+    /// Waits until another `bytes` are charged.
     ///
     /// # Errors
     ///
     /// Returns an error if the body must be given up.
-    pub(super) async fn add_segment(&self, bytes: usize) -> Result<(), RequestError> {
-        self.connection.reserve_body(bytes).await?;
+    pub(super) async fn reserve(&self, bytes: usize) -> Result<(), RequestError> {
+        self.connection.reserve_body(bytes).await
+    }
+
+    /// Adds a segment of `bytes`, which must have been charged.
+    pub(super) fn add_segment(&self, bytes: usize) {
+        // Also where nothing is charged any more, since a segment is progress.
+        let memory = &self.connection.memory;
+        memory.account.borrow_mut().touch(self.connection.id, memory.now_ms());
         self.connection.segments.borrow_mut().push(BytesMut::with_capacity(bytes));
-        Ok(())
     }
 
     /// Appends bytes for which there is space.
--- a/crates/azuregate/src/serve/request_body.rs
+++ b/crates/azuregate/src/serve/request_body.rs
@@ -54,6 +54,9 @@
         }
         let length = size.exact().and_then(|length| usize::try_from(length).ok());
         let body = memory.begin_body();
+        if let Some(length) = length {
+            body.reserve(length).await?;
+        }
         let mut bytes = 0;
         loop {
             let frame = tokio::select! {
@@ -69,7 +72,11 @@
             }
             while data.has_remaining() {
                 if body.spare_bytes() == 0 {
-                    body.add_segment(segment_bytes(bytes, length)).await?;
+                    let segment_bytes = segment_bytes(bytes, length);
+                    if length.is_none() {
+                        body.reserve(segment_bytes).await?;
+                    }
+                    body.add_segment(segment_bytes);
                 }
                 let count = data.len().min(body.spare_bytes());
                 body.append(&data.split_to(count));
