--- a/crates/azuregate/src/settings/mod.rs
+++ b/crates/azuregate/src/settings/mod.rs
@@ -97,7 +97,7 @@
 }
 
 fn default_max_fds() -> u64 {
-    4_096
+    16_384
 }
 
 fn default_poll_ms() -> u64 {
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -16,7 +16,7 @@
 const DEFAULT_PATH: &str = "/etc/azuregate/node.conf";
 /// Limits of a machine for which the settings have none.
 const DEFAULT_MEMORY_MB: u64 = 256;
-const DEFAULT_MAX_FDS: u64 = 4_096;
+const DEFAULT_MAX_FDS: u64 = 16_384;
 
 /// Settings of one entry instance.
 #[derive(Clone, Debug, PartialEq)]
