Keep the connection of a client that reads its response

What callers saw: with the account of client memory, while descriptors or memory were short, the connection of a client whose response took longer than a second to arrive could be closed as if it were idle, and its response was cut. A refusal of a request that another instance forwards could be lost under the rest of its body, so that its client got 502 in place of 503.

Cause: a connection counted as idle once its response had begun. On ports other than that of clients, connections were closed at once behind a response that precedes the body; bytes that were discarded there were still scanned for requests.

That refusals of forwarded bodies are lost was found by reading, without a run.

A request now lasts until its response has been sent or dropped, on all ports. What is left of a body is discarded for half a second on all ports, and discarded bytes are not scanned.

--- a/crates/azuregate/src/serve/client_memory.rs
+++ b/crates/azuregate/src/serve/client_memory.rs
@@ -245,6 +245,17 @@
         self.memory.account.borrow_mut().set_activity(self.id, activity, now_ms);
     }
 
+    /// Returns whether it waits for the instance or for backend servers.
+    pub(super) fn is_working(&self) -> bool {
+        self.activity.get() == Activity::Working
+    }
+
+    /// Records that a request is in progress until the result is dropped.
+    pub(super) fn begin_request(self: &Rc<Self>) -> RequestInProgress {
+        self.set_activity(Activity::Working);
+        RequestInProgress(Rc::clone(self))
+    }
+
     /// Charges the buffers of a request, or releases them.
     pub(super) fn set_active(&self, is_active: bool) {
         self.memory.account.borrow_mut().set_active(self.id, is_active);
@@ -318,6 +329,16 @@
     }
 }
 
+/// A request that is in progress until this is dropped.
+pub(super) struct RequestInProgress(Rc<ConnectionMemory>);
+
+impl Drop for RequestInProgress {
+    fn drop(&mut self) {
+        self.0.set_activity(Activity::Idle);
+        self.0.set_active(false);
+    }
+}
+
 /// A body that is being received; given up if this is dropped before it is complete.
 pub(super) struct IncomingBody {
     connection: Rc<ConnectionMemory>,
--- a/crates/azuregate/src/serve/client_stream.rs
+++ b/crates/azuregate/src/serve/client_stream.rs
@@ -106,7 +106,8 @@
     }
 
     /// Reads until the client closes the connection, passing all bytes to `on_bytes` before the HTTP server
-    /// can read them. Pauses while `is_full`, after which it calls `on_bytes` without bytes.
+    /// can read them. Pauses while `is_full`, after which it calls `on_bytes` without bytes. Once the HTTP server
+    /// has shut the connection down, bytes are discarded.
     pub(super) async fn run(self, mut on_bytes: impl FnMut(&[u8]), is_full: impl Fn() -> bool) {
         loop {
             while self.is_buffer_full() || is_full() {
@@ -124,7 +125,9 @@
                 continue;
             }
             let is_eof = !is_readable || !matches!(result, Ok(1..));
-            on_bytes(&shared.bytes[unread..]);
+            if !shared.is_discarding {
+                on_bytes(&shared.bytes[unread..]);
+            }
             shared.is_eof = is_eof;
             if let Some(waker) = shared.reader_waker.take() {
                 waker.wake();
--- a/crates/azuregate/src/serve/connection.rs
+++ b/crates/azuregate/src/serve/connection.rs
@@ -42,7 +42,7 @@
 const HEADER_TIMEOUT_MARGIN_MS: u64 = 1_000;
 /// How long a connection is read after a response that was sent before the whole request was received. If it were
 /// closed at once, the client could lose that response.
-const LINGER_MS: u64 = 500;
+pub(super) const LINGER_MS: u64 = 500;
 /// How long a new connection may take to send its first request during a shutdown:
 /// several round-trip times plus one retransmission.
 const FIRST_REQUEST_TIMEOUT_MS: u64 = 700;
@@ -54,6 +54,8 @@
     has_received_request: Cell<bool>,
     /// When the first bytes of the incomplete request head arrived.
     partial_head_since_ms: Cell<Option<u64>>,
+    /// Responses that are being sent.
+    responding: Cell<u32>,
     /// Whether the last response was sent before the whole request was received.
     has_unread_body: Cell<bool>,
     pipeline: Pipeline,
@@ -67,6 +69,7 @@
             idle_since_ms: Cell::new(now_ms),
             has_received_request: Cell::new(false),
             partial_head_since_ms: Cell::new(None),
+            responding: Cell::new(0),
             has_unread_body: Cell::new(false),
             pipeline,
             memory,
@@ -77,7 +80,7 @@
     /// memory for a head that is not complete; a request is refused.
     fn charge_head(&self) {
         self.memory.set_active(true);
-        if self.in_flight.get() > 0 {
+        if self.in_flight.get() > 0 || self.responding.get() > 0 {
             return;
         }
         self.memory.set_activity(Activity::Receiving);
@@ -87,8 +90,10 @@
     }
 
     /// Records what the connection waits for after a response.
-    fn finish_request(&self) {
-        if self.in_flight.get() > 0 || self.pipeline.has_unhandled() {
+    fn finish_response(&self) {
+        self.responding.set(self.responding.get() - 1);
+        let is_busy = self.in_flight.get() > 0 || self.responding.get() > 0;
+        if is_busy || self.pipeline.has_unhandled() {
             return;
         }
         let has_partial_head = self.partial_head_since_ms.get().is_some();
@@ -118,6 +123,22 @@
     }
 }
 
+/// A response that is being sent until this is dropped.
+struct Responding(Rc<ConnectionState>);
+
+impl Responding {
+    fn new(connection_state: &Rc<ConnectionState>) -> Responding {
+        connection_state.responding.set(connection_state.responding.get() + 1);
+        Responding(Rc::clone(connection_state))
+    }
+}
+
+impl Drop for Responding {
+    fn drop(&mut self) {
+        self.0.finish_response();
+    }
+}
+
 /// Serves a connection from `client` until either side closes it.
 pub(super) async fn serve(
     state: Rc<State>,
@@ -237,7 +258,7 @@
     connection_state.idle_since_ms.set(state.now_ms());
     let precedes_body = response.extensions().get::<PrecedesBody>().is_some();
     connection_state.has_unread_body.set(has_body && precedes_body);
-    connection_state.finish_request();
+    response.body_mut().hold(Responding::new(&connection_state));
     if state.stop.is_stopping() && !connection_state.pipeline.has_pending(&state) {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/azuregate/src/serve/endpoints.rs
+++ b/crates/azuregate/src/serve/endpoints.rs
@@ -35,9 +35,13 @@
         let (stream, peer) = accept::next(&listener).await;
         let Some(memory) = state.client_memory.open(Port::Endpoints, peer.ip()) else { continue };
         let state = Rc::clone(&state);
-        let service = service_fn(move |request| {
-            let response = respond(&state, audience, &request);
-            async move { Ok::<_, Infallible>(response) }
+        let service = service_fn({
+            let memory = Rc::clone(&memory);
+            move |request| {
+                let _in_progress = memory.begin_request();
+                let response = respond(&state, audience, &request);
+                async move { Ok::<_, Infallible>(response) }
+            }
         });
         spawn_local(bounded_connection::serve(stream, memory, MAX_HEAD_BYTES, service));
     }
--- a/crates/azuregate/src/serve/forwarded.rs
+++ b/crates/azuregate/src/serve/forwarded.rs
@@ -25,6 +25,8 @@
 };
 use crate::accept;
 
+/// Until there is a configuration.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
 /// What another instance adds to the head that its client sent.
 const MAX_OWN_HEAD_BYTES: usize = 8 << 10;
 
@@ -44,7 +46,8 @@
     memory: Rc<ConnectionMemory>,
 ) {
     let _ = stream.set_nodelay(true);
-    let head_bytes = state.config().map_or(0, |config| config.limits().header_bytes);
+    let head_bytes =
+        state.config().map_or(DEFAULT_HEAD_BYTES, |config| config.limits().header_bytes);
     let service = service_fn({
         let memory = Rc::clone(&memory);
         move |request| handle(Rc::clone(&state), peer, Rc::clone(&memory), request)
@@ -75,7 +78,7 @@
     memory: Rc<ConnectionMemory>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let in_progress = InProgress::new(&state);
+    let in_progress = (InProgress::new(&state), memory.begin_request());
     let received_at = Instant::now();
     let (mut parts, body) = request.into_parts();
     let Some(executions) = forwarding::executions(&parts.headers) else {
--- a/crates/azuregate/tests/misbehaving_clients/connections.rs
+++ b/crates/azuregate/tests/misbehaving_clients/connections.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use azuregate_platform::fakes::Behaviour;
+use tokio::time;
 
 use crate::{
+    cluster::Client,
     crowd::{Crowd, Payload},
     machine::{Machine, ROUTE_TIMEOUT_MS},
 };
@@ -124,3 +126,24 @@
     machine.cluster.backends.iter().for_each(|backend| backend.set(Behaviour::Respond));
     machine.check().await;
 }
+
+/// Guards against closing the connection of a client that reads its response, in place of one that stalls.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_in_progress_does_not_give_way() {
+    let mut machine = Machine::start(MAX_BODY_BYTES).await;
+    let mut client = Client::connect(machine.process.traffic_addr).await;
+    // The second half of the response comes after that time.
+    let slow = read(0).replace("/read/x", "/read/x?stream_ms=8000");
+    client.send(&slow).await;
+    let response = tokio::spawn(async move { client.response().await });
+    let idle = repeated("", "", 0);
+    for _ in 0..2 {
+        // Longer than it takes to tell which connections stall, or are idle.
+        time::sleep(Duration::from_secs(2)).await;
+        let crowd = Crowd::start(machine.process.traffic_addr, 400, &idle);
+        machine.settle(&crowd.sent_bytes).await;
+    }
+    let response = response.await.unwrap().expect("the response is not cut");
+    assert_eq!((response.status, response.body.len()), (200, 400_000));
+    machine.check().await;
+}
